Add the design and the shared packages

Adds docs/design.md, result codes, clock, bounded queue, certificates, frames over QUIC, control state with its merge rules, and rendezvous ownership.

Tests: peer calls, refused certificates, oversized frames and unreachable peers; the generated frame encoding is compared with a fresh generation.

--- /dev/null
+++ b/control/types.go
@@ -0,0 +1,133 @@
+// Package control holds the control state that every process keeps: settings,
+// domain records, rosters and orders, with the rules by which newer state
+// replaces older state.
+package control
+
+import "time"
+
+// Record is the platform's record of one failure domain. It is changed only by
+// conditional updates of the platform's object.
+type Record struct {
+	// Epoch rises with each change of the members.
+	Epoch uint64 `json:"epoch"`
+	// Coordinator is the member that renews the leases of all.
+	Coordinator string     `json:"coordinator"`
+	Members     []Member   `json:"members"`
+	Departed    []Departed `json:"departed,omitempty"`
+	// Confirmers are the processes that may confirm the epoch to a member whose
+	// lease has expired.
+	Confirmers []string `json:"confirmers"`
+	// Renewal rises with each renewal, so that a renewal is a change.
+	Renewal uint64 `json:"renewal"`
+}
+
+// Member is one broker incarnation of a failure domain.
+type Member struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	// GrantedNs is the member's own boot time from which its lease counts.
+	GrantedNs int64 `json:"granted_ns"`
+}
+
+// Departed is a member that was removed without having released its
+// searchers. It stays in the record until it can hold no dispatch right.
+type Departed struct {
+	ID         string   `json:"id"`
+	Epoch      uint64   `json:"epoch"`
+	Confirmers []string `json:"confirmers"`
+	Acked      []string `json:"acked,omitempty"`
+}
+
+// Member returns the member with the given identifier.
+func (r *Record) Member(id string) (Member, bool) {
+	for _, m := range r.Members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// InstanceState is how a process takes part in its failure domain.
+type InstanceState string
+
+// A suspected instance did not answer heartbeats or indirect probes.
+const (
+	Live      InstanceState = "live"
+	Leaving   InstanceState = "leaving"
+	Suspected InstanceState = "suspected"
+)
+
+// Roster lists the processes of one failure domain as its coordinator sees
+// them.
+type Roster struct {
+	Coordinator string     `json:"coordinator"`
+	Instances   []Instance `json:"instances"`
+}
+
+// Role is the daemon that an instance runs.
+type Role string
+
+// Roles of daemons.
+const (
+	RoleEntry  Role = "entry"
+	RoleBroker Role = "broker"
+)
+
+// Instance is one process of a roster.
+type Instance struct {
+	ID              string        `json:"id"`
+	Role            Role          `json:"role"`
+	FailureDomain   string        `json:"failure_domain"`
+	CallerAddress   string        `json:"caller_address,omitempty"`
+	PeerAddress     string        `json:"peer_address"`
+	OperatorAddress string        `json:"operator_address,omitempty"`
+	State           InstanceState `json:"state"`
+	Revision        uint64        `json:"revision"`
+}
+
+// OrderKind is what an order is about.
+type OrderKind string
+
+// Orders take a failure domain or one upstream out of service or back.
+const (
+	OrderDomain   OrderKind = "domain"
+	OrderUpstream OrderKind = "upstream"
+)
+
+// Order is an operator's order. It is recorded on the platform, or, while that
+// is not reachable, held by the instances until it is recorded.
+type Order struct {
+	Kind     OrderKind `json:"kind"`
+	Name     string    `json:"name"`
+	Out      bool      `json:"out"`
+	Author   string    `json:"author"`
+	Reason   string    `json:"reason"`
+	Time     time.Time `json:"time"`
+	ChangeID string    `json:"change_id"`
+	// Supersedes names the direct orders that were known where this one was
+	// given directly.
+	Supersedes []string `json:"supersedes,omitempty"`
+}
+
+// RecordedOrder is the platform's object of one failure domain or upstream:
+// the order in force and those before it, newest first.
+type RecordedOrder struct {
+	Sequence uint64  `json:"sequence"`
+	Order    Order   `json:"order"`
+	History  []Order `json:"history,omitempty"`
+}
+
+// Holds reports whether the order with the given change identifier is in force
+// or in the history.
+func (r *RecordedOrder) Holds(changeID string) bool {
+	if r.Order.ChangeID == changeID {
+		return true
+	}
+	for _, o := range r.History {
+		if o.ChangeID == changeID {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,390 @@
+// Package peer carries frames between the processes of wisteriawharf, over
+// QUIC with mutual TLS.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/quic-go/quic-go"
+
+	"github.com/wisteriawharf/wisteriawharf/identity"
+	"github.com/wisteriawharf/wisteriawharf/result"
+)
+
+const (
+	protocol = "wharf/1"
+
+	// A connection that has gone silent is given up after idleTimeout. Keep-alive
+	// packets at a third of it keep a working one from being given up for the
+	// loss of a single packet.
+	idleTimeout     = 1500 * time.Millisecond
+	keepAlivePeriod = 500 * time.Millisecond
+
+	dialTimeout = time.Second
+
+	// pingTimeout bounds the test of a connection that made no progress.
+	pingTimeout = 300 * time.Millisecond
+
+	// maxStreams bounds what one peer may have in progress at once.
+	maxStreams = 4096
+)
+
+// Handler serves one incoming stream. The stream is closed when it returns;
+// an error resets it.
+type Handler func(ctx context.Context, s *Stream) error
+
+// Config describes a Node.
+type Config struct {
+	// Address is the IP address and UDP port to listen on. Port 0 picks one.
+	Address string
+	// Identity proves this process to its peers.
+	Identity *identity.Identity
+	// Handlers serve incoming streams by kind.
+	Handlers map[Kind]Handler
+	Log      *slog.Logger
+}
+
+// Validate returns an error that names the first setting that is missing.
+func (c Config) Validate() error {
+	if _, err := net.ResolveUDPAddr("udp", c.Address); err != nil {
+		return errors.Annotatef(err, "peer address %q", c.Address)
+	}
+	if c.Identity == nil {
+		return errors.New("identity is missing")
+	}
+	if c.Log == nil {
+		return errors.New("log is missing")
+	}
+	return nil
+}
+
+// Node listens for peers and keeps one connection to each address it calls.
+type Node struct {
+	config    Config
+	transport *quic.Transport
+	listener  *quic.Listener
+	client    *tls.Config
+	quic      *quic.Config
+	ctx       context.Context
+	stop      context.CancelFunc
+	handlers  sync.WaitGroup
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// link is the connection to one address; dialing is closed when it is known.
+type link struct {
+	dialing chan struct{}
+	conn    *quic.Conn
+	err     error
+}
+
+// Listen starts a node. It serves streams until Close.
+func Listen(config Config) (*Node, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	address, err := net.ResolveUDPAddr("udp", config.Address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen on %q", config.Address)
+	}
+	n := &Node{
+		config:    config,
+		transport: &quic.Transport{Conn: socket},
+		client:    config.Identity.Client([]string{protocol}),
+		quic: &quic.Config{
+			MaxIdleTimeout:        idleTimeout,
+			KeepAlivePeriod:       keepAlivePeriod,
+			HandshakeIdleTimeout:  dialTimeout,
+			MaxIncomingStreams:    maxStreams,
+			MaxIncomingUniStreams: -1,
+		},
+		links: make(map[string]*link),
+	}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	server := config.Identity.Server([]string{protocol}, identity.RoleInstance)
+	n.listener, err = n.transport.Listen(server, n.quic)
+	if err != nil {
+		_ = socket.Close()
+		return nil, errors.Trace(err)
+	}
+	go n.accept()
+	return n, nil
+}
+
+// Address returns the IP address and port on which the node listens.
+func (n *Node) Address() string { return n.listener.Addr().String() }
+
+// Close ends all connections and waits for the handlers.
+func (n *Node) Close() error {
+	n.stop()
+	err := n.listener.Close()
+	n.closeLinks()
+	_ = n.transport.Close()
+	n.handlers.Wait()
+	return errors.Trace(err)
+}
+
+func (n *Node) closeLinks() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, l := range n.links {
+		delete(n.links, address)
+		go func() {
+			<-l.dialing
+			closeConn(l.conn)
+		}()
+	}
+}
+
+func closeConn(conn *quic.Conn) {
+	if conn != nil {
+		_ = conn.CloseWithError(0, "")
+	}
+}
+
+func (n *Node) accept() {
+	for {
+		conn, err := n.listener.Accept(n.ctx)
+		if err != nil {
+			return
+		}
+		go n.serveConn(conn)
+	}
+}
+
+func (n *Node) serveConn(conn *quic.Conn) {
+	name, _, _ := identity.Name(conn.ConnectionState().TLS)
+	for {
+		raw, err := conn.AcceptStream(n.ctx)
+		if err != nil {
+			return
+		}
+		n.handlers.Add(1)
+		go func() {
+			defer n.handlers.Done()
+			n.serveStream(newStream(raw, name))
+		}()
+	}
+}
+
+func (n *Node) serveStream(s *Stream) {
+	first, err := s.reader.ReadByte()
+	if err != nil {
+		s.Cancel()
+		return
+	}
+	if Kind(first) == kindPing {
+		_, _ = s.stream.Write([]byte{first})
+		_ = s.CloseSend()
+		return
+	}
+	handler, ok := n.config.Handlers[Kind(first)]
+	if !ok {
+		n.config.Log.Warn("stream of unknown kind", "kind", first, "peer", s.peer)
+		s.reset(resetBadFrame)
+		return
+	}
+	// A handler's work ends with its stream: the peer cannot use the result.
+	ctx, cancel := context.WithCancel(s.stream.Context())
+	defer cancel()
+	if err := handler(ctx, s); err != nil {
+		n.config.Log.Debug("stream ended with an error", "kind", first, "peer", s.peer, "error", err)
+		s.Cancel()
+		return
+	}
+	_ = s.CloseSend()
+}
+
+// Open starts a stream of the given kind to address. An error means that the
+// peer received nothing, so that the work behind it was not run.
+func (n *Node) Open(ctx context.Context, address string, kind Kind) (*Stream, error) {
+	conn, err := n.connection(ctx, address)
+	if err != nil {
+		return nil, result.NotRun(result.ConnectionLost, "peer %s: %v", address, err)
+	}
+	raw, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		n.forget(address, conn)
+		return nil, result.NotRun(result.ConnectionLost, "peer %s: %v", address, err)
+	}
+	name, _, _ := identity.Name(conn.ConnectionState().TLS)
+	s := newStream(raw, name)
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = s.SetDeadline(deadline)
+	}
+	if _, err := raw.Write([]byte{byte(kind)}); err != nil {
+		s.Cancel()
+		n.forget(address, conn)
+		return nil, result.NotRun(result.ConnectionLost, "peer %s: %v", address, err)
+	}
+	return s, nil
+}
+
+// Call sends one frame and receives one. A failure after the stream was opened
+// leaves open whether the peer received the request; the error then says
+// result.RunUnknown. When the context's deadline ends the call, the connection
+// is tested, because it may have gone silent.
+func (n *Node) Call(ctx context.Context, address string, kind Kind, request, response Message) error {
+	s, err := n.Open(ctx, address, kind)
+	if err != nil {
+		return err
+	}
+	defer s.Cancel()
+	if err := s.Send(request); err != nil {
+		return n.callError(address, err)
+	}
+	if err := s.CloseSend(); err != nil {
+		return n.callError(address, err)
+	}
+	if err := s.Receive(response); err != nil {
+		return n.callError(address, err)
+	}
+	return nil
+}
+
+func (n *Node) callError(address string, err error) error {
+	if e, ok := errors.AsType[*result.Error](err); ok {
+		return e
+	}
+	n.Retest(address)
+	return result.MayHaveRun(result.ConnectionLost, "peer %s: %v", address, err)
+}
+
+// Retest tests the connection to address with a ping and, if it does not
+// answer, drops it so that the next use dials a fresh one. It returns at once.
+func (n *Node) Retest(address string) {
+	n.mu.Lock()
+	l := n.links[address]
+	n.mu.Unlock()
+	if l == nil {
+		return
+	}
+	go func() {
+		select {
+		case <-l.dialing:
+		case <-n.ctx.Done():
+			return
+		}
+		if l.conn == nil || ping(n.ctx, l.conn) {
+			return
+		}
+		n.config.Log.Warn("connection made no progress, dropping it", "peer", address)
+		n.forget(address, l.conn)
+		closeConn(l.conn)
+	}()
+}
+
+func ping(ctx context.Context, conn *quic.Conn) bool {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	raw, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return false
+	}
+	deadline, _ := ctx.Deadline()
+	_ = raw.SetDeadline(deadline)
+	if _, err := raw.Write([]byte{byte(kindPing)}); err != nil {
+		return false
+	}
+	_ = raw.Close()
+	_, err = io.ReadAll(raw)
+	return err == nil
+}
+
+// Reachable reports whether address answers on a fresh connection.
+func (n *Node) Reachable(ctx context.Context, address string) bool {
+	conn, err := n.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	defer closeConn(conn)
+	return ping(ctx, conn)
+}
+
+// connection returns the connection to address and dials one if there is none.
+// Callers that come while it is being dialled wait for the same attempt.
+func (n *Node) connection(ctx context.Context, address string) (*quic.Conn, error) {
+	n.mu.Lock()
+	l := n.links[address]
+	if l != nil && l.ended() {
+		l = nil
+	}
+	if l == nil {
+		l = &link{dialing: make(chan struct{})}
+		n.links[address] = l
+		go n.connect(address, l)
+	}
+	n.mu.Unlock()
+	select {
+	case <-l.dialing:
+		return l.conn, l.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// ended reports whether the link's connection is known and over.
+func (l *link) ended() bool {
+	select {
+	case <-l.dialing:
+		return l.err != nil || l.conn.Context().Err() != nil
+	default:
+		return false
+	}
+}
+
+func (n *Node) connect(address string, l *link) {
+	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
+	defer cancel()
+	l.conn, l.err = n.dial(ctx, address)
+	close(l.dialing)
+	if l.err != nil {
+		n.forgetLink(address, l)
+	}
+}
+
+func (n *Node) dial(ctx context.Context, address string) (*quic.Conn, error) {
+	target, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "address %q", address)
+	}
+	return n.transport.Dial(ctx, target, n.client, n.quic)
+}
+
+func (n *Node) forget(address string, conn *quic.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.links[address]; l != nil && l.ended() || l != nil && l.holds(conn) {
+		delete(n.links, address)
+	}
+}
+
+func (l *link) holds(conn *quic.Conn) bool {
+	select {
+	case <-l.dialing:
+		return l.conn == conn
+	default:
+		return false
+	}
+}
+
+func (n *Node) forgetLink(address string, l *link) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.links[address] == l {
+		delete(n.links, address)
+	}
+}
--- /dev/null
+++ b/peer/node_test.go
@@ -0,0 +1,111 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/identity"
+	"github.com/wisteriawharf/wisteriawharf/result"
+)
+
+func listen(t *testing.T, files identity.Files, handlers map[Kind]Handler) *Node {
+	t.Helper()
+	id, err := identity.Load(files)
+	qt.Assert(t, err, qt.IsNil)
+	n, err := Listen(Config{
+		Address:  "127.0.0.1:0",
+		Identity: id,
+		Handlers: handlers,
+		Log:      slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = n.Close() })
+	return n
+}
+
+func issue(t *testing.T, ca *identity.DevCA, name string, role identity.Role) identity.Files {
+	t.Helper()
+	files, err := ca.Issue(name, role)
+	qt.Assert(t, err, qt.IsNil)
+	return files
+}
+
+func newCA(t *testing.T) *identity.DevCA {
+	t.Helper()
+	ca, err := identity.NewDevCA(t.TempDir())
+	qt.Assert(t, err, qt.IsNil)
+	return ca
+}
+
+func echoProbe(_ context.Context, s *Stream) error {
+	var p Probe
+	if err := s.Receive(&p); err != nil {
+		return err
+	}
+	return s.Send(&ProbeReply{Reached: p.Address == "yes"})
+}
+
+func TestCall(t *testing.T) {
+	ca := newCA(t)
+	server := listen(t, issue(t, ca, "a", identity.RoleInstance), map[Kind]Handler{KindProbe: echoProbe})
+	client := listen(t, issue(t, ca, "b", identity.RoleInstance), nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+
+	var reply ProbeReply
+	qt.Assert(t, client.Call(ctx, server.Address(), KindProbe, &Probe{Address: "yes"}, &reply), qt.IsNil)
+	qt.Assert(t, reply.Reached, qt.IsTrue)
+	qt.Assert(t, client.Reachable(ctx, server.Address()), qt.IsTrue)
+}
+
+// TestOperatorIsNotAPeer guards against a certificate of another role, or of
+// another authority, being taken for an instance's.
+func TestOperatorIsNotAPeer(t *testing.T) {
+	ca := newCA(t)
+	server := listen(t, issue(t, ca, "a", identity.RoleInstance), map[Kind]Handler{KindProbe: echoProbe})
+	for _, files := range []identity.Files{
+		issue(t, ca, "operator", identity.RoleOperator),
+		issue(t, newCA(t), "stranger", identity.RoleInstance),
+	} {
+		client := listen(t, files, nil)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		err := client.Call(ctx, server.Address(), KindProbe, &Probe{}, &ProbeReply{})
+		cancel()
+		qt.Assert(t, err, qt.IsNotNil)
+	}
+}
+
+// TestFrameTooLong guards against a frame that its receiver would refuse being
+// sent, which would leave the outcome of the request open.
+func TestFrameTooLong(t *testing.T) {
+	ca := newCA(t)
+	server := listen(t, issue(t, ca, "a", identity.RoleInstance), map[Kind]Handler{KindProbe: echoProbe})
+	client := listen(t, issue(t, ca, "b", identity.RoleInstance), nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	err := client.Call(ctx, server.Address(), KindProbe, &Probe{Address: string(make([]byte, maxFrameBytes+1))}, &ProbeReply{})
+	e, ok := errors.AsType[*result.Error](err)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, e.Code, qt.Equals, result.TooLarge)
+	qt.Assert(t, e.Run, qt.Equals, result.RunNo)
+}
+
+// TestUnreachablePeerWasNotRun guards against a refusal that promises nothing
+// although the peer was never reached.
+func TestUnreachablePeerWasNotRun(t *testing.T) {
+	ca := newCA(t)
+	server := listen(t, issue(t, ca, "a", identity.RoleInstance), nil)
+	address := server.Address()
+	qt.Assert(t, server.Close(), qt.IsNil)
+	client := listen(t, issue(t, ca, "b", identity.RoleInstance), nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	err := client.Call(ctx, address, KindProbe, &Probe{}, &ProbeReply{})
+	qt.Assert(t, result.From(err).Run, qt.Equals, result.RunNo)
+}
--- /dev/null
+++ b/settings/process.go
@@ -0,0 +1,23 @@
+package settings
+
+import "time"
+
+// Process is the settings file of one daemon.
+type Process struct {
+	// ID names the instance. The process adds a random suffix, so that each
+	// start is an incarnation of its own.
+	ID              string        `yaml:"id"`
+	FailureDomain   string        `yaml:"failure_domain"`
+	CallerAddress   string        `yaml:"caller_address"`
+	PeerAddress     string        `yaml:"peer_address"`
+	OperatorAddress string        `yaml:"operator_address"`
+	PlatformAddress string        `yaml:"platform_address"`
+	Seeds           []string      `yaml:"seeds"`
+	Certificate     string        `yaml:"certificate"`
+	Key             string        `yaml:"key"`
+	CA              string        `yaml:"ca"`
+	LogLevel        string        `yaml:"log_level"`
+	LogFormat       string        `yaml:"log_format"`
+	AddressLifetime time.Duration `yaml:"address_lifetime"`
+	StopTimeout     time.Duration `yaml:"stop_timeout"`
+}
