--- /dev/null
+++ b/booking/dispatch.go
@@ -0,0 +1,113 @@
+package booking
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/assign"
+	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/peer"
+	"github.com/wisteriawharf/wisteriawharf/result"
+	"github.com/wisteriawharf/wisteriawharf/settings"
+)
+
+// maxTargets is how many searchers a booking is offered to. Each but the last
+// has refused it with certainty that it was not run.
+const maxTargets = 4
+
+// load counts the bookings that this process has under way at each searcher.
+type load struct {
+	mu      sync.Mutex
+	running map[string]int
+}
+
+func newLoad() *load { return &load{running: make(map[string]int)} }
+
+func (l *load) add(searcher string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running[searcher] += n
+	if l.running[searcher] == 0 {
+		delete(l.running, searcher)
+	}
+}
+
+func (l *load) lighter(a, b string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.running[a] <= l.running[b]
+}
+
+// dispatch offers the booking to one searcher after another until one may have
+// run it. It goes on to another only after a refusal that is certainly not run.
+func (s *Service) dispatch(j *job) peer.BookReply {
+	view := s.config.State.View()
+	candidates := s.candidates(view, j.book.Service)
+	last := refusal(result.NotRun(result.NoReplica, "service %q", j.book.Service))
+	for target := 0; target < maxTargets && len(candidates) > 0; target++ {
+		remaining := j.remaining(s.config.Clock)
+		if remaining <= 0 {
+			return refusal(result.NotRun(result.DeadlineExceeded, "%s", last.Detail))
+		}
+		var chosen settings.Searcher
+		chosen, candidates = s.choose(candidates)
+		last = s.runOn(j, view, chosen, remaining)
+		if result.Run(last.Run) != result.RunNo {
+			return last
+		}
+	}
+	return last
+}
+
+// candidates returns the searchers of a service that no order takes out of
+// service.
+func (s *Service) candidates(view *control.View, service string) []settings.Searcher {
+	var usable []settings.Searcher
+	for _, u := range view.Settings.Services[service].Searchers {
+		if !view.Out(control.OrderDomain, u.FailureDomain) && !view.Out(control.OrderUpstream, u.ID) {
+			usable = append(usable, u)
+		}
+	}
+	return usable
+}
+
+// choose takes the less loaded of two random candidates and returns the others.
+func (s *Service) choose(candidates []settings.Searcher) (settings.Searcher, []settings.Searcher) {
+	i := rand.IntN(len(candidates))
+	if k := rand.IntN(len(candidates)); !s.load.lighter(candidates[i].ID, candidates[k].ID) {
+		i = k
+	}
+	chosen := candidates[i]
+	candidates[i] = candidates[len(candidates)-1]
+	return chosen, candidates[:len(candidates)-1]
+}
+
+// runOn sends the booking once to the owner of a searcher.
+func (s *Service) runOn(j *job, view *control.View, u settings.Searcher, remaining time.Duration) peer.BookReply {
+	owner, ok := assign.OwnerOf(view.Records, u.FailureDomain, u.ID)
+	if !ok {
+		return refusal(result.NotRun(result.NoReplica, "searcher %q has no owner", u.ID))
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, remaining+replyGrace/2)
+	defer cancel()
+	s.load.add(u.ID, 1)
+	defer s.load.add(u.ID, -1)
+	request := peer.Run{
+		Service:        j.book.Service,
+		Searcher:       u.ID,
+		Key:            j.book.Key,
+		Item:           j.book.Item,
+		DeadlineUnixMs: s.config.Clock.Now().Add(remaining).UnixMilli(),
+		RemainingMs:    remaining.Milliseconds(),
+	}
+	var reply peer.RunReply
+	if err := s.caller.Call(ctx, owner.Address, peer.KindRun, &request, &reply); err != nil {
+		return refusal(result.From(err))
+	}
+	if reply.Code == uint16(result.OK) {
+		reply.Run = uint8(result.RunYes)
+	}
+	return peer.BookReply{Code: reply.Code, Run: reply.Run, Detail: reply.Detail, Body: reply.Body}
+}
--- a/result/result.go
+++ b/result/result.go
@@ -25,6 +25,7 @@
 	KeyExpired     Code = 1006
 	KeyFuture      Code = 1007
 	WrongKind      Code = 1008
+	KeyReused      Code = 1009
 )
 
 // Codes of requests that cannot be served now.
@@ -75,6 +76,7 @@
 	KeyExpired:       "idempotency key is past its retention",
 	KeyFuture:        "idempotency key was issued in the future",
 	WrongKind:        "service does not take this kind of request",
+	KeyReused:        "idempotency key was used for another request",
 	NoReplica:        "no usable replica",
 	QueueFull:        "queue of the upstream is full",
 	DeadlineExceeded: "deadline passed before an answer",
