--- a/booking/booking.go
+++ b/booking/booking.go
@@ -88,6 +88,7 @@
 	buckets  map[string]*bucket
 	running  sync.WaitGroup
 	slots    chan struct{}
+	stop     chan struct{} // closed when no further booking is admitted
 }
 
 // New returns a service that refuses bookings until Run is called.
@@ -102,6 +103,7 @@
 		load:    newLoad(),
 		buckets: make(map[string]*bucket),
 		slots:   make(chan struct{}, maxInFlight),
+		stop:    make(chan struct{}),
 	}, nil
 }
 
@@ -122,6 +124,7 @@
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
+	close(s.stop)
 	s.running.Wait()
 	return nil
 }
@@ -275,6 +278,13 @@
 	return s.draining
 }
 
+// started reports whether Run was called.
+func (s *Service) started() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.caller != nil
+}
+
 func refusal(err *result.Error) peer.BookReply {
 	return peer.BookReply{Code: uint16(err.Code), Run: uint8(err.Run), Detail: err.Detail}
 }
--- a/booking/bucket.go
+++ b/booking/bucket.go
@@ -62,29 +62,33 @@
 	defer b.service.running.Done()
 	timer := time.NewTimer(bucketIdle)
 	defer timer.Stop()
+	stop := b.service.stop
 	for {
 		select {
+		case <-stop:
+			stop = nil
 		case <-b.inbox.Ready():
 		case <-b.finished.Ready():
 		case <-timer.C:
-			if b.done() {
+			if b.claims.Idle() && b.service.retire(b) {
 				return
 			}
 		}
 		b.takeFinished()
 		b.takeRequests()
-		timer.Reset(b.work(ctx))
+		wait := b.work(ctx)
+		if b.service.stopping() && b.settled(wait) && b.service.retire(b) {
+			return
+		}
+		timer.Reset(wait)
 	}
 }
 
-// done reports whether the goroutine may end. Outcomes that cannot be written
-// are given up when the process stops: their claims stay, so a repeat learns
-// that the booking may have run.
-func (b *bucket) done() bool {
-	if b.claims.Idle() || b.service.stopping() && len(b.jobs) == 0 {
-		return b.service.retire(b)
-	}
-	return false
+// settled reports whether a stopping process has nothing more to do here.
+// Outcomes that cannot be written are given up: their claims stay, so a repeat
+// learns that the booking may have run.
+func (b *bucket) settled(wait time.Duration) bool {
+	return b.claims.Idle() || wait == outageDelay && b.claims.Running() == 0
 }
 
 func (b *bucket) takeRequests() {
@@ -140,6 +144,8 @@
 	switch {
 	case b.claims.HasClaims():
 		return 0
+	case b.claims.HasOutcomes() && b.service.stopping():
+		return 0
 	case b.claims.HasOutcomes():
 		return max(0, b.flushAt-b.now())
 	case b.service.stopping():
--- a/claim/bucket.go
+++ b/claim/bucket.go
@@ -141,6 +141,9 @@
 	return len(b.waiting) == 0 && len(b.running) == 0 && len(b.outcomes) == 0
 }
 
+// Running returns the number of bookings dispatched and not finished.
+func (b *Bucket) Running() int { return len(b.running) }
+
 // Load takes a reading of the object. A missing object has version zero and no
 // value. A value that does not parse, or a reading older than an earlier one,
 // is an error and changes nothing.
