--- a/control/types.go
+++ b/control/types.go
@@ -17,6 +17,9 @@
 	// Confirmers are the processes that may confirm the epoch to a member whose
 	// lease has expired.
 	Confirmers []string `json:"confirmers"`
+	// Former are confirmers of earlier epochs that some member may still hold
+	// as its newest, and may therefore still ask.
+	Former []string `json:"former,omitempty"`
 	// Renewal rises with each renewal, so that a renewal is a change.
 	Renewal uint64 `json:"renewal"`
 }
@@ -27,13 +30,20 @@
 	Address string `json:"address"`
 	// GrantedNs is the member's own boot time from which its lease counts.
 	GrantedNs int64 `json:"granted_ns"`
+	// Joined is the epoch that added the member. It tells which members may
+	// have owned a searcher before this one.
+	Joined uint64 `json:"joined"`
+	// Known is the newest epoch that the member has reported to know.
+	Known uint64 `json:"known"`
 }
 
 // Departed is a member that was removed without having released its
 // searchers. It stays in the record until it can hold no dispatch right.
 type Departed struct {
-	ID         string   `json:"id"`
+	ID string `json:"id"`
+	// Epoch is the one that removed the member, Joined the one that added it.
 	Epoch      uint64   `json:"epoch"`
+	Joined     uint64   `json:"joined"`
 	Confirmers []string `json:"confirmers"`
 	Acked      []string `json:"acked,omitempty"`
 }
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -127,6 +127,8 @@
 	Leaving         bool   `msg:"l"`
 	Revision        uint64 `msg:"v"`
 	BoottimeNs      int64  `msg:"t"`
+	// Epoch is the newest epoch of the domain's record that the sender knows.
+	Epoch uint64 `msg:"e"`
 }
 
 // HeartbeatReply grants a lease counted from GrantedNs, on the clock of the
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -1984,6 +1984,12 @@
 				err = msgp.WrapError(err, "BoottimeNs")
 				return
 			}
+		case "e":
+			z.Epoch, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1997,9 +2003,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "i"
-	err = en.Append(0x89, 0xa1, 0x69)
+	err = en.Append(0x8a, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -2088,15 +2094,25 @@
 		err = msgp.WrapError(err, "BoottimeNs")
 		return
 	}
+	// write "e"
+	err = en.Append(0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "i"
-	o = append(o, 0x89, 0xa1, 0x69)
+	o = append(o, 0x8a, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -2122,6 +2138,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.BoottimeNs)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Epoch)
 	return
 }
 
@@ -2197,6 +2216,12 @@
 				err = msgp.WrapError(err, "BoottimeNs")
 				return
 			}
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2211,7 +2236,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.StringPrefixSize + len(z.PeerAddress) + 2 + msgp.StringPrefixSize + len(z.CallerAddress) + 2 + msgp.StringPrefixSize + len(z.OperatorAddress) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.StringPrefixSize + len(z.PeerAddress) + 2 + msgp.StringPrefixSize + len(z.CallerAddress) + 2 + msgp.StringPrefixSize + len(z.OperatorAddress) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
 	return
 }
 
