assign, detect: add rights, takeover, record changes and failure detection

The state machines of section 8 without I/O, for the runtime to drive. Timing becomes part of member.Config so that tests need not wait for real leases.

--- /dev/null
+++ b/assign/right.go
@@ -0,0 +1,125 @@
+package assign
+
+import (
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/control"
+)
+
+// Terms are the two durations on which the safety of a takeover rests.
+type Terms struct {
+	// Lease is how long a lease or a confirmation counts.
+	Lease time.Duration
+	// Work is the longest deadline that any work may carry.
+	Work time.Duration
+}
+
+// Right is what a broker may dispatch at all, whatever it owns.
+type Right uint8
+
+// Rights, weakest first.
+const (
+	RightNone Right = iota
+	RightSome
+	RightAll
+	RightLeased
+)
+
+// Rights keeps the lease of one member and the confirmations that replace it
+// while the platform is away. All times are the member's own boot time.
+type Rights struct {
+	id        string
+	terms     Terms
+	record    *control.Record
+	granted   time.Duration
+	confirmed map[string]time.Duration
+}
+
+// NewRights returns the rights of a member that knows no record.
+func NewRights(id string, terms Terms) *Rights {
+	return &Rights{id: id, terms: terms}
+}
+
+// Observe takes a record that the platform holds or held. A record of an older
+// epoch than the known one is ignored.
+func (r *Rights) Observe(record *control.Record) {
+	if r.record != nil && record.Epoch < r.record.Epoch {
+		return
+	}
+	if r.record == nil || record.Epoch > r.record.Epoch {
+		r.confirmed = make(map[string]time.Duration)
+		r.granted = 0
+	}
+	r.record = record
+	if m, ok := record.Member(r.id); ok {
+		r.granted = max(r.granted, time.Duration(m.GrantedNs))
+	}
+}
+
+// Renewed takes a lease that the coordinator reports. It counts only in the
+// known epoch: in another one the member does not know what it owns.
+func (r *Rights) Renewed(epoch uint64, granted time.Duration) {
+	if r.record != nil && epoch == r.record.Epoch {
+		r.granted = max(r.granted, granted)
+	}
+}
+
+// Confirmed takes a confirmation of epoch by a confirmer. It counts from asked,
+// the time before the question was sent.
+func (r *Rights) Confirmed(epoch uint64, confirmer string, asked time.Duration) {
+	if r.record != nil && epoch == r.record.Epoch && confirmer != r.id {
+		r.confirmed[confirmer] = max(r.confirmed[confirmer], asked)
+	}
+}
+
+// Granted returns the time from which the lease counts; zero if there is none.
+func (r *Rights) Granted() time.Duration { return r.granted }
+
+// At returns the right at the given time.
+func (r *Rights) At(now time.Duration) Right {
+	if r.record == nil {
+		return RightNone
+	}
+	if _, ok := r.record.Member(r.id); !ok {
+		return RightNone
+	}
+	if r.granted > 0 && now < r.granted+r.terms.Lease {
+		return RightLeased
+	}
+	asked, confirmed := 0, 0
+	for _, c := range r.record.Confirmers {
+		if c == r.id {
+			continue
+		}
+		asked++
+		if at, ok := r.confirmed[c]; ok && now < at+r.terms.Lease {
+			confirmed++
+		}
+	}
+	switch {
+	case confirmed == 0:
+		return RightNone
+	case confirmed < asked:
+		return RightSome
+	default:
+		return RightAll
+	}
+}
+
+// Combine returns the grant of a broker with the given right for a searcher of
+// which its takeover admits share.
+func Combine(right Right, share Share) Grant {
+	switch right {
+	case RightLeased:
+		return Grant{Share: share}
+	case RightAll:
+		return Grant{Share: share, WarmOnly: true}
+	case RightSome:
+		// A successor relies on the reserve being unused, so a broker that was
+		// given nothing else may use nothing.
+		if share == ShareFull {
+			return Grant{Share: ShareLessReserve, WarmOnly: true}
+		}
+	}
+	return Grant{Share: ShareNone, WarmOnly: true}
+}
--- /dev/null
+++ b/assign/takeover.go
@@ -0,0 +1,236 @@
+package assign
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/control"
+)
+
+// Takeover decides from which moment a member may use the searchers that it
+// owns by the newest record, considering who may have owned them before. All
+// times are the member's own boot time.
+type Takeover struct {
+	id     string
+	terms  Terms
+	record *control.Record
+	// origin is the first record seen of the present membership. Owners from
+	// before the membership are among its members and departed members.
+	origin *control.Record
+	joined uint64
+	fences map[string]*fence
+	// released holds the epoch at which a member released a searcher.
+	released map[string]map[string]uint64
+}
+
+// fence follows one departed member.
+type fence struct {
+	entry control.Departed
+	seen  time.Duration
+	acked map[string]time.Duration
+}
+
+// NewTakeover returns the takeover state of a member that knows no record.
+func NewTakeover(id string, terms Terms) *Takeover {
+	return &Takeover{
+		id:       id,
+		terms:    terms,
+		fences:   make(map[string]*fence),
+		released: make(map[string]map[string]uint64),
+	}
+}
+
+// Observe takes a record that the platform holds or held. A record older than
+// the known one is ignored.
+func (t *Takeover) Observe(record *control.Record, now time.Duration) {
+	if t.record != nil && (record.Epoch < t.record.Epoch ||
+		record.Epoch == t.record.Epoch && record.Renewal < t.record.Renewal) {
+		return
+	}
+	t.record = record
+	if m, ok := record.Member(t.id); !ok {
+		t.origin, t.joined = nil, 0
+	} else if t.origin == nil || m.Joined != t.joined {
+		t.origin, t.joined = record, m.Joined
+	}
+	t.observeDeparted(now)
+	t.forgetAbsent()
+}
+
+func (t *Takeover) observeDeparted(now time.Duration) {
+	fences := make(map[string]*fence, len(t.record.Departed))
+	for _, d := range t.record.Departed {
+		f := t.fences[d.ID]
+		if f == nil || f.entry.Epoch != d.Epoch {
+			f = &fence{seen: now, acked: make(map[string]time.Duration)}
+		}
+		f.entry = d
+		for _, id := range d.Acked {
+			if _, ok := f.acked[id]; !ok {
+				f.acked[id] = now
+			}
+		}
+		fences[d.ID] = f
+	}
+	t.fences = fences
+}
+
+// forgetAbsent drops releases by members that the record no longer names; a
+// member that is in neither list holds nothing.
+func (t *Takeover) forgetAbsent() {
+	for id := range t.released {
+		if _, ok := t.record.Member(id); !ok && t.fences[id] == nil {
+			delete(t.released, id)
+		}
+	}
+}
+
+// Release notes that a member released a searcher when it knew epoch.
+func (t *Takeover) Release(from string, epoch uint64, searcher string) {
+	bySearcher := t.released[from]
+	if bySearcher == nil {
+		bySearcher = make(map[string]uint64)
+		t.released[from] = bySearcher
+	}
+	bySearcher[searcher] = max(bySearcher[searcher], epoch)
+}
+
+// Share returns the part of the searcher's limits that earlier owners leave.
+func (t *Takeover) Share(searcher string, now time.Duration) Share {
+	if t.origin == nil {
+		return ShareNone
+	}
+	if owner, _ := Owner(t.record.Members, searcher); owner.ID != t.id {
+		return ShareNone
+	}
+	partly := 0
+	for _, id := range t.predecessors(searcher) {
+		f := t.fences[id]
+		if f == nil {
+			return ShareNone
+		}
+		switch f.share(t.terms, now) {
+		case ShareNone:
+			return ShareNone
+		case ShareReserve:
+			partly++
+		}
+	}
+	switch partly {
+	case 0:
+		return ShareFull
+	case 1:
+		return ShareReserve
+	default:
+		// One may use all but the reserve and the other the reserve.
+		return ShareNone
+	}
+}
+
+// predecessors returns the members and departed members that may still use the
+// searcher.
+func (t *Takeover) predecessors(searcher string) []string {
+	var found []string
+	mine := weight(t.id, searcher)
+	for id, f := range t.fences {
+		// A departed member of higher weight owned the searcher at any time of
+		// its membership.
+		if id != t.id && weight(id, searcher) >= mine && t.released[id][searcher] < max(f.entry.Joined, 1) {
+			found = append(found, id)
+		}
+	}
+	for _, id := range formerOwners(t.origin, t.id, t.joined, searcher) {
+		if t.released[id][searcher] >= t.joined {
+			continue
+		}
+		_, living := t.record.Member(id)
+		if living || t.fences[id] != nil {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
+// formerOwners returns the members and departed members of record, other than
+// the given one, that may have owned the searcher before epoch joined and have
+// a lower weight. A member was never the owner if one of higher weight has been
+// there for as long.
+func formerOwners(record *control.Record, id string, joined uint64, searcher string) []string {
+	var found []string
+	mine := weight(id, searcher)
+	for _, m := range record.Members {
+		if m.ID != id && m.Joined < joined && weight(m.ID, searcher) < mine && !dominated(record, m, searcher) {
+			found = append(found, m.ID)
+		}
+	}
+	for _, d := range record.Departed {
+		if d.ID != id && d.Joined < joined && weight(d.ID, searcher) < mine {
+			found = append(found, d.ID)
+		}
+	}
+	return found
+}
+
+func dominated(record *control.Record, m control.Member, searcher string) bool {
+	own := weight(m.ID, searcher)
+	return slices.ContainsFunc(record.Members, func(o control.Member) bool {
+		return o.Joined <= m.Joined && weight(o.ID, searcher) > own
+	})
+}
+
+// MustRelease returns the member to which id has to release the searcher by the
+// record: its owner, if that joined later than id and may wait for id.
+func MustRelease(record *control.Record, id, searcher string) (control.Member, bool) {
+	if _, ok := record.Member(id); !ok {
+		return control.Member{}, false
+	}
+	owner, _ := Owner(record.Members, searcher)
+	former := formerOwners(record, owner.ID, owner.Joined, searcher)
+	return owner, slices.Contains(former, id)
+}
+
+// share returns what the departed member leaves to its successor.
+func (f *fence) share(terms Terms, now time.Duration) Share {
+	wait := terms.Lease + terms.Work
+	if now < f.seen+wait {
+		return ShareNone
+	}
+	past := func(id string) bool {
+		at, ok := f.acked[id]
+		return ok && now >= at+wait
+	}
+	// A departed member that knows of its removal holds no right.
+	if past(f.entry.ID) {
+		return ShareFull
+	}
+	others, acked := 0, 0
+	for _, c := range f.entry.Confirmers {
+		if c == f.entry.ID {
+			continue
+		}
+		others++
+		if past(c) {
+			acked++
+		}
+	}
+	switch {
+	case acked == others:
+		return ShareFull
+	case acked > 0:
+		return ShareReserve
+	default:
+		return ShareNone
+	}
+}
+
+// Fenced returns the departed members that can hold no dispatch right any more.
+func (t *Takeover) Fenced(now time.Duration) []string {
+	var fenced []string
+	for id, f := range t.fences {
+		if f.share(t.terms, now) == ShareFull {
+			fenced = append(fenced, id)
+		}
+	}
+	slices.Sort(fenced)
+	return fenced
+}
--- /dev/null
+++ b/detect/detect.go
@@ -0,0 +1,101 @@
+// Package detect decides from heartbeats and indirect probes which processes
+// are lost. It does no I/O.
+package detect
+
+import (
+	"slices"
+	"time"
+)
+
+// Timing holds the intervals of a Detector.
+type Timing struct {
+	// Silence is how long a process may be silent before it is probed.
+	Silence time.Duration
+	// Removal is how long a process is suspected before it is lost.
+	Removal time.Duration
+}
+
+// Detector follows the processes of one failure domain. Times are the boot time
+// of the process that detects. It is not safe for concurrent use.
+type Detector struct {
+	timing    Timing
+	processes map[string]*process
+}
+
+type process struct {
+	heard     time.Duration
+	probing   bool
+	suspected bool
+	since     time.Duration
+}
+
+// New returns a detector that follows no process.
+func New(timing Timing) *Detector {
+	return &Detector{timing: timing, processes: make(map[string]*process)}
+}
+
+// Follow starts to follow a process as if it had been heard from now. It does
+// nothing for a process that is followed already.
+func (d *Detector) Follow(id string, now time.Duration) {
+	if d.processes[id] == nil {
+		d.processes[id] = &process{heard: now}
+	}
+}
+
+// Heard notes a heartbeat, which ends any suspicion.
+func (d *Detector) Heard(id string, now time.Duration) {
+	d.processes[id] = &process{heard: now}
+}
+
+// Forget stops following a process.
+func (d *Detector) Forget(id string) { delete(d.processes, id) }
+
+// Due returns the processes that have to be probed, sorted. Each is returned
+// once until Probed reports the result.
+func (d *Detector) Due(now time.Duration) []string {
+	var due []string
+	for id, p := range d.processes {
+		if !p.suspected && !p.probing && now >= p.heard+d.timing.Silence {
+			p.probing = true
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	return due
+}
+
+// Probed reports whether any other process reached the one that was due. A
+// process that was reached is probed again after another silence. It reports
+// whether the process is suspected from now on.
+func (d *Detector) Probed(id string, reached bool, now time.Duration) bool {
+	p := d.processes[id]
+	if p == nil || !p.probing {
+		return false
+	}
+	p.probing = false
+	if reached {
+		p.heard = now
+		return false
+	}
+	p.suspected, p.since = true, now
+	return true
+}
+
+// Suspected reports whether the process is suspected.
+func (d *Detector) Suspected(id string) bool {
+	p := d.processes[id]
+	return p != nil && p.suspected
+}
+
+// Lost returns the processes that were suspected for long enough to be removed,
+// sorted.
+func (d *Detector) Lost(now time.Duration) []string {
+	var lost []string
+	for id, p := range d.processes {
+		if p.suspected && now >= p.since+d.timing.Removal {
+			lost = append(lost, id)
+		}
+	}
+	slices.Sort(lost)
+	return lost
+}
--- /dev/null
+++ b/detect/detect_test.go
@@ -0,0 +1,50 @@
+package detect
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const second = time.Second
+
+func newDetector() *Detector {
+	return New(Timing{Silence: 3 * second / 2, Removal: 3 * second})
+}
+
+// TestSilenceIsProbedBeforeSuspicion guards against suspicion on the word of
+// the coordinator alone, which may itself have lost contact.
+func TestSilenceIsProbedBeforeSuspicion(t *testing.T) {
+	d := newDetector()
+	d.Heard("a", 0)
+	d.Heard("b", second)
+	qt.Assert(t, d.Due(second), qt.HasLen, 0)
+	qt.Assert(t, d.Due(2*second), qt.DeepEquals, []string{"a"})
+	qt.Assert(t, d.Due(2*second), qt.HasLen, 0)
+	qt.Assert(t, d.Suspected("a"), qt.IsFalse)
+	qt.Assert(t, d.Probed("a", true, 2*second), qt.IsFalse)
+	qt.Assert(t, d.Suspected("a"), qt.IsFalse)
+	qt.Assert(t, d.Due(4*second), qt.DeepEquals, []string{"a", "b"})
+	qt.Assert(t, d.Probed("a", false, 4*second), qt.IsTrue)
+	qt.Assert(t, d.Suspected("a"), qt.IsTrue)
+	qt.Assert(t, d.Lost(6*second), qt.HasLen, 0)
+	qt.Assert(t, d.Lost(7*second), qt.DeepEquals, []string{"a"})
+}
+
+// TestHeartbeatEndsSuspicion guards against removal of a process that returned,
+// and against the late result of a probe that was sent before it did.
+func TestHeartbeatEndsSuspicion(t *testing.T) {
+	d := newDetector()
+	d.Follow("a", 0)
+	d.Due(2 * second)
+	d.Heard("a", 2*second)
+	qt.Assert(t, d.Probed("a", false, 2*second), qt.IsFalse)
+	d.Due(4 * second)
+	d.Probed("a", false, 4*second)
+	d.Heard("a", 5*second)
+	qt.Assert(t, d.Suspected("a"), qt.IsFalse)
+	qt.Assert(t, d.Lost(60*second), qt.HasLen, 0)
+	d.Forget("a")
+	qt.Assert(t, d.Due(60*second), qt.HasLen, 0)
+}
--- a/member/config.go
+++ b/member/config.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +15,7 @@
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/peer"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
 // Holder is the broker's side of a handover. It is nil in an entry.
@@ -40,6 +42,49 @@
 	Clock    clock.Clock
 	Log      *slog.Logger
 	Registry prometheus.Registerer
+	// Timing is DefaultTiming if it is zero.
+	Timing Timing
+}
+
+// Timing holds the intervals of the runtime. All processes of a deployment must
+// use the same Lease and Work.
+type Timing struct {
+	// Lease is the lease duration D, Work the longest deadline of any work, W.
+	Lease time.Duration
+	Work  time.Duration
+	// Heartbeat is the interval of heartbeats, Renewal that of record writes.
+	Heartbeat time.Duration
+	Renewal   time.Duration
+	// Silence without a heartbeat leads to an indirect probe, Removal of
+	// suspicion to removal from the record.
+	Silence time.Duration
+	Removal time.Duration
+	// Exchange is the interval of exchanges with a random process.
+	Exchange time.Duration
+	// WatchCheck is how long a watch may be silent before it is checked.
+	WatchCheck time.Duration
+	// OutageSpread is the span over which contact is spread after an outage.
+	OutageSpread time.Duration
+	// Call bounds a call to a peer, PlatformCall one to the platform.
+	Call         time.Duration
+	PlatformCall time.Duration
+}
+
+// DefaultTiming returns the intervals of docs/design.md.
+func DefaultTiming() Timing {
+	return Timing{
+		Lease:        6 * time.Second,
+		Work:         settings.MaxDeadline,
+		Heartbeat:    500 * time.Millisecond,
+		Renewal:      2 * time.Second,
+		Silence:      1500 * time.Millisecond,
+		Removal:      3 * time.Second,
+		Exchange:     300 * time.Millisecond,
+		WatchCheck:   10 * time.Second,
+		OutageSpread: 2 * time.Second,
+		Call:         500 * time.Millisecond,
+		PlatformCall: time.Second,
+	}
 }
 
 // Validate returns an error that names the first setting that is missing.
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -170,6 +170,8 @@
 	Domain string `msg:"d"`
 	Epoch  uint64 `msg:"e"`
 	Record []byte `msg:"r"`
+	// Version is the version of the platform's object that holds Record.
+	Version uint64 `msg:"v"`
 }
 
 // AcknowledgeReply carries the newest epoch that the receiver knows.
@@ -187,7 +189,8 @@
 	Searchers []ReleasedSearcher `msg:"s"`
 }
 
-// ReleasedSearcher is one searcher of a Release with its cold-start state.
+// ReleasedSearcher is one searcher of a Release with its cold-start state. An
+// Allowance below zero says that the sender never used the searcher.
 type ReleasedSearcher struct {
 	ID        string `msg:"i"`
 	Cold      bool   `msg:"c"`
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -42,6 +42,12 @@
 				err = msgp.WrapError(err, "Record")
 				return
 			}
+		case "v":
+			z.Version, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -55,9 +61,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Acknowledge) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "d"
-	err = en.Append(0x83, 0xa1, 0x64)
+	err = en.Append(0x84, 0xa1, 0x64)
 	if err != nil {
 		return
 	}
@@ -86,15 +92,25 @@
 		err = msgp.WrapError(err, "Record")
 		return
 	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Acknowledge) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "d"
-	o = append(o, 0x83, 0xa1, 0x64)
+	o = append(o, 0x84, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Domain)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
@@ -102,6 +118,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBytes(o, z.Record)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
 	return
 }
 
@@ -141,6 +160,12 @@
 				err = msgp.WrapError(err, "Record")
 				return
 			}
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -155,7 +180,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Acknowledge) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Record)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Record) + 2 + msgp.Uint64Size
 	return
 }
 
