--- a/peer/frames.go
+++ b/peer/frames.go
@@ -158,8 +158,10 @@
 }
 
 // ConfirmReply confirms Epoch only if Confirmed: the sender knows no newer
-// epoch and does not reach the platform.
+// epoch and does not reach the platform. ID is the incarnation that answers,
+// because an address may have passed to another one.
 type ConfirmReply struct {
+	ID        string `msg:"i"`
 	Confirmed bool   `msg:"c"`
 	Epoch     uint64 `msg:"e"`
 }
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -1299,6 +1299,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
 		case "c":
 			z.Confirmed, err = dc.ReadBool()
 			if err != nil {
@@ -1324,9 +1330,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z ConfirmReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
+	// write "i"
+	err = en.Append(0x83, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
 	// write "c"
-	err = en.Append(0x82, 0xa1, 0x63)
+	err = en.Append(0xa1, 0x63)
 	if err != nil {
 		return
 	}
@@ -1351,9 +1367,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z ConfirmReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
+	// string "i"
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
 	// string "c"
-	o = append(o, 0x82, 0xa1, 0x63)
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendBool(o, z.Confirmed)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
@@ -1379,6 +1398,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
 		case "c":
 			z.Confirmed, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1405,7 +1430,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z ConfirmReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
 	return
 }
 
