member: add the membership runtime

Heartbeats, record writes, leases, exchange of control state, confirmation, handover, orders and planned leave, on the state machines of assign and detect.

--- a/assign/takeover.go
+++ b/assign/takeover.go
@@ -57,6 +57,14 @@
 	t.forgetAbsent()
 }
 
+// Epoch returns the epoch of the newest record observed; zero if there is none.
+func (t *Takeover) Epoch() uint64 {
+	if t.record == nil {
+		return 0
+	}
+	return t.record.Epoch
+}
+
 func (t *Takeover) observeDeparted(now time.Duration) {
 	fences := make(map[string]*fence, len(t.record.Departed))
 	for _, d := range t.record.Departed {
@@ -181,12 +189,12 @@
 // MustRelease returns the member to which id has to release the searcher by the
 // record: its owner, if that joined later than id and may wait for id.
 func MustRelease(record *control.Record, id, searcher string) (control.Member, bool) {
-	if _, ok := record.Member(id); !ok {
+	self, ok := record.Member(id)
+	if !ok {
 		return control.Member{}, false
 	}
 	owner, _ := Owner(record.Members, searcher)
-	former := formerOwners(record, owner.ID, owner.Joined, searcher)
-	return owner, slices.Contains(former, id)
+	return owner, self.Joined < owner.Joined && !dominated(record, self, searcher)
 }
 
 // share returns what the departed member leaves to its successor.
--- /dev/null
+++ b/member/coordinator.go
@@ -0,0 +1,357 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/assign"
+	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/peer"
+	"github.com/wisteriawharf/wisteriawharf/platform"
+)
+
+// probers is how many other processes test one that fell silent.
+const probers = 2
+
+// sendHeartbeat reports to the coordinator, or to itself if it is that.
+func (m *Member) sendHeartbeat(ctx context.Context) {
+	beat := m.heartbeat()
+	record, _ := m.record()
+	if record == nil {
+		return
+	}
+	coordinator, ok := record.Member(record.Coordinator)
+	if !ok {
+		return
+	}
+	if coordinator.ID == m.config.Self.ID {
+		m.takeHeartbeat(beat)
+		return
+	}
+	var reply peer.HeartbeatReply
+	if err := m.call(ctx, coordinator.Address, peer.KindHeartbeat, &beat, &reply); err != nil {
+		m.config.Log.Debug("heartbeat failed", "coordinator", coordinator.ID, "error", err)
+		return
+	}
+	if !reply.Coordinator || reply.GrantedNs <= 0 {
+		return
+	}
+	granted := time.Duration(reply.GrantedNs)
+	m.mu.Lock()
+	if granted > m.rights.Granted() {
+		m.renewed = m.config.Clock.Boottime()
+	}
+	m.rights.Renewed(reply.Epoch, granted)
+	m.mu.Unlock()
+}
+
+func (m *Member) heartbeat() peer.Heartbeat {
+	now := m.config.Clock.Boottime()
+	self := m.config.Self
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return peer.Heartbeat{
+		ID: self.ID, Role: string(self.Role), Domain: self.FailureDomain,
+		PeerAddress: self.PeerAddress, CallerAddress: self.CallerAddress, OperatorAddress: self.OperatorAddress,
+		Leaving: m.leaving, Revision: m.config.State.View().Revision,
+		BoottimeNs: int64(now), Epoch: m.takeover.Epoch(),
+	}
+}
+
+// takeHeartbeat notes a heartbeat and reports whether this process coordinates.
+func (m *Member) takeHeartbeat(beat peer.Heartbeat) bool {
+	now := m.config.Clock.Boottime()
+	m.mu.Lock()
+	if !m.coordinating || beat.Domain != m.domain {
+		m.mu.Unlock()
+		return false
+	}
+	m.heard[beat.ID] = heartbeat{Heartbeat: beat, at: now}
+	m.acked[beat.ID] = max(m.acked[beat.ID], beat.Epoch)
+	m.detector.Heard(beat.ID, now)
+	m.mu.Unlock()
+	m.publishRoster()
+	return true
+}
+
+func (m *Member) serveHeartbeat(_ context.Context, s *peer.Stream) error {
+	var beat peer.Heartbeat
+	if err := s.Receive(&beat); err != nil {
+		return err
+	}
+	reply := peer.HeartbeatReply{Coordinator: m.takeHeartbeat(beat)}
+	if record, _ := m.record(); record != nil {
+		reply.Epoch = record.Epoch
+		if member, ok := record.Member(beat.ID); ok {
+			reply.GrantedNs = member.GrantedNs
+		}
+	}
+	return s.Send(&reply)
+}
+
+// publishRoster offers the roster as the coordinator sees it, if it changed.
+func (m *Member) publishRoster() {
+	m.rosterMu.Lock()
+	defer m.rosterMu.Unlock()
+	roster, ok := m.roster()
+	if !ok {
+		return
+	}
+	view := m.config.State.View()
+	if known := view.Rosters[m.domain]; known != nil && reflect.DeepEqual(*known, roster) {
+		return
+	}
+	value, err := json.Marshal(roster)
+	if err != nil {
+		m.config.Log.Error("roster not encoded", "error", err)
+		return
+	}
+	name := control.PrefixRoster + m.domain
+	known, _ := m.config.State.Item(name)
+	record := view.Records[m.domain]
+	m.offer([]control.Item{{Name: name, Major: max(known.Major, record.Epoch), Minor: known.Minor + 1, Value: value}})
+}
+
+func (m *Member) roster() (control.Roster, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.coordinating {
+		return control.Roster{}, false
+	}
+	roster := control.Roster{Coordinator: m.config.Self.ID}
+	for id, h := range m.heard {
+		state := control.Live
+		if h.Leaving {
+			state = control.Leaving
+		}
+		if m.detector.Suspected(id) {
+			state = control.Suspected
+		}
+		roster.Instances = append(roster.Instances, control.Instance{
+			ID: id, Role: control.Role(h.Role), FailureDomain: h.Domain,
+			CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, OperatorAddress: h.OperatorAddress,
+			State: state, Revision: h.Revision,
+		})
+	}
+	slices.SortFunc(roster.Instances, func(a, b control.Instance) int { return strings.Compare(a.ID, b.ID) })
+	return roster, true
+}
+
+// renew writes the record, as coordinator or in place of one that fell silent.
+func (m *Member) renew(ctx context.Context) {
+	record, version := m.record()
+	if record == nil {
+		m.bootstrap(ctx)
+		return
+	}
+	if !m.mayWrite(record) || !m.contact.open(m.config.Clock.Boottime()) {
+		return
+	}
+	err := m.write(ctx, *record, version, m.change(record))
+	m.metrics.writes.WithLabelValues(outcome(err)).Inc()
+	if err != nil {
+		m.config.Log.Warn("record not written", "domain", m.domain, "error", err)
+		m.readRecord(ctx)
+	}
+}
+
+// mayWrite reports whether this process coordinates the domain, or may replace
+// a coordinator that has not renewed for half a lease.
+func (m *Member) mayWrite(record *control.Record) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.gone {
+		return false
+	}
+	if record.Coordinator == m.config.Self.ID {
+		return true
+	}
+	return m.config.Clock.Boottime() >= m.renewed+m.config.Timing.Lease/2
+}
+
+// bootstrap reads the record and creates it if the domain has none.
+func (m *Member) bootstrap(ctx context.Context) {
+	err := m.readRecord(ctx)
+	if !errors.Is(err, platform.ErrNotFound) {
+		return
+	}
+	record := assign.Next(m.domain, control.Record{}, m.change(&control.Record{}))
+	value, err := json.Marshal(record)
+	if err != nil {
+		m.config.Log.Error("record not encoded", "error", err)
+		return
+	}
+	version, err := m.create(ctx, prefixDomains+m.domain, value)
+	m.metrics.writes.WithLabelValues(outcome(err)).Inc()
+	if err != nil {
+		m.config.Log.Warn("record not created", "domain", m.domain, "error", err)
+		_ = m.readRecord(ctx)
+		return
+	}
+	m.offerRecord(m.domain, version, record.Epoch, value)
+}
+
+// change collects what the next write does. A process that is not yet the
+// coordinator has heard from nobody, so it renews itself only.
+func (m *Member) change(record *control.Record) assign.Change {
+	self := m.config.Self
+	beat := m.heartbeat()
+	others := m.otherBrokers()
+	now := m.config.Clock.Boottime()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := assign.Change{
+		Self:   self.ID,
+		Acked:  map[string]uint64{self.ID: beat.Epoch},
+		Others: others,
+		Heard:  []assign.Heard{{ID: self.ID, Address: self.PeerAddress, GrantedNs: beat.BoottimeNs, Known: beat.Epoch}},
+	}
+	if record.Coordinator != self.ID || !m.coordinating {
+		return c
+	}
+	c.Fenced = m.takeover.Fenced(now)
+	c.Lost = m.detector.Lost(now)
+	for id, epoch := range m.acked {
+		c.Acked[id] = max(c.Acked[id], epoch)
+	}
+	for id, h := range m.heard {
+		_, member := record.Member(id)
+		fresh := now < h.at+m.config.Timing.Removal
+		if id != self.ID && control.Role(h.Role) == control.RoleBroker && fresh && (member || !h.Leaving) {
+			c.Heard = append(c.Heard, assign.Heard{ID: id, Address: h.PeerAddress, GrantedNs: h.BoottimeNs, Known: h.Epoch})
+		}
+	}
+	return c
+}
+
+// otherBrokers returns the members of other failure domains.
+func (m *Member) otherBrokers() []string {
+	var ids []string
+	for name, record := range m.config.State.View().Records {
+		if name == m.domain {
+			continue
+		}
+		for _, member := range record.Members {
+			ids = append(ids, member.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// write replaces the record if it still has the given version, and takes the
+// new one into the state. Only a confirmed write counts.
+func (m *Member) write(ctx context.Context, record control.Record, version uint64, c assign.Change) error {
+	next := assign.Next(m.domain, record, c)
+	value, err := json.Marshal(next)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	written, err := m.update(ctx, prefixDomains+m.domain, version, value)
+	if err != nil {
+		return err
+	}
+	if next.Epoch != record.Epoch {
+		m.config.Log.Info("epoch changed", "domain", m.domain, "epoch", next.Epoch, "members", len(next.Members), "departed", len(next.Departed))
+	}
+	m.offerRecord(m.domain, written, next.Epoch, value)
+	m.forgetLost(next)
+	return nil
+}
+
+// forgetLost drops lost processes that are no members (any more).
+func (m *Member) forgetLost(record control.Record) {
+	now := m.config.Clock.Boottime()
+	m.mu.Lock()
+	for _, id := range m.detector.Lost(now) {
+		if _, ok := record.Member(id); !ok {
+			m.detector.Forget(id)
+			delete(m.heard, id)
+		}
+	}
+	m.mu.Unlock()
+	m.publishRoster()
+}
+
+// detectLost probes silent processes and puts suspicions into the roster.
+func (m *Member) detectLost(ctx context.Context) {
+	now := m.config.Clock.Boottime()
+	record, _ := m.record()
+	m.mu.Lock()
+	if !m.coordinating || record == nil {
+		m.mu.Unlock()
+		return
+	}
+	for _, member := range record.Members {
+		if member.ID != m.config.Self.ID {
+			m.detector.Follow(member.ID, now)
+		}
+	}
+	due := m.detector.Due(now)
+	m.mu.Unlock()
+	var probes sync.WaitGroup
+	for _, id := range due {
+		probes.Go(func() { m.probe(ctx, id) })
+	}
+	probes.Wait()
+	m.publishRoster()
+}
+
+func (m *Member) probe(ctx context.Context, id string) {
+	reached := false
+	if id == m.config.Self.ID {
+		reached = true
+	} else if address, ok := m.addressOf(id); ok {
+		reached = m.reachedByOthers(ctx, id, address)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.detector.Probed(id, reached, m.config.Clock.Boottime()) {
+		m.metrics.suspected.Inc()
+		m.config.Log.Warn("process is suspected", "id", id, "domain", m.domain)
+	}
+}
+
+// reachedByOthers asks other processes of the domain to test an address.
+func (m *Member) reachedByOthers(ctx context.Context, id, address string) bool {
+	var others []string
+	m.mu.Lock()
+	for other, h := range m.heard {
+		if other != id && other != m.config.Self.ID && !m.detector.Suspected(other) && len(others) < probers {
+			others = append(others, h.PeerAddress)
+		}
+	}
+	m.mu.Unlock()
+	results := make(chan bool, len(others))
+	for _, other := range others {
+		go func() {
+			var reply peer.ProbeReply
+			err := m.call(ctx, other, peer.KindProbe, &peer.Probe{Address: address}, &reply)
+			results <- err == nil && reply.Reached
+		}()
+	}
+	for range others {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Member) serveProbe(ctx context.Context, s *peer.Stream) error {
+	var probe peer.Probe
+	if err := s.Receive(&probe); err != nil {
+		return err
+	}
+	// The tester answers before the one who asked gives up.
+	ctx, cancel := context.WithTimeout(ctx, m.config.Timing.Call/2)
+	defer cancel()
+	return s.Send(&peer.ProbeReply{Reached: m.node.Load().Reachable(ctx, probe.Address)})
+}
--- /dev/null
+++ b/member/exchange.go
@@ -0,0 +1,162 @@
+package member
+
+import (
+	"context"
+	"io"
+
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/peer"
+)
+
+const (
+	// pushPeers is how many peers hear of a change at once. Each passes it on,
+	// so that few rounds reach all.
+	pushPeers = 3
+	// maxExchangeBytes keeps the items of one frame below the limit of frames.
+	maxExchangeBytes = 768 << 10
+)
+
+// exchangeWithOne compares control state with one random known process.
+func (m *Member) exchangeWithOne(ctx context.Context) {
+	if peers := m.peers(); len(peers) > 0 {
+		m.exchange(ctx, peers[0])
+	}
+}
+
+// pushChange exchanges with a few peers after a change that others wait for. A
+// renewal alone is none; it travels by the periodic exchange.
+func (m *Member) pushChange(ctx context.Context) {
+	sum := m.changeSum()
+	m.mu.Lock()
+	same := sum == m.pushed
+	m.pushed = sum
+	m.mu.Unlock()
+	if same {
+		return
+	}
+	for i, address := range m.peers() {
+		if i == pushPeers {
+			return
+		}
+		go m.exchange(ctx, address)
+	}
+}
+
+// changeSum adds up what rises with each change other than a renewal. All terms
+// only rise, so that equal sums mean equal states.
+func (m *Member) changeSum() uint64 {
+	var sum uint64
+	for _, item := range m.config.State.Summary() {
+		sum += item.Major + 1
+		if !isRecord(item.Name) {
+			sum += item.Minor
+		}
+	}
+	return sum
+}
+
+func isRecord(name string) bool {
+	return len(name) >= len(control.PrefixDomain) && name[:len(control.PrefixDomain)] == control.PrefixDomain
+}
+
+func (m *Member) exchange(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, m.config.Timing.Call)
+	defer cancel()
+	err := m.exchangeFrames(ctx, address)
+	m.metrics.exchanges.WithLabelValues(outcome(err)).Inc()
+	if err != nil {
+		m.config.Log.Debug("exchange failed", "peer", address, "error", err)
+	}
+}
+
+func (m *Member) exchangeFrames(ctx context.Context, address string) error {
+	s, err := m.node.Load().Open(ctx, address, peer.KindExchange)
+	if err != nil {
+		return err
+	}
+	defer s.Cancel()
+	if err := s.Send(&peer.Exchange{ID: m.config.Self.ID, Summary: frameItems(m.config.State.Summary())}); err != nil {
+		return errors.Trace(err)
+	}
+	var reply peer.ExchangeReply
+	if err := s.Receive(&reply); err != nil {
+		m.node.Load().Retest(address)
+		return errors.Trace(err)
+	}
+	m.offer(stateItems(reply.Newer))
+	if len(reply.Wanted) > 0 {
+		push := peer.ExchangePush{Items: frameItems(bounded(m.config.State.Items(reply.Wanted)))}
+		if err := s.Send(&push); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if err := s.CloseSend(); err != nil {
+		return errors.Trace(err)
+	}
+	// The end of the peer's side shows that the push was read.
+	if err := s.Receive(&peer.ExchangeReply{}); err != io.EOF {
+		return errors.Annotate(err, "end of exchange")
+	}
+	return nil
+}
+
+func (m *Member) serveExchange(_ context.Context, s *peer.Stream) error {
+	var request peer.Exchange
+	if err := s.Receive(&request); err != nil {
+		return err
+	}
+	newer, wanted := m.config.State.Compare(stateItems(request.Summary))
+	if err := s.Send(&peer.ExchangeReply{Newer: frameItems(bounded(newer)), Wanted: wanted}); err != nil {
+		return err
+	}
+	if len(wanted) == 0 {
+		return nil
+	}
+	var push peer.ExchangePush
+	if err := s.Receive(&push); err != nil {
+		return err
+	}
+	m.offer(stateItems(push.Items))
+	return nil
+}
+
+// offer hands items to the state. One that does not parse is dropped, so that
+// a faulty process cannot replace the last good state.
+func (m *Member) offer(items []control.Item) {
+	for _, item := range items {
+		if _, err := m.config.State.Offer(item); err != nil {
+			m.config.Log.Warn("control state refused", "item", item.Name, "error", err)
+		}
+	}
+}
+
+// bounded returns as many items as fit into one frame; the rest follows with
+// later exchanges.
+func bounded(items []control.Item) []control.Item {
+	size := 0
+	for i, item := range items {
+		size += len(item.Name) + len(item.Value)
+		if size > maxExchangeBytes && i > 0 {
+			return items[:i]
+		}
+	}
+	return items
+}
+
+func frameItems(items []control.Item) []peer.Item {
+	frames := make([]peer.Item, len(items))
+	for i, item := range items {
+		frames[i] = peer.Item(item)
+	}
+	return frames
+}
+
+func stateItems(frames []peer.Item) []control.Item {
+	items := make([]control.Item, len(frames))
+	for i, frame := range frames {
+		items[i] = control.Item(frame)
+	}
+	return items
+}
