--- a/peer/frames.go
+++ b/peer/frames.go
@@ -127,6 +127,8 @@
 	Leaving         bool   `msg:"l"`
 	Revision        uint64 `msg:"v"`
 	BoottimeNs      int64  `msg:"t"`
+	// Epoch is the newest epoch of the domain's record that the sender knows.
+	Epoch uint64 `msg:"e"`
 }
 
 // HeartbeatReply grants a lease counted from GrantedNs, on the clock of the
@@ -156,8 +158,10 @@
 }
 
 // ConfirmReply confirms Epoch only if Confirmed: the sender knows no newer
-// epoch and does not reach the platform.
+// epoch and does not reach the platform. ID is the incarnation that answers,
+// because an address may have passed to another one.
 type ConfirmReply struct {
+	ID        string `msg:"i"`
 	Confirmed bool   `msg:"c"`
 	Epoch     uint64 `msg:"e"`
 }
@@ -168,6 +172,8 @@
 	Domain string `msg:"d"`
 	Epoch  uint64 `msg:"e"`
 	Record []byte `msg:"r"`
+	// Version is the version of the platform's object that holds Record.
+	Version uint64 `msg:"v"`
 }
 
 // AcknowledgeReply carries the newest epoch that the receiver knows.
@@ -185,7 +191,8 @@
 	Searchers []ReleasedSearcher `msg:"s"`
 }
 
-// ReleasedSearcher is one searcher of a Release with its cold-start state.
+// ReleasedSearcher is one searcher of a Release with its cold-start state. An
+// Allowance below zero says that the sender never used the searcher.
 type ReleasedSearcher struct {
 	ID        string `msg:"i"`
 	Cold      bool   `msg:"c"`
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -42,6 +42,12 @@
 				err = msgp.WrapError(err, "Record")
 				return
 			}
+		case "v":
+			z.Version, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -55,9 +61,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Acknowledge) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
 	// write "d"
-	err = en.Append(0x83, 0xa1, 0x64)
+	err = en.Append(0x84, 0xa1, 0x64)
 	if err != nil {
 		return
 	}
@@ -86,15 +92,25 @@
 		err = msgp.WrapError(err, "Record")
 		return
 	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Acknowledge) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "d"
-	o = append(o, 0x83, 0xa1, 0x64)
+	o = append(o, 0x84, 0xa1, 0x64)
 	o = msgp.AppendString(o, z.Domain)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
@@ -102,6 +118,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBytes(o, z.Record)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
 	return
 }
 
@@ -141,6 +160,12 @@
 				err = msgp.WrapError(err, "Record")
 				return
 			}
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -155,7 +180,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Acknowledge) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Record)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Record) + 2 + msgp.Uint64Size
 	return
 }
 
@@ -1274,6 +1299,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
 		case "c":
 			z.Confirmed, err = dc.ReadBool()
 			if err != nil {
@@ -1299,9 +1330,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z ConfirmReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
+	// write "i"
+	err = en.Append(0x83, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
 	// write "c"
-	err = en.Append(0x82, 0xa1, 0x63)
+	err = en.Append(0xa1, 0x63)
 	if err != nil {
 		return
 	}
@@ -1326,9 +1367,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z ConfirmReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
+	// string "i"
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
 	// string "c"
-	o = append(o, 0x82, 0xa1, 0x63)
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendBool(o, z.Confirmed)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
@@ -1354,6 +1398,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
 		case "c":
 			z.Confirmed, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1380,7 +1430,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z ConfirmReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
 	return
 }
 
@@ -1984,6 +2034,12 @@
 				err = msgp.WrapError(err, "BoottimeNs")
 				return
 			}
+		case "e":
+			z.Epoch, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1997,9 +2053,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 9
+	// map header, size 10
 	// write "i"
-	err = en.Append(0x89, 0xa1, 0x69)
+	err = en.Append(0x8a, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -2088,15 +2144,25 @@
 		err = msgp.WrapError(err, "BoottimeNs")
 		return
 	}
+	// write "e"
+	err = en.Append(0xa1, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Epoch)
+	if err != nil {
+		err = msgp.WrapError(err, "Epoch")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "i"
-	o = append(o, 0x89, 0xa1, 0x69)
+	o = append(o, 0x8a, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -2122,6 +2188,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.BoottimeNs)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint64(o, z.Epoch)
 	return
 }
 
@@ -2197,6 +2266,12 @@
 				err = msgp.WrapError(err, "BoottimeNs")
 				return
 			}
+		case "e":
+			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2211,7 +2286,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.StringPrefixSize + len(z.PeerAddress) + 2 + msgp.StringPrefixSize + len(z.CallerAddress) + 2 + msgp.StringPrefixSize + len(z.OperatorAddress) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.StringPrefixSize + len(z.PeerAddress) + 2 + msgp.StringPrefixSize + len(z.CallerAddress) + 2 + msgp.StringPrefixSize + len(z.OperatorAddress) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
 	return
 }
 
