Add the state machine and the connections of one searcher

Package slot decides what is dispatched and keeps the limits; package upstream writes requests and reads replies without net/http's transport, which may resend a booking.

--- /dev/null
+++ b/slot/searcher.go
@@ -0,0 +1,422 @@
+// Package slot is the state machine of one searcher: its slots, connections,
+// bounded queue, cold start and the work that its requesters gave up but the
+// upstream may still be running. It does no I/O and starts no goroutines; time
+// is passed in as readings of the boot clock.
+package slot
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/assign"
+	"github.com/wisteriawharf/wisteriawharf/result"
+	"github.com/wisteriawharf/wisteriawharf/settings"
+)
+
+const (
+	// Guard is how long after its deadline abandoned work still counts against
+	// the slots when nothing else is known of it. It covers the difference of
+	// the clocks and the time the upstream takes to notice the deadline.
+	Guard = 250 * time.Millisecond
+	// silenceBound is how long a connection may stay without the reply of work
+	// that has ended, or without the answer to a short exchange.
+	silenceBound = 300 * time.Millisecond
+	// pollInterval is the time between readings of the state page.
+	pollInterval = 250 * time.Millisecond
+	// redialDelay keeps an upstream that is down from being dialled in a loop.
+	redialDelay = 100 * time.Millisecond
+	// drainingHold is how long a state page has to deny that the upstream is
+	// draining before it is believed, because the page lags.
+	drainingHold = 2 * time.Second
+)
+
+// Config describes a Searcher.
+type Config struct {
+	Limits     settings.Limits
+	QueueLimit int
+	// Deadline is the latency within which a success counts as evidence as long
+	// as nothing was learned.
+	Deadline time.Duration
+}
+
+// Validate returns an error that names the first value out of range.
+func (c Config) Validate() error {
+	switch {
+	case c.Limits.Slots < 1:
+		return errors.New("slots must be at least 1")
+	case c.Limits.Connections < 1:
+		return errors.New("connections must be at least 1")
+	case c.Limits.Cold.Allowance < 1:
+		return errors.New("cold allowance must be at least 1")
+	case c.Limits.Cold.StepSuccesses < 1:
+		return errors.New("step successes must be at least 1")
+	case c.QueueLimit < 0:
+		return errors.New("queue limit must not be negative")
+	case c.Deadline <= 0:
+		return errors.New("deadline must be above zero")
+	}
+	return nil
+}
+
+type waiting struct {
+	id       WorkID
+	deadline time.Duration
+}
+
+// work is known to the upstream, or may be.
+type work struct {
+	id        WorkID
+	deadline  time.Duration
+	step      uint64
+	abandoned bool
+	// deleteSent says that a DELETE is under way or was answered.
+	deleteSent bool
+}
+
+// Searcher is the state machine. It is not safe for concurrent use. The
+// commands that an input returns are carried out before the next input.
+type Searcher struct {
+	config   Config
+	grant    assign.Grant
+	blocked  *result.Error
+	queue    []waiting
+	works    []*work
+	conns    []*conn
+	lastConn ConnID
+	ramp     ramp
+	latency  latency
+
+	draining    bool
+	drainingAt  time.Duration
+	unreachable bool
+	redialAt    time.Duration
+	pollAt      time.Duration
+	now         time.Duration // time of the last input
+	commands    []Command
+}
+
+// New returns a searcher that is cold and has no grant.
+func New(config Config) (*Searcher, error) {
+	if err := config.Validate(); err != nil {
+		return nil, errors.Annotate(err, "searcher")
+	}
+	s := &Searcher{config: config}
+	s.ramp.chill(config.Limits)
+	return s, nil
+}
+
+// Submit offers work. It is dispatched, queued or refused; deadline is a
+// reading of the boot clock.
+func (s *Searcher) Submit(now time.Duration, id WorkID, deadline time.Duration) []Command {
+	s.settle(now)
+	if err := s.refusal(now, deadline); err != nil {
+		s.emit(Command{Action: Fail, Work: id, Err: err})
+		return s.finish(now)
+	}
+	s.queue = append(s.queue, waiting{id: id, deadline: deadline})
+	return s.finish(now)
+}
+
+// refusal returns why work cannot be accepted, or nil.
+func (s *Searcher) refusal(now, deadline time.Duration) *result.Error {
+	if err := s.closedTo(now); err != nil {
+		return err
+	}
+	if now >= deadline {
+		return result.NotRun(result.DeadlineExceeded, "before it was queued")
+	}
+	if len(s.queue) >= s.config.QueueLimit && !s.runnable() {
+		return result.NotRun(result.QueueFull, "%d parts wait", len(s.queue))
+	}
+	if wait := s.queueWait(); now+wait+s.latency.typical >= deadline {
+		return result.NotRun(result.TooLate, "queue wait is %v, %v remain", wait, deadline-now)
+	}
+	return nil
+}
+
+// closedTo returns why the searcher takes no work at all now, or nil.
+func (s *Searcher) closedTo(now time.Duration) *result.Error {
+	switch {
+	case s.blocked != nil:
+		return s.blocked
+	case s.grant.Share == assign.ShareNone:
+		return result.NotRun(result.NoRight, "no grant")
+	case s.grant.WarmOnly && s.ramp.cold:
+		return result.NotRun(result.NoRight, "searcher is cold and the grant admits warm ones only")
+	case s.slots() == 0:
+		return result.NotRun(result.NoRight, "grant admits no slot")
+	case s.draining:
+		return result.NotRun(result.UpstreamDraining, "")
+	case s.unreachable && now < s.redialAt:
+		return result.NotRun(result.ConnectionLost, "upstream is not reachable")
+	}
+	return nil
+}
+
+// runnable reports whether one more piece of work could be dispatched at once,
+// with nothing waiting before it.
+func (s *Searcher) runnable() bool {
+	return len(s.queue) == 0 && len(s.works) < s.slots()
+}
+
+// slots returns how many pieces of work may run now.
+func (s *Searcher) slots() int {
+	if s.grant.WarmOnly && s.ramp.cold {
+		return 0
+	}
+	n := min(s.grant.Slots(s.config.Limits), s.ramp.allowance)
+	return min(n, s.workConnections())
+}
+
+// queueWait estimates how long work submitted now waits for a slot.
+func (s *Searcher) queueWait() time.Duration {
+	slots := s.slots()
+	if slots == 0 {
+		return s.config.Deadline
+	}
+	ahead := len(s.queue) + len(s.works) - slots + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return s.latency.mean * time.Duration(ahead) / time.Duration(slots)
+}
+
+// Cancel withdraws work. Work that was dispatched keeps its slot until the
+// upstream is known to be done with it.
+func (s *Searcher) Cancel(now time.Duration, id WorkID) []Command {
+	for i, q := range s.queue {
+		if q.id == id {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			s.emit(Command{Action: Fail, Work: id, Err: result.NotRun(result.Cancelled, "while it was queued")})
+			return s.finish(now)
+		}
+	}
+	if w := s.work(id); w != nil && !w.abandoned {
+		s.abandon(w, result.MayHaveRun(result.Cancelled, "after it was dispatched"))
+	}
+	return s.finish(now)
+}
+
+// SetGrant changes what may be dispatched. Running work above a grant that
+// shrank is left to end.
+func (s *Searcher) SetGrant(now time.Duration, grant assign.Grant) []Command {
+	if grant == s.grant {
+		return nil
+	}
+	s.grant = grant
+	return s.finish(now)
+}
+
+// SetConfig applies changed settings without touching running work.
+func (s *Searcher) SetConfig(now time.Duration, config Config) ([]Command, error) {
+	if err := config.Validate(); err != nil {
+		return nil, errors.Annotate(err, "searcher")
+	}
+	s.config = config
+	s.ramp.fit(config.Limits)
+	return s.finish(now), nil
+}
+
+// Block refuses all work that is not yet dispatched with err, until Unblock.
+func (s *Searcher) Block(now time.Duration, err *result.Error) []Command {
+	s.blocked = err
+	return s.finish(now)
+}
+
+// Unblock takes work again. The searcher is cold then, because it may have
+// been restarted or changed meanwhile.
+func (s *Searcher) Unblock(now time.Duration) []Command {
+	if s.blocked == nil {
+		return nil
+	}
+	s.blocked = nil
+	s.ramp.chill(s.config.Limits)
+	return s.finish(now)
+}
+
+// Inherit sets the cold-start state that the former owner stated.
+func (s *Searcher) Inherit(now time.Duration, cold bool, allowance int) []Command {
+	floor := min(s.config.Limits.Cold.Allowance, s.config.Limits.Slots)
+	s.ramp.cold = cold
+	s.ramp.set(min(max(allowance, floor), s.config.Limits.Slots))
+	s.ramp.fit(s.config.Limits)
+	return s.finish(now)
+}
+
+// Tick applies the passage of time.
+func (s *Searcher) Tick(now time.Duration) []Command { return s.finish(now) }
+
+// settle applies what time alone has changed.
+func (s *Searcher) settle(now time.Duration) {
+	s.endGuarded(now)
+	s.expireRunning(now)
+	s.expireConnections(now)
+	s.refuseQueue(now)
+}
+
+func (s *Searcher) finish(now time.Duration) []Command {
+	s.now = now
+	s.settle(now)
+	s.trim()
+	s.dispatch(now)
+	s.sendDeletes(now)
+	s.poll(now)
+	s.openConnections(now)
+	commands := s.commands
+	s.commands = nil
+	return commands
+}
+
+func (s *Searcher) emit(c Command) { s.commands = append(s.commands, c) }
+
+// endGuarded frees the slots of abandoned work that has passed its guard.
+func (s *Searcher) endGuarded(now time.Duration) {
+	kept := s.works[:0]
+	for _, w := range s.works {
+		if w.abandoned && now >= w.deadline+Guard {
+			s.awaitReply(now, w.id)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	s.works = kept
+}
+
+func (s *Searcher) expireRunning(now time.Duration) {
+	for _, w := range s.works {
+		if !w.abandoned && now >= w.deadline {
+			s.abandon(w, result.MayHaveRun(result.DeadlineExceeded, "after it was dispatched"))
+		}
+	}
+}
+
+// refuseQueue empties the queue when the searcher takes no work, and drops
+// from its head what can no longer finish in time.
+func (s *Searcher) refuseQueue(now time.Duration) {
+	for len(s.queue) > 0 {
+		head := s.queue[0]
+		err := s.closedTo(now)
+		switch {
+		case err != nil:
+		case now >= head.deadline:
+			err = result.NotRun(result.DeadlineExceeded, "while it was queued")
+		case now+s.latency.typical >= head.deadline:
+			err = result.NotRun(result.TooLate, "%v remain", head.deadline-now)
+		default:
+			return
+		}
+		s.queue = s.queue[1:]
+		s.emit(Command{Action: Fail, Work: head.id, Err: err})
+	}
+}
+
+func (s *Searcher) dispatch(now time.Duration) {
+	for len(s.queue) > 0 && len(s.works) < s.slots() && s.workInUse() < s.workConnections() {
+		c := s.idle()
+		if c == nil {
+			return
+		}
+		head := s.queue[0]
+		s.queue = s.queue[1:]
+		s.works = append(s.works, &work{id: head.id, deadline: head.deadline, step: s.ramp.step})
+		c.state, c.work, c.since = busy, head.id, now
+		s.emit(Command{Action: Dispatch, Work: head.id, Conn: c.id})
+		s.refuseQueue(now)
+	}
+}
+
+// abandon ends the work for its requester, but not its claim to a slot.
+func (s *Searcher) abandon(w *work, err *result.Error) {
+	w.abandoned = true
+	s.emit(Command{Action: Fail, Work: w.id, Err: err})
+}
+
+func (s *Searcher) work(id WorkID) *work {
+	for _, w := range s.works {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// remove frees the slot of work that the upstream is known to be done with.
+func (s *Searcher) remove(id WorkID) {
+	for i, w := range s.works {
+		if w.id == id {
+			s.works = append(s.works[:i], s.works[i+1:]...)
+			return
+		}
+	}
+}
+
+// State is a reading of a Searcher.
+type State struct {
+	Queued      int
+	Running     int
+	Abandoned   int
+	Allowance   int
+	Slots       int
+	Free        int
+	Connections int
+	Cold        bool
+	Draining    bool
+	Usable      bool
+	QueueWait   time.Duration
+}
+
+// State returns a reading of the searcher.
+func (s *Searcher) State(now time.Duration) State {
+	abandoned := 0
+	for _, w := range s.works {
+		if w.abandoned {
+			abandoned++
+		}
+	}
+	return State{
+		Queued:      len(s.queue),
+		Running:     len(s.works),
+		Abandoned:   abandoned,
+		Allowance:   s.ramp.allowance,
+		Slots:       s.slots(),
+		Free:        max(0, s.slots()-len(s.works)-len(s.queue)),
+		Connections: len(s.conns),
+		Cold:        s.ramp.cold,
+		Draining:    s.draining,
+		Usable:      s.closedTo(now) == nil && !s.unreachable,
+		QueueWait:   s.queueWait(),
+	}
+}
+
+// Next returns when Tick has to be called at the latest. It reports false if
+// nothing depends on time.
+func (s *Searcher) Next() (time.Duration, bool) {
+	var next time.Duration
+	found := false
+	consider := func(t time.Duration) {
+		if !found || t < next {
+			next, found = t, true
+		}
+	}
+	for _, w := range s.works {
+		if w.abandoned {
+			consider(w.deadline + Guard)
+		} else {
+			consider(w.deadline)
+		}
+	}
+	if len(s.queue) > 0 {
+		consider(s.queue[0].deadline - s.latency.typical)
+	}
+	for _, c := range s.conns {
+		if bound, ok := s.bound(c); ok {
+			consider(bound)
+		}
+	}
+	// A poll that is overdue waits for a connection, whose event comes first.
+	if at := max(s.pollAt, s.redialAt); s.connections() > 0 && at > s.now {
+		consider(at)
+	}
+	return next, found
+}
--- /dev/null
+++ b/upstream/protocol.go
@@ -0,0 +1,214 @@
+package upstream
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/peer"
+)
+
+// Headers of the upstream protocol.
+const (
+	headerWorkID         = "Wharf-Work-Id"
+	headerDeadlineMs     = "Wharf-Deadline-Ms"
+	headerDeadlineUnixMs = "Wharf-Deadline-Unix-Ms"
+)
+
+type kind uint8
+
+const (
+	kindSearch kind = iota + 1
+	kindRun
+	kindDelete
+	kindState
+)
+
+// Request is one request in its wire form.
+type Request struct {
+	kind   kind
+	workID string
+	wire   []byte
+}
+
+// Deadline is what is left of a request's time and its absolute end.
+type Deadline struct {
+	Remaining time.Duration
+	UnixMs    int64
+}
+
+// Search asks for one shard of a snapshot.
+type Search struct {
+	Index    string `json:"index"`
+	Shard    uint32 `json:"shard"`
+	Snapshot string `json:"snapshot"`
+	Query    string `json:"query"`
+}
+
+// Run asks to run a booking.
+type Run struct {
+	Key  string `json:"key"`
+	Item string `json:"item"`
+}
+
+// State is the state page of a searcher. It lags and may be wrong.
+type State struct {
+	Draining  bool
+	Load      float64
+	Snapshots []peer.HeldSnapshot
+}
+
+// Reply is a valid reply. Of the pointers the one of the request's kind is set,
+// and only for status 200.
+type Reply struct {
+	Status int
+	Search *SearchReply
+	Run    *RunReply
+	State  *State
+	// Closed says that the upstream ends the connection after this reply.
+	Closed bool
+}
+
+// SearchReply is the answer to a Search.
+type SearchReply struct {
+	WorkID   string `json:"work_id"`
+	Index    string `json:"index"`
+	Shard    uint32 `json:"shard"`
+	Snapshot string `json:"snapshot"`
+	Body     string `json:"body"`
+}
+
+// RunReply is the answer to a Run.
+type RunReply struct {
+	WorkID string `json:"work_id"`
+	Key    string `json:"key"`
+	Body   string `json:"body"`
+}
+
+// NewSearch returns the request for a search.
+func NewSearch(address, workID string, d Deadline, s Search) (*Request, error) {
+	return newRequest(kindSearch, http.MethodPost, address, "/v1/search", workID, &d, s)
+}
+
+// NewRun returns the request for a booking.
+func NewRun(address, workID string, d Deadline, r Run) (*Request, error) {
+	return newRequest(kindRun, http.MethodPost, address, "/v1/run", workID, &d, r)
+}
+
+// NewDelete returns the request that cancels work.
+func NewDelete(address, workID string) (*Request, error) {
+	return newRequest(kindDelete, http.MethodDelete, address, "/v1/work/"+workID, workID, nil, nil)
+}
+
+// NewState returns the request for the state page.
+func NewState(address string) (*Request, error) {
+	return newRequest(kindState, http.MethodGet, address, "/v1/state", "", nil, nil)
+}
+
+func newRequest(k kind, method, address, path, workID string, d *Deadline, content any) (*Request, error) {
+	var body bytes.Buffer
+	if content != nil {
+		if err := json.NewEncoder(&body).Encode(content); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	r, err := http.NewRequest(method, "http://"+address+path, &body)
+	if err != nil {
+		return nil, errors.Annotate(err, "request")
+	}
+	r.Header.Set("User-Agent", "wharf-broker")
+	if content != nil {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	if workID != "" {
+		r.Header.Set(headerWorkID, workID)
+	}
+	if d != nil {
+		r.Header.Set(headerDeadlineMs, strconv.FormatInt(d.Remaining.Milliseconds(), 10))
+		r.Header.Set(headerDeadlineUnixMs, strconv.FormatInt(d.UnixMs, 10))
+	}
+	var wire bytes.Buffer
+	if err := r.Write(&wire); err != nil {
+		return nil, errors.Annotate(err, "request")
+	}
+	return &Request{kind: k, workID: workID, wire: wire.Bytes()}, nil
+}
+
+// reply checks a response against the request that it answers. An error means
+// that the connection cannot be trusted any more.
+func (r *Request) reply(response *http.Response, body []byte) (Reply, error) {
+	reply := Reply{Status: response.StatusCode, Closed: response.Close}
+	if reply.Status < 200 || reply.Status > 599 {
+		return reply, errors.Errorf("status %d", reply.Status)
+	}
+	if err := r.checkWorkID(response, body); err != nil {
+		return reply, err
+	}
+	if reply.Status != http.StatusOK {
+		return reply, nil
+	}
+	var err error
+	switch r.kind {
+	case kindSearch:
+		reply.Search = new(SearchReply)
+		err = json.Unmarshal(body, reply.Search)
+	case kindRun:
+		reply.Run = new(RunReply)
+		err = json.Unmarshal(body, reply.Run)
+	case kindState:
+		reply.State, err = parseState(body)
+	}
+	return reply, errors.Annotate(err, "reply body")
+}
+
+// checkWorkID matches the work id of a reply, which the body or, for a reply
+// without the answer, the header may carry. A refusal of a booking has to carry
+// it: a late refusal of other work would state that the booking was not run.
+func (r *Request) checkWorkID(response *http.Response, body []byte) error {
+	var named struct {
+		WorkID string `json:"work_id"`
+	}
+	_ = json.Unmarshal(body, &named)
+	id := named.WorkID
+	if header := response.Header.Get(headerWorkID); id == "" {
+		id = header
+	} else if header != "" && header != id {
+		return errors.Errorf("reply names work %q and %q", header, id)
+	}
+	required := r.kind == kindRun || r.kind == kindSearch && response.StatusCode == http.StatusOK
+	if id == r.workID || id == "" && !required {
+		return nil
+	}
+	return errors.Errorf("reply is for work %q, not %q", id, r.workID)
+}
+
+func parseState(body []byte) (*State, error) {
+	var page struct {
+		Draining  *bool   `json:"draining"`
+		Load      float64 `json:"load"`
+		Snapshots []struct {
+			Index       string   `json:"index"`
+			ID          string   `json:"id"`
+			Number      uint64   `json:"number"`
+			ShardsTotal uint32   `json:"shards_total"`
+			Shards      []uint32 `json:"shards"`
+		} `json:"snapshots"`
+	}
+	if err := json.Unmarshal(body, &page); err != nil {
+		return nil, err
+	}
+	if page.Draining == nil {
+		return nil, errors.New("state page does not say whether the upstream is draining")
+	}
+	state := &State{Draining: *page.Draining, Load: page.Load}
+	for _, s := range page.Snapshots {
+		state.Snapshots = append(state.Snapshots, peer.HeldSnapshot{
+			Index: s.Index, ID: s.ID, Number: s.Number, ShardsTotal: s.ShardsTotal, Shards: s.Shards,
+		})
+	}
+	return state, nil
+}
