--- a/standin/searcher.go
+++ b/standin/searcher.go
@@ -94,7 +94,9 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	s.address = raw.Addr().String()
+	if actual := raw.Addr().String(); s.address != actual {
+		s.address = actual
+	}
 	s.server = serveOn(&listener{Listener: raw, connections: s.conns}, s.handler())
 	return nil
 }
--- a/standin/work.go
+++ b/standin/work.go
@@ -31,7 +31,10 @@
 	id     string
 	done   chan struct{}
 	ending ending
-	timer  *time.Timer
+	// endsAt and planned are when and how the work ends if nothing else does.
+	endsAt  time.Time
+	planned ending
+	timer   *time.Timer
 }
 
 // order is what the headers of a request ask for.
@@ -72,6 +75,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.endDue(now)
 	s.facts.Received++
 	if refused := s.refuse(o, now); refused != nil {
 		return nil, refused
@@ -85,7 +89,7 @@
 	if untilDeadline := o.deadline.Sub(now); took > untilDeadline {
 		took, ending = untilDeadline, endDeadline
 	}
-	w := &work{id: o.id, done: make(chan struct{})}
+	w := &work{id: o.id, done: make(chan struct{}), endsAt: now.Add(took), planned: ending}
 	s.running[o.id] = w
 	s.facts.Started++
 	s.facts.PeakRunning = max(s.facts.PeakRunning, len(s.running))
@@ -93,11 +97,21 @@
 	w.timer = time.AfterFunc(took, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.end(w, ending)
+		s.end(w, w.planned)
 	})
 	return w, nil
 }
 
+// endDue ends work whose timer is late, so that a busy machine does not make
+// the running work look longer than it is. The caller holds the lock.
+func (s *searcher) endDue(now time.Time) {
+	for _, w := range s.running {
+		if !now.Before(w.endsAt) {
+			s.end(w, w.planned)
+		}
+	}
+}
+
 // refuse checks what does not depend on the kind of work. The caller holds the
 // lock.
 func (s *searcher) refuse(o order, now time.Time) *refusal {
