Add a thin entry: HTTP search to the brokers and back

The decision packages, the caller interface and the query engine are in place so that the broker and the stand-ins can be run against them.

--- /dev/null
+++ b/caller/handler.go
@@ -0,0 +1,260 @@
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/wisteriawharf/wisteriawharf/clock"
+	"github.com/wisteriawharf/wisteriawharf/result"
+)
+
+// Headers of the caller interface.
+const (
+	HeaderCaller         = "Wharf-Caller"
+	HeaderRequestID      = "Wharf-Request-Id"
+	HeaderDeadline       = "Wharf-Deadline-Unix-Ms"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+const (
+	// maxBodyBytes leaves room for the parts of a batch, whose frame is at most
+	// 1 MiB.
+	maxBodyBytes = 256 << 10
+	// maxCallerBytes bounds the identity that a caller may choose.
+	maxCallerBytes = 128
+)
+
+// HandlerConfig describes the HTTP interface.
+type HandlerConfig struct {
+	Engine Engine
+	Clock  clock.Clock
+	Log    *slog.Logger
+}
+
+type handler struct {
+	config HandlerConfig
+}
+
+// NewHandler returns the HTTP interface over an engine.
+func NewHandler(config HandlerConfig) http.Handler {
+	h := &handler{config: config}
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = h.fail
+	e.Use(h.identify)
+	e.GET("/v1/ready", h.ready)
+	e.GET("/v1/addresses", h.addresses, h.requireReady)
+	e.POST("/v1/search/:service", h.search, h.requireReady)
+	e.POST("/v1/book/:service", h.book, h.requireReady)
+	return e
+}
+
+// identify gives each request an identifier and turns a panic of one request
+// into a 500 for that request.
+func (h *handler) identify(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) (err error) {
+		id := requestID()
+		c.Set(HeaderRequestID, id)
+		c.Response().Header().Set(HeaderRequestID, id)
+		defer func() {
+			if r := recover(); r != nil {
+				h.config.Log.Error("request failed in a panic", "request_id", id, "path", c.Path(), "panic", r)
+				err = result.MayHaveRun(result.OutcomeUnknown, "internal error")
+			}
+		}()
+		return next(c)
+	}
+}
+
+func requestID() string {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return uuid.NewString()
+	}
+	return id.String()
+}
+
+func idOf(c echo.Context) string {
+	id, _ := c.Get(HeaderRequestID).(string)
+	return id
+}
+
+// requireReady refuses requests until settings are established.
+func (h *handler) requireReady(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if e := h.config.Engine.Ready(); e != nil {
+			return e
+		}
+		return next(c)
+	}
+}
+
+func (h *handler) ready(c echo.Context) error {
+	if e := h.config.Engine.Ready(); e != nil {
+		return e
+	}
+	return c.JSON(http.StatusOK, map[string]bool{"ready": true})
+}
+
+func (h *handler) addresses(c echo.Context) error {
+	return c.JSON(http.StatusOK, h.config.Engine.Addresses())
+}
+
+type searchBody struct {
+	Query      *string `json:"query"`
+	DeadlineMs *int64  `json:"deadline_ms"`
+}
+
+func (h *handler) search(c echo.Context) error {
+	var body searchBody
+	if e := decode(c, &body); e != nil {
+		return e
+	}
+	if body.Query == nil {
+		return result.NotRun(result.Malformed, "query is missing")
+	}
+	deadline, e := h.deadline(c, body.DeadlineMs)
+	if e != nil {
+		return e
+	}
+	answer, e := h.config.Engine.Search(c.Request().Context(), SearchRequest{
+		RequestID: idOf(c),
+		Service:   c.Param("service"),
+		Caller:    identity(c),
+		Query:     *body.Query,
+		Deadline:  deadline,
+	})
+	if e != nil {
+		return h.refuse(c, searchStatus(e), e, answer)
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+type bookBody struct {
+	Item       *string `json:"item"`
+	DeadlineMs *int64  `json:"deadline_ms"`
+}
+
+func (h *handler) book(c echo.Context) error {
+	var body bookBody
+	if e := decode(c, &body); e != nil {
+		return e
+	}
+	if body.Item == nil {
+		return result.NotRun(result.Malformed, "item is missing")
+	}
+	deadline, e := h.deadline(c, body.DeadlineMs)
+	if e != nil {
+		return e
+	}
+	answer, e := h.config.Engine.Book(c.Request().Context(), BookRequest{
+		RequestID: idOf(c),
+		Service:   c.Param("service"),
+		Caller:    identity(c),
+		Key:       c.Request().Header.Get(HeaderIdempotencyKey),
+		Item:      *body.Item,
+		Deadline:  deadline,
+	})
+	if e != nil {
+		return h.refuse(c, bookStatus(e), e, nil)
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+// decode reads one JSON object with known fields only.
+func decode(c echo.Context, body any) *result.Error {
+	reader := http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
+	d := json.NewDecoder(reader)
+	d.DisallowUnknownFields()
+	err := d.Decode(body)
+	if err == nil {
+		if _, err = d.Token(); err == io.EOF {
+			return nil
+		}
+		if err == nil {
+			err = errors.New("text after the JSON object")
+		}
+	}
+	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		return result.NotRun(result.TooLarge, "at most %d bytes are allowed", maxBodyBytes)
+	}
+	return result.NotRun(result.Malformed, "%v", err)
+}
+
+// deadline returns the time left for the request: the lesser of deadline_ms
+// and of the absolute header. Zero means that the caller stated none.
+func (h *handler) deadline(c echo.Context, ms *int64) (time.Duration, *result.Error) {
+	var left time.Duration
+	if ms != nil {
+		if *ms <= 0 {
+			return 0, result.NotRun(result.DeadlinePast, "deadline_ms is %d", *ms)
+		}
+		const maxMs = int64(time.Hour / time.Millisecond)
+		left = time.Duration(min(*ms, maxMs)) * time.Millisecond
+	}
+	text := c.Request().Header.Get(HeaderDeadline)
+	if text == "" {
+		return left, nil
+	}
+	unixMs, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, result.NotRun(result.Malformed, "%s is not a number of milliseconds: %q", HeaderDeadline, text)
+	}
+	until := time.UnixMilli(unixMs).Sub(h.config.Clock.Now())
+	if until <= 0 {
+		return 0, result.NotRun(result.DeadlinePast, "%s passed %s ago", HeaderDeadline, -until)
+	}
+	if left == 0 || until < left {
+		left = until
+	}
+	return left, nil
+}
+
+// identity returns whom the request is counted to in admission.
+func identity(c echo.Context) string {
+	if name := c.Request().Header.Get(HeaderCaller); name != "" {
+		return name[:min(len(name), maxCallerBytes)]
+	}
+	host, _, err := net.SplitHostPort(c.Request().RemoteAddr)
+	if err != nil {
+		return c.Request().RemoteAddr
+	}
+	return host
+}
+
+// fail answers for handlers that returned an error.
+func (h *handler) fail(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	if he, ok := errors.AsType[*echo.HTTPError](err); ok {
+		e := result.NotRun(result.Malformed, "%s %s: %v", c.Request().Method, c.Request().URL.Path, he.Message)
+		_ = h.refuse(c, he.Code, e, nil)
+		return
+	}
+	e := result.From(err)
+	_ = h.refuse(c, bookStatus(e), e, nil)
+}
+
+func (h *handler) refuse(c echo.Context, status int, e *result.Error, answer *SearchAnswer) error {
+	message := e.Code.String()
+	if e.Detail != "" {
+		message += ": " + e.Detail
+	}
+	body := failure{Code: e.Code, Message: message, Run: e.Run.String(), RequestID: idOf(c)}
+	if answer != nil {
+		body.Snapshot = answer.Snapshot
+		body.Coverage = &answer.Coverage
+	}
+	return c.JSON(status, body)
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,222 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// readHeaderTimeout bounds a request whose headers do not arrive.
+	readHeaderTimeout = 10 * time.Second
+	// bodyTimeout bounds a request whose body does not arrive.
+	bodyTimeout = 20 * time.Second
+	// linger is how long an idle connection that is about to be closed is still
+	// read: a request that was on its way is served.
+	linger = 300 * time.Millisecond
+	// drainPoll is how often the stop looks for connections that became idle.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Server serves callers and stops without interrupting a request.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	log      *slog.Logger
+	stopping atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// Listen binds the caller address. It serves nothing until Serve is called.
+func Listen(address string, handler http.Handler, log *slog.Logger) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen on %q", address)
+	}
+	s := &Server{listener: listener, log: log, conns: make(map[*conn]struct{})}
+	s.http = &http.Server{
+		Handler:           s.announce(handler),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       bodyTimeout,
+		ConnState:         s.track,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve answers requests until Stop or Close.
+func (s *Server) Serve() error {
+	err := s.http.Serve(acceptor{s.listener})
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Trace(err)
+}
+
+// Close ends the server and all connections at once.
+func (s *Server) Close() error { return errors.Trace(s.http.Close()) }
+
+// Stop announces the end to callers, serves for as long as an address answer
+// may be in use, and then closes each connection once it is idle. Requests that
+// have begun are served, also those of which a part has arrived. ctx is the
+// hard limit, after which open connections are cut and its error is returned.
+func (s *Server) Stop(ctx context.Context, lifetime time.Duration) error {
+	s.stopping.Store(true)
+	defer func() { _ = s.http.Close() }()
+	select {
+	case <-time.After(lifetime):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	// The listener stays open until the connections are closed: a connection that
+	// waits in its backlog would be reset with it.
+	for !s.drained() {
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// drained asks idle connections to close and reports whether none is left.
+func (s *Server) drained() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.closeIfIdle()
+	}
+	return len(s.conns) == 0
+}
+
+// announce adds Connection: close to every answer of a stopping server, also
+// to requests that began before the stop.
+func (s *Server) announce(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		next.ServeHTTP(&announcer{ResponseWriter: w, stopping: &s.stopping}, r)
+	})
+}
+
+type announcer struct {
+	http.ResponseWriter
+	stopping *atomic.Bool
+	wrote    bool
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (a *announcer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+func (a *announcer) WriteHeader(status int) {
+	if !a.wrote && a.stopping.Load() {
+		a.Header().Set("Connection", "close")
+	}
+	a.wrote = true
+	a.ResponseWriter.WriteHeader(status)
+}
+
+func (a *announcer) Write(b []byte) (int, error) {
+	if !a.wrote {
+		a.WriteHeader(http.StatusOK)
+	}
+	return a.ResponseWriter.Write(b)
+}
+
+func (s *Server) track(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew, http.StateIdle:
+		s.conns[c] = struct{}{}
+		c.setIdle()
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	}
+}
+
+type acceptor struct{ net.Listener }
+
+func (a acceptor) Accept() (net.Conn, error) {
+	c, err := a.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
+
+// conn is a connection that knows whether any byte of a next request has
+// arrived. net/http calls a connection idle until the whole header is read, and
+// its Shutdown would cut a request of which only a part has arrived.
+type conn struct {
+	net.Conn
+	mu      sync.Mutex
+	idle    bool
+	closing bool
+}
+
+func (c *conn) setIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = true
+}
+
+// closeIfIdle wakes the read of an idle connection, which then ends it unless a
+// request arrives first.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && !c.closing {
+		c.closing = true
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// Read reads from the connection. When closeIfIdle woke it, it reads on for
+// linger and reports the end of the stream if nothing arrived.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	idle, woken := c.idle, c.closing
+	if n > 0 {
+		c.idle = false
+	}
+	c.mu.Unlock()
+	if n > 0 || !woken || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if !idle {
+		// The wake came after the first bytes of a request.
+		_ = c.SetReadDeadline(time.Now().Add(readHeaderTimeout))
+		return c.Conn.Read(p)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(linger))
+	n, err = c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.idle = false
+		_ = c.SetReadDeadline(time.Time{})
+		return n, err
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, io.EOF
+	}
+	return n, err
+}
--- /dev/null
+++ b/entry/query.go
@@ -0,0 +1,488 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/caller"
+	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/peer"
+	"github.com/wisteriawharf/wisteriawharf/result"
+	"github.com/wisteriawharf/wisteriawharf/route"
+	"github.com/wisteriawharf/wisteriawharf/settings"
+	"github.com/wisteriawharf/wisteriawharf/snapshot"
+)
+
+const (
+	// maxRestarts bounds the load of a query whose snapshots keep vanishing.
+	maxRestarts = 3
+	// maxHedges is the second and the third replica.
+	maxHedges = 2
+	// eventQueue holds replies between the streams and the query. A stream whose
+	// reply finds no room waits, which slows the broker by flow control.
+	eventQueue = 64
+)
+
+// query is one search in progress. Only the goroutine of run touches it; the
+// streams report through events.
+type query struct {
+	entry   *Entry
+	view    *control.View
+	service *settings.Service
+	policy  *policy
+	request caller.SearchRequest
+
+	began    time.Duration
+	soft     time.Duration
+	deadline time.Duration
+	wall     time.Time
+
+	ctx    context.Context
+	events chan event
+	// round is the context of the streams of the pinned snapshot; a restart
+	// cancels it.
+	round    context.Context
+	endRound context.CancelFunc
+
+	pinned   *snapshot.Layout
+	gone     map[string]bool
+	restarts int
+	// waiting says that a newer snapshot is needed and none is known yet.
+	waiting  bool
+	shards   []shard
+	attempts map[uint32]*attempt
+	nextPart uint32
+	answered int
+	failed   int
+
+	cancelled   bool
+	shortOfRoom bool
+	trace       Trace
+}
+
+// shard is the progress of one shard of the pinned snapshot.
+type shard struct {
+	answered bool
+	failed   bool
+	body     string
+	running  []*attempt
+	tried    []replica
+	hedges   int
+	hedgeAt  time.Duration
+	gone     bool
+	// ran says that a failed attempt may have run.
+	ran  bool
+	last *result.Error
+}
+
+// attempt is one part sent to one replica.
+type attempt struct {
+	id      uint32
+	shard   uint32
+	replica replica
+	reports uint64
+	sentAt  time.Duration
+	hedge   bool
+	batch   *batch
+}
+
+// event is a reply, or the failure of a whole batch.
+type event struct {
+	batch *batch
+	reply *peer.PartReply
+	err   *result.Error
+}
+
+func newQuery(e *Entry, view *control.View, s *settings.Service, r caller.SearchRequest, began time.Duration) *query {
+	budget := budgetOf(s, r.Deadline)
+	q := &query{
+		entry:    e,
+		view:     view,
+		service:  s,
+		policy:   e.policyOf(s.Name, s.HedgeBudget),
+		request:  r,
+		began:    began,
+		deadline: began + max(budget-answerMargin, budget/2),
+		wall:     e.config.Clock.Now().Add(budget),
+		events:   make(chan event, eventQueue),
+		gone:     make(map[string]bool),
+		attempts: make(map[uint32]*attempt),
+	}
+	if s.SoftDeadline > 0 {
+		q.soft = began + s.SoftDeadline
+	}
+	q.trace = Trace{RequestID: r.RequestID, Service: s.Name, Caller: r.Caller, Began: e.config.Clock.Now()}
+	return q
+}
+
+func (q *query) now() time.Duration { return q.entry.config.Clock.Boottime() }
+
+// run scatters the query and gathers its replies until it has an answer.
+func (q *query) run(ctx context.Context) (*caller.SearchAnswer, *result.Error) {
+	ctx, cancel := context.WithDeadline(ctx, q.wall)
+	defer cancel()
+	q.ctx = ctx
+	plan := q.entry.table.plan(q.view, q.service)
+	pinned := snapshot.Pin(plan.layouts, nil)
+	if pinned == nil {
+		q.trace.PartialReason = "no layout"
+		return nil, result.NotRun(result.NoReplica, "no searcher of service %q is usable", q.service.Name)
+	}
+	q.pin(pinned)
+	defer q.abandon()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for !q.finished() {
+		timer.Reset(max(q.nextWake()-q.now(), 0))
+		var changed <-chan struct{}
+		if q.waiting {
+			changed = q.entry.table.changes()
+			if q.restart() || !q.waiting {
+				continue
+			}
+		}
+		select {
+		case ev := <-q.events:
+			q.handle(ev)
+		case <-timer.C:
+			q.hedgeDue()
+		case <-changed:
+		case <-ctx.Done():
+			if q.now() < q.deadline {
+				q.cancelled = true
+				return nil, result.MayHaveRun(result.Cancelled, "caller gave up the request")
+			}
+		}
+	}
+	return q.answer()
+}
+
+// finished reports whether the answer can or must be given now.
+func (q *query) finished() bool {
+	now := q.now()
+	switch {
+	case now >= q.deadline, q.answered == len(q.shards):
+		return true
+	case q.answered+q.failed == len(q.shards) && !q.waiting:
+		return true
+	default:
+		return q.soft > 0 && now >= q.soft && q.enough()
+	}
+}
+
+func (q *query) enough() bool {
+	return route.Enough(q.answered, len(q.shards), q.service.MinCoverage)
+}
+
+// nextWake returns when the query must act although no reply came.
+func (q *query) nextWake() time.Duration {
+	now := q.now()
+	wake := q.deadline
+	if q.soft > now {
+		wake = min(wake, q.soft)
+	}
+	for i := range q.shards {
+		if s := &q.shards[i]; s.hedgeAt > 0 && !s.answered && !s.failed {
+			wake = min(wake, s.hedgeAt)
+		}
+	}
+	return wake
+}
+
+// pin starts the query on a snapshot. Replies to parts that were sent before
+// find no attempt and are dropped.
+func (q *query) pin(l *snapshot.Layout) {
+	q.pinned = l
+	q.waiting = false
+	q.round, q.endRound = context.WithCancel(q.ctx)
+	q.shards = make([]shard, len(l.Replicas))
+	q.answered, q.failed = 0, 0
+	q.trace.Snapshots = append(q.trace.Snapshots, l.ID)
+	batches := make(map[string]*batch)
+	for i := range q.shards {
+		r, _, ok := q.choose(uint32(i), nil)
+		if !ok {
+			q.giveUp(uint32(i), result.NotRun(result.NoReplica, "no replica of shard %d of snapshot %q is usable", i, l.ID))
+			continue
+		}
+		b := batches[r.broker.member.ID]
+		if b == nil {
+			b = q.newBatch(r.broker)
+			batches[r.broker.member.ID] = b
+		}
+		q.add(b, uint32(i), r, false)
+	}
+	for _, b := range batches {
+		q.send(b)
+	}
+}
+
+// restart pins a newer snapshot in place of one that is gone, and reports
+// whether it could. A snapshot that covers less than what can still be answered
+// here is not worth the loss of the answers.
+func (q *query) restart() bool {
+	if q.restarts >= maxRestarts || !q.timeFor(q.policyTypical()) {
+		q.waiting = false
+		return false
+	}
+	plan := q.entry.table.plan(q.entry.config.State.View(), q.service)
+	next := snapshot.Pin(plan.layouts, func(l *snapshot.Layout) bool {
+		return q.gone[layoutName(l)] || l.Number <= q.pinned.Number
+	})
+	if next == nil || route.Coverage(next.Covered, len(next.Replicas)) <= route.Coverage(len(q.shards)-q.failed, len(q.shards)) {
+		return false
+	}
+	q.abandon()
+	q.restarts++
+	q.entry.metrics.restarts.WithLabelValues(q.service.Name).Inc()
+	q.pin(next)
+	return true
+}
+
+func layoutName(l *snapshot.Layout) string {
+	return fmt.Sprintf("%s/%d/%d", l.ID, l.Number, len(l.Replicas))
+}
+
+// timeFor reports whether work of the given length can still be answered.
+func (q *query) timeFor(work time.Duration) bool { return q.now()+work < q.deadline }
+
+func (q *query) policyTypical() time.Duration {
+	q.policy.mu.Lock()
+	defer q.policy.mu.Unlock()
+	return q.policy.Typical()
+}
+
+// abandon ends the streams of the pinned snapshot, which cancels their parts.
+func (q *query) abandon() {
+	for id := range q.attempts {
+		q.settle(q.attempts[id], true)
+	}
+	q.endRound()
+}
+
+// choose picks a replica of a shard that was not tried. A nil avoid avoids no
+// more.
+func (q *query) choose(i uint32, avoid func(replica) bool) (replica, time.Duration, bool) {
+	s := &q.shards[i]
+	slots := max(q.service.Limits.Slots, 1)
+	return q.entry.table.choose(choice{
+		view:    q.entry.config.State.View(),
+		service: q.service,
+		id:      q.pinned.ID,
+		number:  q.pinned.Number,
+		total:   len(q.shards),
+		shard:   i,
+		avoid: func(r replica) bool {
+			for _, t := range s.tried {
+				if t.id == r.id && t.broker.member.ID == r.broker.member.ID {
+					return true
+				}
+			}
+			return avoid != nil && avoid(r)
+		},
+		perPart: q.policyTypical() / time.Duration(slots),
+		now:     q.now(),
+	})
+}
+
+// add puts a part for a replica into a batch.
+func (q *query) add(b *batch, i uint32, r replica, isHedge bool) {
+	q.nextPart++
+	now := q.now()
+	a := &attempt{
+		id: q.nextPart, shard: i, replica: r, sentAt: now, hedge: isHedge, batch: b,
+		reports: q.entry.table.sent(r),
+	}
+	q.attempts[a.id] = a
+	s := &q.shards[i]
+	s.running = append(s.running, a)
+	s.tried = append(s.tried, r)
+	s.hedgeAt = q.hedgeTime(now)
+	b.parts = append(b.parts, peer.Part{ID: a.id, Searcher: r.id, Index: r.index, Shard: i, Snapshot: q.pinned.ID})
+	if len(s.tried) == 1 {
+		q.trace.Parts++
+		q.policy.mu.Lock()
+		q.policy.Budget.Earn(1)
+		q.policy.mu.Unlock()
+	}
+	q.entry.metrics.part(q.service.Name, isHedge)
+	q.trace.attempt(q.began, now, i, r, isHedge)
+}
+
+// hedgeTime returns when a part sent now is hedged, or zero for never.
+func (q *query) hedgeTime(now time.Duration) time.Duration {
+	q.policy.mu.Lock()
+	defer q.policy.mu.Unlock()
+	delay, ok := q.policy.Delay()
+	if !ok {
+		return 0
+	}
+	return now + delay
+}
+
+// hedgeDue sends hedges for the shards whose parts are slow.
+func (q *query) hedgeDue() {
+	now := q.now()
+	for i := range q.shards {
+		s := &q.shards[i]
+		if s.hedgeAt == 0 || s.hedgeAt > now || s.answered || s.failed {
+			continue
+		}
+		s.hedgeAt = 0
+		if s.hedges < maxHedges {
+			q.hedge(uint32(i))
+		}
+	}
+}
+
+// hedge sends a shard to a replica in a failure domain where none of its parts
+// is running, if the budget allows and the replica can answer in time.
+func (q *query) hedge(i uint32) {
+	s := &q.shards[i]
+	r, wait, ok := q.choose(i, func(r replica) bool {
+		for _, a := range s.running {
+			if a.replica.domain == r.domain {
+				return true
+			}
+		}
+		return false
+	})
+	if !ok || !q.timeFor(wait+q.policyTypical()) {
+		return
+	}
+	q.policy.mu.Lock()
+	paid := q.policy.Budget.Take()
+	q.policy.mu.Unlock()
+	if !paid {
+		s.hedgeAt = q.hedgeTime(q.now())
+		q.entry.metrics.hedgesUnpaid.WithLabelValues(q.service.Name).Inc()
+		return
+	}
+	s.hedges++
+	b := q.newBatch(r.broker)
+	q.add(b, i, r, true)
+	q.send(b)
+}
+
+// handle takes one event of a stream.
+func (q *query) handle(ev event) {
+	if ev.reply == nil {
+		for _, p := range ev.batch.parts {
+			if a := q.attempts[p.ID]; a != nil {
+				q.refuse(a, ev.err)
+			}
+		}
+		return
+	}
+	r := ev.reply
+	a := q.attempts[r.PartID]
+	switch {
+	case r.QueryID != q.request.RequestID:
+		q.entry.metrics.dropped.WithLabelValues("foreign").Inc()
+		return
+	case a == nil || a.batch != ev.batch:
+		q.entry.metrics.dropped.WithLabelValues("unknown_part").Inc()
+		return
+	}
+	q.entry.table.reportPart(a.replica, r.State, q.now())
+	if r.Code != uint16(result.OK) {
+		q.refuse(a, refusalOf(r.Code, r.Run, r.Detail))
+		return
+	}
+	if r.Snapshot != q.pinned.ID || r.Shard != a.shard {
+		q.entry.metrics.dropped.WithLabelValues("mismatch").Inc()
+		q.refuse(a, &result.Error{
+			Code: result.SnapshotMismatch, Run: result.RunYes,
+			Detail: fmt.Sprintf("asked for shard %d of %q, got shard %d of %q", a.shard, q.pinned.ID, r.Shard, r.Snapshot),
+		})
+		return
+	}
+	q.merge(a, r.Body)
+}
+
+// merge takes the first answer to a shard and cancels its other parts.
+func (q *query) merge(a *attempt, body string) {
+	q.settle(a, false)
+	s := &q.shards[a.shard]
+	s.answered, s.body = true, body
+	q.answered++
+	if a.hedge {
+		q.entry.metrics.hedgesWon.WithLabelValues(q.service.Name).Inc()
+	}
+	for len(s.running) > 0 {
+		loser := s.running[0]
+		loser.batch.cancelPart(loser.id)
+		q.settle(loser, true)
+	}
+}
+
+// settle ends an attempt. The latency of hedges is left out of the learned
+// distribution, which is that of parts sent first. A part that was cut short
+// counts only if it was slow by then: otherwise nothing is known of it.
+func (q *query) settle(a *attempt, cut bool) {
+	q.forget(a)
+	if a.hedge {
+		return
+	}
+	now := q.now()
+	q.policy.mu.Lock()
+	defer q.policy.mu.Unlock()
+	if delay, _ := q.policy.Delay(); cut && now-a.sentAt < delay {
+		return
+	}
+	q.policy.Latency.Add(now, now-a.sentAt)
+}
+
+func (q *query) forget(a *attempt) {
+	delete(q.attempts, a.id)
+	q.entry.table.settled(a.replica, a.reports)
+	s := &q.shards[a.shard]
+	for i, r := range s.running {
+		if r == a {
+			s.running = append(s.running[:i], s.running[i+1:]...)
+			return
+		}
+	}
+}
+
+// refuse takes the failure of one attempt and sends its shard elsewhere.
+func (q *query) refuse(a *attempt, e *result.Error) {
+	q.forget(a)
+	s := &q.shards[a.shard]
+	s.last = e
+	s.ran = s.ran || e.Run != result.RunNo
+	q.trace.refusal(q.began, q.now(), a, e)
+	switch e.Code {
+	case result.QueueFull, result.TooLate, result.UpstreamShed:
+		q.shortOfRoom = true
+	case result.SnapshotGone:
+		s.gone = true
+	case result.NotOwner:
+		q.entry.table.disown(a.replica)
+	}
+	if len(s.running) > 0 {
+		return
+	}
+	r, _, ok := q.choose(a.shard, nil)
+	if !ok {
+		q.giveUp(a.shard, e)
+		return
+	}
+	q.entry.metrics.failovers.WithLabelValues(q.service.Name, codeLabel(e.Code)).Inc()
+	b := q.newBatch(r.broker)
+	q.add(b, a.shard, r, false)
+	q.send(b)
+}
+
+// giveUp marks a shard that no replica is left for. If its snapshot is gone the
+// whole query needs a newer one.
+func (q *query) giveUp(i uint32, e *result.Error) {
+	s := &q.shards[i]
+	s.failed, s.last = true, e
+	q.failed++
+	if s.gone {
+		q.gone[layoutName(q.pinned)] = true
+		q.waiting = true
+	}
+}
--- /dev/null
+++ b/entry/table.go
@@ -0,0 +1,339 @@
+package entry
+
+import (
+	"context"
+	"math/rand"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/assign"
+	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/peer"
+	"github.com/wisteriawharf/wisteriawharf/route"
+	"github.com/wisteriawharf/wisteriawharf/settings"
+	"github.com/wisteriawharf/wisteriawharf/snapshot"
+)
+
+// table is what the entry knows of brokers and searchers. It is safe for
+// concurrent use.
+type table struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	brokers map[string]*broker
+	// version rises with every change that can alter a plan.
+	version uint64
+	changed chan struct{}
+	plans   map[string]*plan
+}
+
+// broker is one broker with the searchers it reports. Its session ends when its
+// status stream is lost or silent.
+type broker struct {
+	member    control.Member
+	session   context.Context
+	end       context.CancelFunc
+	searchers map[string]*searcher
+}
+
+// searcher is the last report about one searcher. sent counts the parts that
+// this entry has outstanding since report number reports.
+type searcher struct {
+	state    peer.SearcherState
+	reported time.Duration
+	reports  uint64
+	sent     int
+}
+
+// plan is the layouts of one service under one view and table version. A query
+// that began under older settings makes a plan of its own.
+type plan struct {
+	view     *control.View
+	service  *settings.Service
+	version  uint64
+	replicas []replica
+	layouts  []*snapshot.Layout
+}
+
+// replica is one searcher's copy of an index, with its present owner.
+type replica struct {
+	id       string
+	index    string
+	domain   string
+	broker   *broker
+	searcher *searcher
+}
+
+func newTable(random *rand.Rand) *table {
+	return &table{
+		random:  random,
+		brokers: make(map[string]*broker),
+		changed: make(chan struct{}),
+		plans:   make(map[string]*plan),
+	}
+}
+
+// alter marks a change that can alter a plan. The caller holds the lock.
+func (t *table) alter() {
+	t.version++
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// changes returns a channel that is closed by the next change.
+func (t *table) changes() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// report takes the status of a broker. A searcher that is no longer listed is
+// no longer owned by it.
+func (t *table) report(member control.Member, status *peer.Status, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.brokers[member.ID]
+	altered := b == nil
+	if b == nil {
+		b = &broker{member: member, searchers: make(map[string]*searcher)}
+		b.session, b.end = context.WithCancel(context.Background())
+		t.brokers[member.ID] = b
+	}
+	listed := make(map[string]bool, len(status.Searchers))
+	for _, state := range status.Searchers {
+		listed[state.Searcher] = true
+		altered = b.update(state, now) || altered
+	}
+	for id := range b.searchers {
+		if !listed[id] {
+			delete(b.searchers, id)
+			altered = true
+		}
+	}
+	if altered {
+		t.alter()
+	}
+}
+
+// update takes the state of one searcher and reports whether it can alter a
+// plan.
+func (b *broker) update(state peer.SearcherState, now time.Duration) bool {
+	s := b.searchers[state.Searcher]
+	if s == nil {
+		b.searchers[state.Searcher] = &searcher{state: state, reported: now}
+		return true
+	}
+	altered := state.Draining != s.state.Draining || state.Usable != s.state.Usable ||
+		!slices.EqualFunc(state.Snapshots, s.state.Snapshots, sameSnapshot)
+	s.state, s.reported, s.sent = state, now, 0
+	s.reports++
+	return altered
+}
+
+func sameSnapshot(a, b peer.HeldSnapshot) bool {
+	return a.Index == b.Index && a.ID == b.ID && a.Number == b.Number &&
+		a.ShardsTotal == b.ShardsTotal && slices.Equal(a.Shards, b.Shards)
+}
+
+// reportPart takes the state that came with a part's reply. A state without
+// snapshots leaves those that are known.
+func (t *table) reportPart(r replica, state peer.SearcherState, now time.Duration) {
+	if state.Searcher != r.id {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := r.broker.searchers[r.id]
+	if s == nil {
+		return
+	}
+	if state.Snapshots == nil {
+		state.Snapshots = s.state.Snapshots
+	}
+	if r.broker.update(state, now) {
+		t.alter()
+	}
+}
+
+// lose ends the session of a broker. Parts that it has outstanding fail, and no
+// replica is chosen there until it reports again.
+func (t *table) lose(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b := t.brokers[id]; b != nil {
+		delete(t.brokers, id)
+		b.end()
+		t.alter()
+	}
+}
+
+// disown removes a searcher from a broker that refused a part as not its owner.
+// The broker's next status lists it again if it is wrong.
+func (t *table) disown(r replica) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.broker.searchers[r.id] != nil {
+		delete(r.broker.searchers, r.id)
+		t.alter()
+	}
+}
+
+// sent counts a part and returns the report since which it is outstanding.
+func (t *table) sent(r replica) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r.searcher.sent++
+	return r.searcher.reports
+}
+
+// settled takes back a part that sent counted, unless a later report has
+// included it.
+func (t *table) settled(r replica, reports uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.searcher.reports == reports && r.searcher.sent > 0 {
+		r.searcher.sent--
+	}
+}
+
+// plan returns the layouts of a service, newest first.
+func (t *table) plan(view *control.View, s *settings.Service) *plan {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.planLocked(view, s)
+}
+
+func (t *table) planLocked(view *control.View, s *settings.Service) *plan {
+	p := t.plans[s.Name]
+	if p == nil || p.view != view || p.service != s || p.version != t.version {
+		p = t.build(view, s)
+		t.plans[s.Name] = p
+	}
+	return p
+}
+
+func (t *table) build(view *control.View, s *settings.Service) *plan {
+	p := &plan{view: view, service: s, version: t.version}
+	suspected := suspectedIn(view)
+	names := make(map[string]bool, len(s.Indexes))
+	for _, index := range s.Indexes {
+		names[index.Name] = true
+	}
+	var held []snapshot.Held
+	for _, index := range s.Indexes {
+		for _, u := range index.Searchers {
+			b, known := t.route(view, u, suspected)
+			if b == nil {
+				continue
+			}
+			usable := candidate(view, u, known).Allowed()
+			for _, h := range known.state.Snapshots {
+				if !names[h.Index] {
+					continue
+				}
+				p.replicas = append(p.replicas, replica{id: u.ID, index: h.Index, domain: u.FailureDomain, broker: b, searcher: known})
+				held = append(held, snapshot.Held{
+					Replica: len(p.replicas) - 1, ID: h.ID, Number: h.Number,
+					Total: h.ShardsTotal, Shards: h.Shards, Usable: usable,
+				})
+			}
+		}
+	}
+	p.layouts = snapshot.Layouts(held)
+	return p
+}
+
+// route returns the broker that owns a searcher: the rendezvous owner if it
+// reports the searcher, else any other broker that does, as during a handover.
+// Brokers that are lost or suspected are passed over.
+func (t *table) route(view *control.View, u settings.Searcher, suspected map[string]bool) (*broker, *searcher) {
+	if owner, ok := assign.OwnerOf(view.Records, u.FailureDomain, u.ID); ok && !suspected[owner.ID] {
+		if b := t.brokers[owner.ID]; b != nil && b.searchers[u.ID] != nil {
+			return b, b.searchers[u.ID]
+		}
+	}
+	var found *broker
+	for id, b := range t.brokers {
+		if !suspected[id] && b.searchers[u.ID] != nil && (found == nil || id < found.member.ID) {
+			found = b
+		}
+	}
+	if found == nil {
+		return nil, nil
+	}
+	return found, found.searchers[u.ID]
+}
+
+func candidate(view *control.View, u settings.Searcher, s *searcher) route.Candidate {
+	return route.Candidate{
+		DomainOut:   view.Out(control.OrderDomain, u.FailureDomain),
+		UpstreamOut: view.Out(control.OrderUpstream, u.ID),
+		Draining:    s.state.Draining,
+		Usable:      s.state.Usable,
+	}
+}
+
+func suspectedIn(view *control.View) map[string]bool {
+	suspected := make(map[string]bool)
+	for _, roster := range view.Rosters {
+		for _, i := range roster.Instances {
+			if i.State == control.Suspected {
+				suspected[i.ID] = true
+			}
+		}
+	}
+	return suspected
+}
+
+// choice asks for a replica of one shard.
+type choice struct {
+	view    *control.View
+	service *settings.Service
+	// id, number and total name the pinned layout.
+	id     string
+	number uint64
+	total  int
+	shard  uint32
+	// avoid reports the replicas that must not be chosen.
+	avoid func(replica) bool
+	// perPart is the time by which one part lengthens a queue.
+	perPart time.Duration
+	now     time.Duration
+}
+
+// choose returns a replica and the estimated wait there. It uses the present
+// plan, so that what was lost or drained since the query began is passed over.
+func (t *table) choose(c choice) (replica, time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.planLocked(c.view, c.service)
+	var candidates []replica
+	var loads []route.Load
+	for _, l := range p.layouts {
+		if l.ID != c.id || l.Number != c.number || len(l.Replicas) != c.total {
+			continue
+		}
+		for _, i := range l.Replicas[c.shard] {
+			if r := p.replicas[i]; !c.avoid(r) {
+				candidates = append(candidates, r)
+				loads = append(loads, r.searcher.load(c.perPart))
+			}
+		}
+	}
+	i := route.Choose(t.random, loads, c.now)
+	if i < 0 {
+		return replica{}, 0, false
+	}
+	return candidates[i], loads[i].Wait(c.now), true
+}
+
+func (s *searcher) load(perPart time.Duration) route.Load {
+	return route.Load{
+		QueueWait: time.Duration(s.state.QueueWaitUs) * time.Microsecond,
+		Free:      int(s.state.Free),
+		Reported:  s.reported,
+		Known:     true,
+		Sent:      s.sent,
+		PerPart:   perPart,
+	}
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,103 @@
+// Package route chooses the replica of a shard that gets a part, and counts
+// the coverage of an answer. It does no I/O; time is that of the boot clock.
+package route
+
+import (
+	"math/rand"
+	"time"
+)
+
+const (
+	// FreshFor is how long a report of a searcher counts as its present state.
+	FreshFor = 250 * time.Millisecond
+	// StalePenalty is added to the estimated wait of a searcher whose report is
+	// older. It is about one service time, so that a searcher with a known short
+	// queue is preferred and a stale one is still used before a long queue.
+	StalePenalty = 20 * time.Millisecond
+)
+
+// Load is what is known of the load of one searcher.
+type Load struct {
+	// QueueWait is the reported time until new work there would start.
+	QueueWait time.Duration
+	// Free is the number of slots that were reported free.
+	Free int
+	// Reported is when the report arrived; Known is false if none did.
+	Reported time.Duration
+	Known    bool
+	// Sent is the number of parts that this entry has outstanding there since
+	// the report, which the report cannot include.
+	Sent int
+	// PerPart is the time by which one queued part lengthens the queue: the
+	// service time divided by the slots.
+	PerPart time.Duration
+}
+
+// Wait returns the estimated time until a part sent now would start. Parts that
+// fit into the slots reported free wait for nothing.
+func (l Load) Wait(now time.Duration) time.Duration {
+	queued := max(l.Sent-max(l.Free-1, 0), 0)
+	wait := l.QueueWait + time.Duration(queued)*l.PerPart
+	if !l.Known || now-l.Reported > FreshFor {
+		wait += StalePenalty
+	}
+	return wait
+}
+
+// Choose returns the index of one of the loads by power of two choices: of two
+// picked at random, the one with the shorter estimated wait. Of equal waits the
+// one with fewer outstanding parts is chosen. It returns -1 if there are none.
+func Choose(random *rand.Rand, loads []Load, now time.Duration) int {
+	switch len(loads) {
+	case 0:
+		return -1
+	case 1:
+		return 0
+	}
+	a := random.Intn(len(loads))
+	b := random.Intn(len(loads) - 1)
+	if b >= a {
+		b++
+	}
+	wa, wb := loads[a].Wait(now), loads[b].Wait(now)
+	if wb < wa || wb == wa && loads[b].Sent < loads[a].Sent {
+		return b
+	}
+	return a
+}
+
+// Candidate is what decides whether a searcher may get new work.
+type Candidate struct {
+	// DomainOut and UpstreamOut say that an order took the searcher's failure
+	// domain, or the searcher, out of service.
+	DomainOut   bool
+	UpstreamOut bool
+	// BrokerLost says that the owner is suspected or its status stream is lost.
+	BrokerLost bool
+	Draining   bool
+	// Usable is the owner's own word on the searcher.
+	Usable bool
+}
+
+// Allowed reports whether the searcher may get new work.
+func (c Candidate) Allowed() bool {
+	return c.Usable && !c.DomainOut && !c.UpstreamOut && !c.BrokerLost && !c.Draining
+}
+
+// Coverage returns the share of answered shards, from 0 to 1. An index without
+// shards has none.
+func Coverage(answered, asked int) float64 {
+	if asked <= 0 {
+		return 0
+	}
+	return float64(answered) / float64(asked)
+}
+
+// Enough reports whether an answer may be given at the minimum coverage of its
+// service. An answer without any shard is never enough.
+func Enough(answered, asked int, minimum float64) bool {
+	// The tolerance admits 9 of 10 at 0.9, which binary fractions do not hold
+	// exactly.
+	const tolerance = 1e-9
+	return answered > 0 && Coverage(answered, asked)+tolerance >= minimum
+}
