--- /dev/null
+++ b/publish/history.go
@@ -0,0 +1,132 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/result"
+	"github.com/wisteriawharf/wisteriawharf/settings"
+)
+
+// prefix of the platform objects that hold revisions. The number that follows
+// is padded, so that the order of names is the order of revisions.
+const prefix = "revisions/"
+
+// ObjectName returns the name of the platform object of a revision.
+func ObjectName(number uint64) string { return fmt.Sprintf("%s%012d", prefix, number) }
+
+// History reads published revisions.
+type History struct {
+	Store platform.Store
+}
+
+// Numbers returns the numbers of all revisions, rising. A reading of the
+// platform may lag, so the last ones may be absent.
+func (h History) Numbers(ctx context.Context) ([]uint64, error) {
+	objects, err := h.Store.List(ctx, prefix)
+	if err != nil {
+		return nil, errors.Annotate(err, "list revisions")
+	}
+	numbers := make([]uint64, 0, len(objects))
+	for _, o := range objects {
+		n, err := strconv.ParseUint(strings.TrimPrefix(o.Name, prefix), 10, 64)
+		if err == nil && ObjectName(n) == o.Name {
+			numbers = append(numbers, n)
+		}
+	}
+	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
+	return numbers, nil
+}
+
+// Get returns one revision. It fails with result.NoRevision if there is none.
+func (h History) Get(ctx context.Context, number uint64) (*settings.Revision, error) {
+	object, err := h.Store.Get(ctx, ObjectName(number))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, result.NotRun(result.NoRevision, "revision %d", number)
+	}
+	if err != nil {
+		return nil, errors.Annotatef(err, "read revision %d", number)
+	}
+	r, err := settings.DecodeRevision(object.Value)
+	if err != nil {
+		return nil, errors.Annotatef(err, "object %q", object.Name)
+	}
+	if r.Number != number {
+		return nil, errors.Errorf("object %q holds revision %d", object.Name, r.Number)
+	}
+	return r, nil
+}
+
+// Head returns the newest revision, or nil if none was published.
+func (h History) Head(ctx context.Context) (*settings.Revision, error) {
+	numbers, err := h.Numbers(ctx)
+	if err != nil || len(numbers) == 0 {
+		return nil, err
+	}
+	return h.Get(ctx, numbers[len(numbers)-1])
+}
+
+// Last returns at most limit revisions, newest first.
+func (h History) Last(ctx context.Context, limit int) ([]*settings.Revision, error) {
+	numbers, err := h.Numbers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var all []*settings.Revision
+	for i := len(numbers) - 1; i >= 0 && len(all) < limit; i-- {
+		r, err := h.Get(ctx, numbers[i])
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, r)
+	}
+	return all, nil
+}
+
+// Verification is the outcome of a check of the whole history.
+type Verification struct {
+	Revisions int      `json:"revisions"`
+	Digest    string   `json:"digest"`
+	Faults    []string `json:"faults"`
+}
+
+// Verify reads all revisions and checks that the numbers leave no gap and that
+// each revision names its parent's digest. Digest is that of the newest one.
+func (h History) Verify(ctx context.Context) (Verification, error) {
+	v := Verification{Faults: []string{}}
+	numbers, err := h.Numbers(ctx)
+	if err != nil {
+		return v, err
+	}
+	want, parent := uint64(1), ""
+	for _, n := range numbers {
+		if n != want {
+			v.Faults = append(v.Faults, fmt.Sprintf("revisions %d to %d are missing", want, n-1))
+		}
+		r, err := h.Get(ctx, n)
+		if errors.Is(err, platform.ErrUnavailable) || ctx.Err() != nil {
+			return v, err
+		}
+		if err != nil {
+			v.Faults = append(v.Faults, fmt.Sprintf("revision %d is not readable: %v", n, err))
+			want, parent = n+1, ""
+			continue
+		}
+		if r.ParentDigest != parent {
+			v.Faults = append(v.Faults, fmt.Sprintf("revision %d names parent digest %q, but its parent has %q", n, r.ParentDigest, parent))
+		}
+		if parent, err = r.Digest(); err != nil {
+			return v, err
+		}
+		want = n + 1
+		v.Revisions++
+	}
+	v.Digest = parent
+	return v, nil
+}
