--- /dev/null
+++ b/cmd/wharfctl/main.go
@@ -0,0 +1,68 @@
+// Wharfctl is the operators' command line: it checks, publishes and compares
+// service settings, gives orders and shows the state of instances.
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+func main() {
+	os.Exit(run(os.Args[1:], &environment{
+		stdout: os.Stdout, stderr: os.Stderr, openStore: openStore,
+	}))
+}
+
+// environment is what commands act on besides their options.
+type environment struct {
+	stdout, stderr io.Writer
+	openStore      storeOpener
+}
+
+// run executes one command line and returns the exit code.
+func run(args []string, env *environment) int {
+	app := newApp(env)
+	if _, err := app.parser.ParseArgs(args); err != nil {
+		return app.fail(err)
+	}
+	return exitOK
+}
+
+// app holds the options of all commands and the streams they write to.
+type app struct {
+	env     *environment
+	options options
+	parser  *flags.Parser
+}
+
+func newApp(env *environment) *app {
+	a := &app{env: env}
+	a.parser = flags.NewNamedParser("wharfctl", flags.HelpFlag|flags.PassDoubleDash)
+	a.parser.LongDescription = helpText
+	mustAdd(a.parser.AddGroup("Operator settings", "", &a.options))
+	a.addCommands()
+	return a
+}
+
+// mustAdd panics if the declaration of an option or command is faulty, which
+// any run shows.
+func mustAdd[T any](_ T, err error) {
+	if err != nil {
+		panic("wharfctl: " + err.Error())
+	}
+}
+
+func (a *app) addCommands() {
+	add := func(parent interface {
+		AddCommand(name, short, long string, data any) (*flags.Command, error)
+	}, name, short string, data any) *flags.Command {
+		c, err := parent.AddCommand(name, short, short+".", data)
+		mustAdd(c, err)
+		return c
+	}
+	add(a.parser, "check", "Validate the service settings files of a directory", &checkCommand{app: a})
+	add(a.parser, "dev-ca", "Create certificates for tests and demonstrations", &devCACommand{app: a})
+	add(a.parser, "publish", "Publish the service settings files of a directory as a new revision", &publishCommand{app: a})
+}
