--- a/control/state.go
+++ b/control/state.go
@@ -220,6 +220,12 @@
 	if item.Name != DirectName(order) {
 		return errors.Errorf("holds the order %q", DirectName(order))
 	}
+	for i, known := range v.Direct {
+		if DirectName(known) == item.Name {
+			v.Direct[i] = order
+			return nil
+		}
+	}
 	v.Direct = append(v.Direct, order)
 	return nil
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -11,7 +11,6 @@
 		r.report(s.position("soft_deadline"), "soft_deadline", "at most the deadline ("+v.Deadline.String()+")",
 			"%s is above the deadline", v.SoftDeadline)
 	}
-	checkLimits(s, v.Limits)
 	checkKind(s, v.Kind)
 	switch v.Kind {
 	case KindSearch:
@@ -23,13 +22,13 @@
 	}
 }
 
-func checkLimits(s *section, l Limits) {
+func checkLimits(limits, cold *section, l Limits) {
 	if l.Slots > 0 && l.Connections > 0 && l.Slots > l.Connections {
-		s.r.report(s.position("limits"), "limits.slots", fmt.Sprintf("at most connections (%d)", l.Connections),
+		limits.r.report(limits.position("slots"), "limits.slots", fmt.Sprintf("at most connections (%d)", l.Connections),
 			"%d is above connections", l.Slots)
 	}
 	if l.Slots > 0 && l.Cold.Allowance > l.Slots {
-		s.r.report(s.position("limits"), "limits.cold.allowance", fmt.Sprintf("at most slots (%d)", l.Slots),
+		cold.r.report(cold.position("allowance"), "limits.cold.allowance", fmt.Sprintf("at most slots (%d)", l.Slots),
 			"%d is above slots", l.Cold.Allowance)
 	}
 }
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -133,6 +133,7 @@
 	}
 	l.Cold.Allowance = cold.count("allowance")
 	l.Cold.StepSuccesses = cold.count("step_successes")
+	checkLimits(limits, cold, l)
 	return l
 }
 
