--- a/cmd/wharfctl/exit.go
+++ b/cmd/wharfctl/exit.go
@@ -6,6 +6,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
 
+	"github.com/wisteriawharf/wisteriawharf/operator"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/publish"
 	"github.com/wisteriawharf/wisteriawharf/result"
@@ -81,10 +82,15 @@
 	if _, ok := errors.AsType[*publish.RaceError](err); ok {
 		return exitRace
 	}
+	if _, ok := errors.AsType[*operator.RaceError](err); ok {
+		return exitRace
+	}
 	switch {
 	case errors.Is(err, publish.ErrNothingToDo):
 		return exitNothing
-	case errors.Is(err, publish.ErrUnknown):
+	case errors.Is(err, operator.ErrNotKnown):
+		return exitNotFound
+	case errors.Is(err, publish.ErrUnknown), errors.Is(err, operator.ErrUnknown):
 		return exitUnknown
 	case errors.Is(err, platform.ErrUnavailable):
 		return exitPlatform
--- a/cmd/wharfctl/main.go
+++ b/cmd/wharfctl/main.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/wisteriawharf/wisteriawharf/control"
 )
 
 func main() {
@@ -63,6 +65,20 @@
 		return c
 	}
 	add(a.parser, "check", "Validate the service settings files of a directory", &checkCommand{app: a})
-	add(a.parser, "dev-ca", "Create certificates for tests and demonstrations", &devCACommand{app: a})
+	add(a.parser, "diff", "Say what publishing a directory would change", &diffCommand{app: a})
 	add(a.parser, "publish", "Publish the service settings files of a directory as a new revision", &publishCommand{app: a})
+	add(a.parser, "rollback", "Publish the content of an older revision as a new one", &rollbackCommand{app: a})
+	add(a.parser, "log", "List revisions, newest first", &logCommand{app: a})
+	add(a.parser, "show", "Show one revision with its files", &showCommand{app: a})
+	add(a.parser, "verify", "Check the chain of digests through all revisions", &verifyCommand{app: a})
+	add(a.parser, "status", "Show the state of all instances", &statusCommand{app: a})
+	domain := add(a.parser, "domain", "Take a failure domain out of service or back", &struct{}{})
+	add(domain, "out", "Take a failure domain out of service", &orderCommand{app: a, kind: control.OrderDomain, out: true})
+	add(domain, "back", "Put a failure domain back into service", &orderCommand{app: a, kind: control.OrderDomain})
+	upstream := add(a.parser, "upstream", "Drain one searcher or put it back", &struct{}{})
+	add(upstream, "drain", "Send no new work to a searcher", &orderCommand{app: a, kind: control.OrderUpstream, out: true})
+	add(upstream, "undrain", "Put a drained searcher back into service", &orderCommand{app: a, kind: control.OrderUpstream})
+	add(a.parser, "explain", "Show what instances know of a request", &explainCommand{app: a})
+	add(a.parser, "dev-ca", "Create certificates for tests and demonstrations", &devCACommand{app: a})
+	add(a.parser, "completion", "Print the completion script for bash", &completionCommand{app: a})
 }
--- a/cmd/wharfctl/revisions.go
+++ b/cmd/wharfctl/revisions.go
@@ -1,12 +1,13 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
-	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/publish"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -50,31 +51,20 @@
 	})
 }
 
-// change is what every command takes that writes a revision.
-type change struct {
-	Reason   string `long:"reason" required:"yes" value-name:"TEXT" description:"why; kept in the audit trail"`
-	ChangeID string `long:"change-id" value-name:"UUIDV7" description:"identifier of an earlier attempt whose outcome is unknown"`
-	Base     uint64 `long:"base" value-name:"REV" description:"refuse if the newest revision is not the one that was reviewed"`
-}
-
-func (c change) request(author string) (publish.Request, error) {
-	q := publish.Request{Author: author, Reason: c.Reason, ChangeID: c.ChangeID, Base: c.Base}
-	if q.ChangeID != "" {
-		return q, nil
-	}
-	var err error
-	q.ChangeID, err = publish.NewChangeID()
-	return q, err
+type diffCommand struct {
+	app     *app
+	Against uint64 `long:"against" value-name:"REV" description:"revision to compare with (default: the newest)"`
+	directory
 }
 
-type publishCommand struct {
-	app *app
-	change
-	directory
+// difference is the output of diff.
+type difference struct {
+	Against uint64           `json:"against"`
+	Changes []publish.Change `json:"changes"`
 }
 
-// Execute publishes the files of the directory.
-func (c *publishCommand) Execute([]string) error {
+// Execute compares the directory with a revision.
+func (c *diffCommand) Execute([]string) error {
 	files, err := c.collect()
 	if err != nil {
 		return err
@@ -82,47 +72,129 @@
 	if _, err := settings.ParseFiles(files); err != nil {
 		return err
 	}
-	_, author, err := c.app.operatorIdentity()
-	if err != nil {
-		return err
-	}
-	q, err := c.request(author)
-	if err != nil {
-		return err
+	return c.app.withHistory(func(ctx context.Context, h publish.History) error {
+		old, err := c.old(ctx, h)
+		if err != nil {
+			return err
+		}
+		d := difference{Changes: publish.Compare(old, &settings.Revision{Files: files})}
+		if old != nil {
+			d.Against = old.Number
+		}
+		return c.app.show(d, func(w io.Writer) {
+			if len(d.Changes) == 0 {
+				_, _ = fmt.Fprintf(w, "Nothing changes against revision %d.\n", d.Against)
+				return
+			}
+			_, _ = fmt.Fprintf(w, "Against revision %d:\n", d.Against)
+			c.app.printChanges(w, d.Changes)
+		})
+	})
+}
+
+func (c *diffCommand) old(ctx context.Context, h publish.History) (*settings.Revision, error) {
+	if c.Against != 0 {
+		return h.Get(ctx, c.Against)
 	}
-	q.Files = files
-	store, err := c.app.store()
+	return h.Head(ctx)
+}
+
+// withHistory calls f with the revisions of the platform.
+func (a *app) withHistory(f func(ctx context.Context, h publish.History) error) error {
+	store, err := a.store()
 	if err != nil {
 		return err
 	}
-	ctx, cancel, err := c.app.context()
+	ctx, cancel, err := a.context()
 	if err != nil {
 		return err
 	}
 	defer cancel()
-	outcome, err := publish.New(store, clock.System{}).Publish(ctx, q)
-	if err != nil {
-		return c.app.unsettled(err, q.ChangeID)
-	}
-	return c.app.showOutcome(outcome)
+	return f(ctx, publish.History{Store: store})
 }
 
-// unsettled names the change identifier with which to repeat a publish of
-// unknown outcome.
-func (a *app) unsettled(err error, changeID string) error {
-	if exitCode(err) == exitUnknown {
-		return coded{fmt.Errorf("%w; repeat with --change-id %s", err, changeID), exitUnknown}
-	}
-	return err
+type logCommand struct {
+	app   *app
+	Limit int `long:"limit" default:"20" value-name:"N" description:"number of revisions to list"`
 }
 
-func (a *app) showOutcome(o publish.Outcome) error {
-	return a.show(o, func(w io.Writer) {
-		verb := "Published"
-		if o.Repeated {
-			verb = "Already published"
+// logEntry is a revision without its files.
+type logEntry struct {
+	Number   uint64    `json:"number"`
+	Author   string    `json:"author"`
+	Time     time.Time `json:"time"`
+	Reason   string    `json:"reason"`
+	ChangeID string    `json:"change_id"`
+}
+
+// Execute lists revisions.
+func (c *logCommand) Execute([]string) error {
+	return c.app.withHistory(func(ctx context.Context, h publish.History) error {
+		revisions, err := h.Last(ctx, c.Limit)
+		if err != nil {
+			return err
+		}
+		entries := make([]logEntry, 0, len(revisions))
+		rows := make([][]string, 0, len(revisions))
+		for _, r := range revisions {
+			entries = append(entries, logEntry{r.Number, r.Author, r.Time, r.Reason, r.ChangeID})
+			rows = append(rows, []string{fmt.Sprint(r.Number), r.Time.Format(time.RFC3339), r.Author, r.Reason})
 		}
-		_, _ = fmt.Fprintf(w, "%s revision %d by %s, change %s:\n", verb, o.Revision.Number, o.Revision.Author, o.Revision.ChangeID)
-		a.printChanges(w, o.Changes)
+		return c.app.show(entries, func(w io.Writer) {
+			writeTable(w, []string{"REVISION", "TIME", "AUTHOR", "REASON"}, rows)
+		})
+	})
+}
+
+// revisionArg is the argument of commands about one revision.
+type revisionArg struct {
+	Args struct {
+		Revision uint64 `positional-arg-name:"REV" description:"number of a revision"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type showCommand struct {
+	app *app
+	revisionArg
+}
+
+// Execute prints one revision.
+func (c *showCommand) Execute([]string) error {
+	return c.app.withHistory(func(ctx context.Context, h publish.History) error {
+		r, err := h.Get(ctx, c.Args.Revision)
+		if err != nil {
+			return err
+		}
+		return c.app.show(r, func(w io.Writer) {
+			_, _ = fmt.Fprintf(w, "Revision %d by %s at %s\nReason: %s\nChange: %s\nParent digest: %s\n",
+				r.Number, r.Author, r.Time.Format(time.RFC3339), r.Reason, r.ChangeID, r.ParentDigest)
+			for _, f := range r.Files {
+				_, _ = fmt.Fprintf(w, "\n# %s\n%s", f.Path, f.Text)
+			}
+		})
+	})
+}
+
+type verifyCommand struct {
+	app *app
+}
+
+// Execute checks the history and fails if it has faults.
+func (c *verifyCommand) Execute([]string) error {
+	return c.app.withHistory(func(ctx context.Context, h publish.History) error {
+		v, err := h.Verify(ctx)
+		if err != nil {
+			return err
+		}
+		err = c.app.show(v, func(w io.Writer) {
+			_, _ = fmt.Fprintf(w, "%d revisions, digest of the newest: %s\n", v.Revisions, v.Digest)
+			for _, f := range v.Faults {
+				_, _ = fmt.Fprintln(w, "  -", f)
+			}
+		})
+		if err == nil && len(v.Faults) > 0 {
+			return coded{fmt.Errorf("history has %d faults", len(v.Faults)), exitHistory}
+		}
+		return err
 	})
 }
--- /dev/null
+++ b/cmd/wharfctl/status.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/operator"
+)
+
+// fleet returns the instances of the operator settings, and a function that
+// closes the connections to them.
+func (a *app) fleet() (operator.Fleet, func(), error) {
+	s, err := a.options.resolve()
+	if err != nil {
+		return operator.Fleet{}, nil, err
+	}
+	id, _, err := a.operatorIdentity()
+	if err != nil {
+		return operator.Fleet{}, nil, err
+	}
+	client := operator.NewClient(id, s.Timeout)
+	return operator.Fleet{Port: client, Addresses: s.OperatorAddresses}, client.Close, nil
+}
+
+// instances is like fleet, for commands that do nothing without instances.
+func (a *app) instances() (operator.Fleet, func(), error) {
+	fleet, done, err := a.fleet()
+	if err != nil {
+		return fleet, done, err
+	}
+	if len(fleet.Addresses) == 0 {
+		return fleet, done, errors.New("operator addresses are missing: give --operator-address or operator_addresses in the settings file")
+	}
+	return fleet, done, nil
+}
+
+type statusCommand struct {
+	app *app
+}
+
+// Execute shows all instances. It fails if none answers.
+func (c *statusCommand) Execute([]string) error {
+	fleet, done, err := c.app.instances()
+	if err != nil {
+		return err
+	}
+	defer done()
+	ctx, cancel, err := c.app.context()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	reports := fleet.Reports(ctx)
+	if err := c.app.show(reports, func(w io.Writer) { printReports(w, reports) }); err != nil {
+		return err
+	}
+	for _, r := range reports {
+		if r.Status != nil {
+			return nil
+		}
+	}
+	return errors.New("no instance was reached")
+}
+
+func printReports(w io.Writer, reports []operator.Report) {
+	rows := make([][]string, 0, len(reports))
+	var notes []string
+	seen := make(map[string]bool)
+	for _, r := range reports {
+		if r.Status == nil {
+			rows = append(rows, []string{r.Address, "-", "-", "-", "not reached", "-", "-", "-", "-"})
+			notes = append(notes, r.Error)
+			continue
+		}
+		s := r.Status
+		rows = append(rows, []string{
+			r.Address, s.ID, string(s.Role), s.FailureDomain, string(s.State), fmt.Sprint(s.Revision),
+			yesNo(s.PlatformReachable), fmt.Sprintf("%d/%d", s.Warm(), len(s.Searchers)),
+			strings.Join(append(append([]string{}, s.OutDomains...), s.OutUpstreams...), ","),
+		})
+		for _, o := range s.DirectOrders {
+			if !seen[o.ChangeID] {
+				seen[o.ChangeID] = true
+				notes = append(notes, fmt.Sprintf("not recorded yet: %s %s out=%t by %s, reason %q, change %s", o.Kind, o.Name, o.Out, o.Author, o.Reason, o.ChangeID))
+			}
+		}
+	}
+	writeTable(w, []string{"ADDRESS", "ID", "ROLE", "DOMAIN", "STATE", "REVISION", "PLATFORM", "WARM/HELD", "OUT"}, rows)
+	for _, n := range notes {
+		_, _ = fmt.Fprintln(w, n)
+	}
+}
+
+type explainCommand struct {
+	app  *app
+	Args struct {
+		RequestID string `positional-arg-name:"REQUEST-ID" description:"identifier from the answer to the caller"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute asks all instances about the request.
+func (c *explainCommand) Execute([]string) error {
+	fleet, done, err := c.app.instances()
+	if err != nil {
+		return err
+	}
+	defer done()
+	ctx, cancel, err := c.app.context()
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	all, err := fleet.Explain(ctx, c.Args.RequestID)
+	if err != nil {
+		return err
+	}
+	return c.app.show(all, func(w io.Writer) {
+		for _, e := range all {
+			_, _ = fmt.Fprintf(w, "%s:\n%s\n", e.Address, e.Explanation)
+		}
+	})
+}
+
+type completionCommand struct {
+	app *app
+}
+
+// completionScript asks the program itself for completions, as go-flags
+// provides them.
+const completionScript = `_wharfctl() {
+    local args=("${COMP_WORDS[@]:1:$COMP_CWORD}")
+    local IFS=$'\n'
+    COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${args[@]}"))
+}
+complete -F _wharfctl wharfctl
+`
+
+// Execute prints the script.
+func (c *completionCommand) Execute([]string) error {
+	_, err := io.WriteString(c.app.env.stdout, completionScript)
+	return errors.Trace(err)
+}
