--- a/slot/conns.go
+++ b/slot/conns.go
@@ -374,9 +374,10 @@
 
 // release makes a connection ready for its next exchange.
 func (s *Searcher) release(now time.Duration, c *conn, o Outcome) {
-	if o.Closed || o.Kind == NotWritten {
+	if o.Closed {
 		s.closeConn(c)
 		if o.Kind == NotWritten {
+			// The connection broke while it was idle.
 			s.ramp.chill(s.config.Limits)
 		}
 		return
