--- a/settings/field.go
+++ b/settings/field.go
@@ -153,7 +153,7 @@
 	{Key: "operator_address", Form: FormListener, Required: true},
 	{Key: "platform_address", Form: FormAddress, Required: true},
 	{Key: "seeds", Form: FormList, Absent: "none"},
-	{Key: "seeds[]", Form: FormAddress},
+	{Key: "seeds[]", Form: FormAddress, Absent: "-"},
 	{Key: "certificate", Form: FormText, Required: true},
 	{Key: "key", Form: FormText, Required: true},
 	{Key: "ca", Form: FormText, Required: true},
--- a/settings/operator.go
+++ b/settings/operator.go
@@ -19,7 +19,7 @@
 var operatorFields = []Field{
 	{Key: "platform_address", Form: FormAddress, Absent: "flag --platform"},
 	{Key: "operator_addresses", Form: FormList, Absent: "flag --operator-address"},
-	{Key: "operator_addresses[]", Form: FormAddress},
+	{Key: "operator_addresses[]", Form: FormAddress, Absent: "-"},
 	{Key: "certificate", Form: FormText, Absent: "flag --certificate"},
 	{Key: "key", Form: FormText, Absent: "flag --key"},
 	{Key: "ca", Form: FormText, Absent: "flag --ca"},
