--- a/broker/job.go
+++ b/broker/job.go
@@ -69,7 +69,7 @@
 				return outcome{err: &result.Error{Code: result.SnapshotMismatch, Run: result.RunYes,
 					Detail: "answer is for " + s.Index + " " + s.Snapshot}}
 			}
-			return outcome{body: s.Body, snapshot: s.Snapshot}
+			return outcome{body: string(s.Body), snapshot: s.Snapshot}
 		},
 	}
 }
@@ -84,7 +84,7 @@
 			if reply.Run.Key != r.Key {
 				return outcome{err: result.MayHaveRun(result.OutcomeUnknown, "answer is for key %q", reply.Run.Key)}
 			}
-			return outcome{body: reply.Run.Body}
+			return outcome{body: string(reply.Run.Body)}
 		},
 	}
 }
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -68,7 +69,7 @@
 		c.Response().Header().Set(HeaderRequestID, id)
 		defer func() {
 			if r := recover(); r != nil {
-				h.config.Log.Error("request failed in a panic", "request_id", id, "path", c.Path(), "panic", r)
+				h.config.Log.Error("request failed in a panic", "request_id", id, "path", c.Path(), "panic", r, "stack", string(debug.Stack()))
 				err = result.MayHaveRun(result.OutcomeUnknown, "internal error")
 			}
 		}()
--- a/caller/types.go
+++ b/caller/types.go
@@ -52,10 +52,28 @@
 	Reason string      `json:"reason"`
 }
 
+// Body is JSON text that an upstream gave as its result. It is passed on as it
+// is.
+type Body string
+
+// MarshalJSON implements json.Marshaler.
+func (b Body) MarshalJSON() ([]byte, error) {
+	if b == "" {
+		return []byte("null"), nil
+	}
+	return []byte(b), nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (b *Body) UnmarshalJSON(text []byte) error {
+	*b = Body(text)
+	return nil
+}
+
 // Result is the result of one shard.
 type Result struct {
 	Shard uint32 `json:"shard"`
-	Body  string `json:"body"`
+	Body  Body   `json:"body"`
 }
 
 // BookRequest is one booking.
@@ -73,7 +91,7 @@
 type BookAnswer struct {
 	RequestID string `json:"request_id"`
 	Key       string `json:"key"`
-	Body      string `json:"body"`
+	Body      Body   `json:"body"`
 	Repeated  bool   `json:"repeated"`
 }
 
--- a/cmd/wharfctl/options.go
+++ b/cmd/wharfctl/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wisteriawharf/wisteriawharf/identity"
 	"github.com/wisteriawharf/wisteriawharf/platform"
@@ -29,8 +30,8 @@
 type storeOpener func(address string, timeout time.Duration) (platform.Store, error)
 
 // openStore returns the HTTP adapter of the platform.
-func openStore(string, time.Duration) (platform.Store, error) {
-	return nil, errors.New("adapter not linked")
+func openStore(address string, timeout time.Duration) (platform.Store, error) {
+	return platform.NewHTTP(platform.HTTPConfig{Address: address, Timeout: timeout, Registry: prometheus.NewRegistry()})
 }
 
 // resolve joins flags and settings file.
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -17,7 +17,7 @@
 	for i := range q.shards {
 		s := &q.shards[i]
 		if s.answered {
-			answer.Results = append(answer.Results, caller.Result{Shard: uint32(i), Body: s.body})
+			answer.Results = append(answer.Results, caller.Result{Shard: uint32(i), Body: caller.Body(s.body)})
 			continue
 		}
 		answer.Coverage.Missing = append(answer.Coverage.Missing, q.missing(uint32(i)))
--- a/entry/book.go
+++ b/entry/book.go
@@ -36,7 +36,7 @@
 	if refusal != nil {
 		return nil, e.refused(refusal)
 	}
-	return &caller.BookAnswer{RequestID: r.RequestID, Key: r.Key, Body: reply.Body, Repeated: reply.Repeated}, nil
+	return &caller.BookAnswer{RequestID: r.RequestID, Key: r.Key, Body: caller.Body(reply.Body), Repeated: reply.Repeated}, nil
 }
 
 func bookingOutcome(refusal *result.Error) admission.Outcome {
--- a/internal/deployment/control.go
+++ b/internal/deployment/control.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 )
 
@@ -25,6 +26,7 @@
 		return nil, errors.Trace(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Idempotency-Key", uuid.Must(uuid.NewV7()).String())
 	response, err := client.Do(request)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/upstream/protocol.go
+++ b/upstream/protocol.go
@@ -79,14 +79,16 @@
 	Index    string `json:"index"`
 	Shard    uint32 `json:"shard"`
 	Snapshot string `json:"snapshot"`
-	Body     string `json:"body"`
+	// Body is any JSON value; it is passed on as it is.
+	Body json.RawMessage `json:"body"`
 }
 
 // RunReply is the answer to a Run.
 type RunReply struct {
 	WorkID string `json:"work_id"`
 	Key    string `json:"key"`
-	Body   string `json:"body"`
+	// Body is any JSON value; it is passed on as it is.
+	Body json.RawMessage `json:"body"`
 }
 
 // NewSearch returns the request for a search.
