Add the demonstration

Starts one deployment, takes a failure domain out and back, kills a broker, restarts an upstream cold and stops an entry under load.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build lint test clean
+.PHONY: build lint test demo clean
 
 build:
 	mkdir -p $(BIN)
@@ -15,5 +15,8 @@
 test: lint build
 	./.ci/tests
 
+demo: build
+	$(GO) run ./internal/demo
+
 clean:
 	rm -rf $(BIN) out
--- a/internal/deployment/control.go
+++ b/internal/deployment/control.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -11,6 +10,9 @@
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/load"
+	"github.com/wisteriawharf/wisteriawharf/standin"
 )
 
 // client keeps no connections, so that a stopped program is noticed.
@@ -60,8 +62,13 @@
 }
 
 // Facts returns what the searchers recorded.
-func (d *Deployment) Facts() (map[string]any, error) {
-	return d.get("http://" + d.upstreamControl + "/facts")
+func (d *Deployment) Facts() (*standin.Facts, error) {
+	answer, err := call(http.MethodGet, "http://"+d.upstreamControl+"/facts", nil)
+	if err != nil {
+		return nil, err
+	}
+	var facts standin.Facts
+	return &facts, decode(answer, &facts)
 }
 
 func (d *Deployment) get(url string) (map[string]any, error) {
@@ -117,7 +124,7 @@
 // from the first entry that answers.
 func (d *Deployment) StartLoad(name string, args ...string) (*Load, error) {
 	output := d.path(name + ".json")
-	all := append([]string{"--output=" + output, fmt.Sprintf("--facts=http://%s", d.upstreamControl)}, args...)
+	all := append([]string{"--out=" + output, "--facts=" + d.upstreamControl}, args...)
 	for _, i := range d.Instances {
 		all = append(all, "--entry="+i.EntryAddress())
 	}
@@ -126,7 +133,7 @@
 }
 
 // Wait waits for the end of the load and returns its report.
-func (l *Load) Wait() (map[string]any, error) {
+func (l *Load) Wait() (*load.Report, error) {
 	<-l.process.done
 	if l.process.err != nil {
 		return nil, errors.Annotatef(l.process.err, "load, see %s", l.process.log)
@@ -135,6 +142,6 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	var into map[string]any
-	return into, decode(text, &into)
+	var report load.Report
+	return &report, decode(text, &report)
 }
