--- a/publish/diff.go
+++ b/publish/diff.go
@@ -124,14 +124,16 @@
 		d.say("Service %s becomes a %s; it was a %s.", d.service, a.Kind, b.Kind)
 	}
 	number(d, "the deadline", b.Deadline, a.Deadline)
-	number(d, "the soft deadline", softDeadline(b), softDeadline(a))
+	if b.SoftDeadline != 0 || a.SoftDeadline != 0 {
+		number(d, "the soft deadline", softDeadline(b), softDeadline(a))
+	}
 	number(d, "the minimum coverage", b.MinCoverage, a.MinCoverage)
 	number(d, "the hedge budget", b.HedgeBudget, a.HedgeBudget)
 	number(d, "the queue limit of each searcher", b.QueueLimit, a.QueueLimit)
-	number(d, "the slots of each searcher", b.Limits.Slots, a.Limits.Slots)
-	number(d, "the connections to each searcher", b.Limits.Connections, a.Limits.Connections)
+	number(d, "the number of slots of each searcher", b.Limits.Slots, a.Limits.Slots)
+	number(d, "the number of connections to each searcher", b.Limits.Connections, a.Limits.Connections)
 	number(d, "the cold allowance of each searcher", b.Limits.Cold.Allowance, a.Limits.Cold.Allowance)
-	number(d, "the successes for each step out of cold start", b.Limits.Cold.StepSuccesses, a.Limits.Cold.StepSuccesses)
+	number(d, "the number of successes for each step out of cold start", b.Limits.Cold.StepSuccesses, a.Limits.Cold.StepSuccesses)
 	d.compareIndexes(b, a)
 	d.compareSearchers(places(b), places(a))
 }
