--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -228,7 +228,7 @@
 		}
 	})
 	if given.Held() == 0 {
-		return given, errors.Annotate(err, "order is neither recorded nor held by any instance")
+		return given, errors.Annotate(err, "no instance holds the order, and the platform did not confirm it")
 	}
 	return given, nil
 }
