--- a/cmd/wharfctl/publish.go
+++ b/cmd/wharfctl/publish.go
@@ -80,9 +80,7 @@
 			return err
 		}
 		defer done()
-		ctx, cancel := context.WithTimeout(context.Background(), c.WaitTimeout)
-		defer cancel()
-		lagging := fleet.Wait(ctx, o.Revision.Number, waitInterval)
+		lagging := fleet.Wait(context.Background(), o.Revision.Number, waitInterval, c.WaitTimeout)
 		out.Lagging = &lagging
 	}
 	if err := a.show(out, func(w io.Writer) { a.printPublished(w, out) }); err != nil {
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -111,19 +111,17 @@
 	return lagging
 }
 
-// Wait asks all known processes every interval until the revision is in force
-// in all of them or ctx ends, and returns those that lag.
-func (f Fleet) Wait(ctx context.Context, revision uint64, interval time.Duration) []Report {
+// Wait asks all known processes every interval, at least once, until the
+// revision is in force in all of them or patience has passed, and returns those
+// that lag.
+func (f Fleet) Wait(ctx context.Context, revision uint64, interval, patience time.Duration) []Report {
 	addresses := f.Discover(ctx)
-	lagging := Lag(f.reports(ctx, addresses), revision)
-	for len(lagging) > 0 && pause(ctx, interval) == nil {
-		latest := Lag(f.reports(ctx, addresses), revision)
-		if ctx.Err() != nil {
-			return lagging // The latest calls were cut short and say nothing.
+	for end := time.Now().Add(patience); ; {
+		lagging := Lag(f.reports(ctx, addresses), revision)
+		if len(lagging) == 0 || time.Until(end) < interval || pause(ctx, interval) != nil {
+			return lagging
 		}
-		lagging = latest
 	}
-	return lagging
 }
 
 // Explanation is what one process knows of a request.
