Keep orders below their target time and check names of dev certificates

Finding instances, asking them and recording are bounded in sum, so that a slow platform cannot hold an order up. Certificates whose files would replace each other are refused.

--- a/cmd/wharfctl/devca.go
+++ b/cmd/wharfctl/devca.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"path/filepath"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
@@ -33,6 +35,9 @@
 	if len(c.Instances)+len(c.Operators) == 0 {
 		return &flags.Error{Type: flags.ErrRequired, Message: "give at least one --instance or --operator; the authority's key is not kept"}
 	}
+	if err := checkFileNames(append(append([]string{"ca"}, c.Instances...), c.Operators...)); err != nil {
+		return err
+	}
 	ca, err := identity.NewDevCA(string(c.Args.Dir))
 	if err != nil {
 		return err
@@ -63,3 +68,21 @@
 		_, _ = fmt.Fprintln(w, "For tests and demonstrations only.")
 	})
 }
+
+// checkFileNames refuses names whose files would replace each other or lie
+// outside the directory.
+func checkFileNames(names []string) error {
+	files := make(map[string]string)
+	for _, name := range names {
+		if name == "" || name != filepath.Base(name) || strings.HasPrefix(name, ".") {
+			return errors.Errorf("%q cannot be the name of a file", name)
+		}
+		for _, file := range []string{name, name + "-key"} {
+			if other, ok := files[file]; ok {
+				return errors.Errorf("certificates of %q and %q would have the same file names", other, name)
+			}
+			files[file] = name
+		}
+	}
+	return nil
+}
--- a/cmd/wharfctl/main_test.go
+++ b/cmd/wharfctl/main_test.go
@@ -185,6 +185,21 @@
 	c.as("ana", exitOK, "complete -F _wharfctl wharfctl", "completion")
 }
 
+// TestDevCANames guards against a certificate that replaces another one, or is
+// written outside the directory.
+func TestDevCANames(t *testing.T) {
+	c := &console{t: t, dir: t.TempDir()}
+	for _, names := range [][]string{
+		{"--operator", "ana", "--instance", "ana"}, {"--operator", "ca"}, {"--operator", "../ana"},
+		{"--operator", "ana", "--operator", "ana-key"}, {},
+	} {
+		out, code := c.run(append([]string{"dev-ca", filepath.Join(c.dir, "pems")}, names...)...)
+		qt.Check(t, code, qt.Not(qt.Equals), exitOK, qt.Commentf("%v: %s", names, out))
+	}
+	_, err := os.Stat(filepath.Join(c.dir, "pems"))
+	qt.Assert(t, os.IsNotExist(err), qt.IsTrue)
+}
+
 // TestExitCodesArePublished guards against an exit code that the help or the
 // page does not explain.
 func TestExitCodesArePublished(t *testing.T) {
--- a/cmd/wharfctl/orders.go
+++ b/cmd/wharfctl/orders.go
@@ -89,7 +89,7 @@
 
 // settingsTimeout bounds the wait for the settings that a name is checked
 // against. An order must not wait longer for a check of its spelling.
-const settingsTimeout = time.Second
+const settingsTimeout = 500 * time.Millisecond
 
 // checkName refuses a name that the newest settings do not have. While they
 // are not readable, the instances check it.
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -28,6 +28,8 @@
 	// Addresses are asked first. Instances are replaced at any time, so the
 	// others are found by the rosters of those that answer.
 	Addresses []string
+	// Step bounds each part of giving an order; zero means 500 ms.
+	Step time.Duration
 }
 
 // maxParallelCalls bounds the connections that one command opens at once.
@@ -189,15 +191,22 @@
 	return n
 }
 
-// Bounds of the parts of an order, so that one takes effect soon although the
-// platform is slow and instances are lost: the search for instances, the
-// question for their direct orders, and the record on the platform.
+// defaultStep and recordSteps bound the parts of an order: one step to find
+// instances, one to ask for their direct orders, and three to record it. With
+// the default they stay below the 3 s in which an order is to take effect,
+// although the platform is slow and instances are lost.
 const (
-	discoverTimeout = time.Second
-	directTimeout   = time.Second
-	recordTimeout   = 3 * time.Second
+	defaultStep = 500 * time.Millisecond
+	recordSteps = 3
 )
 
+func (f Fleet) step() time.Duration {
+	if f.Step > 0 {
+		return f.Step
+	}
+	return defaultStep
+}
+
 // Give records an order on the platform. If the platform does not confirm it,
 // every process that is reached receives the order directly.
 func (f Fleet) Give(ctx context.Context, store platform.Store, o control.Order) (Given, error) {
@@ -235,7 +244,7 @@
 	if store == nil {
 		return nil, errors.WithType(errors.New("no platform address is set"), platform.ErrUnavailable)
 	}
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	ctx, cancel := context.WithTimeout(ctx, recordSteps*f.step())
 	defer cancel()
 	return Record(ctx, store, o, direct)
 }
@@ -243,10 +252,10 @@
 // directOrders returns the direct orders about the subject of o that any
 // process holds, and the addresses of all processes.
 func (f Fleet) directOrders(ctx context.Context, o control.Order) ([]control.Order, []string) {
-	discover, cancel := context.WithTimeout(ctx, discoverTimeout)
+	discover, cancel := context.WithTimeout(ctx, f.step())
 	addresses := f.Discover(discover)
 	cancel()
-	ask, cancel := context.WithTimeout(ctx, directTimeout)
+	ask, cancel := context.WithTimeout(ctx, f.step())
 	defer cancel()
 	seen := make(map[string]bool)
 	var direct []control.Order
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -153,6 +153,19 @@
 	qt.Assert(t, result.From(err).Code, qt.Equals, result.Malformed)
 }
 
+// TestNewerCopy guards against a direct order that is held twice after a copy
+// that supersedes more has replaced it.
+func TestNewerCopy(t *testing.T) {
+	state, back := control.NewState(), order("split", false)
+	for _, supersedes := range [][]string{nil, {"x", "y"}, {"x"}} {
+		back.Supersedes = supersedes
+		_, err := hold(state, back, time.Now())
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, state.View().Direct, qt.HasLen, 1)
+	qt.Assert(t, state.View().Direct[0].Supersedes, qt.DeepEquals, []string{"x", "y"})
+}
+
 // fakeStore keeps objects in memory; the hooks run before and after a write
 // takes effect.
 type fakeStore struct {
@@ -273,7 +286,7 @@
 
 	store := newStore()
 	store.get = func() error { return platform.ErrUnavailable }
-	fleet := Fleet{Port: c, Addresses: []string{one.Address(), gone.Address()}}
+	fleet := Fleet{Port: c, Addresses: []string{one.Address(), gone.Address()}, Step: 10 * time.Second}
 	given, err := fleet.Give(ctx, store, order("split", false))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, given.Record, qt.IsNil)
@@ -290,6 +303,9 @@
 	given, err = fleet.Give(ctx, store, order("split", false))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, given.Record.History, qt.HasLen, 2)
+	offer(t, stateTwo, control.OrderName(control.OrderDomain, "split"), 1, given.Record)
+	qt.Assert(t, stateTwo.View().Out(control.OrderDomain, "split"), qt.IsFalse)
+	qt.Assert(t, stateTwo.View().Direct, qt.HasLen, 0)
 	_, err = Fleet{Port: c, Addresses: []string{gone.Address()}}.Give(ctx, nil, order("split", true))
 	qt.Assert(t, errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
 }
