Tell wrong usage from failures and damage from unreadable history

A failed reading of the platform is no fault of the history, and revisions after a gap are not compared with a parent that is not there. Arguments that a command does not take are refused.

--- a/cmd/wharfctl/exit.go
+++ b/cmd/wharfctl/exit.go
@@ -66,6 +66,9 @@
 		return exitUsage
 	}
 	_, _ = fmt.Fprintln(a.env.stderr, "wharfctl:", err)
+	if !a.started {
+		return exitUsage
+	}
 	if race, ok := errors.AsType[*publish.RaceError](err); ok {
 		a.printChanges(a.env.stderr, race.Changes)
 	}
--- a/cmd/wharfctl/main.go
+++ b/cmd/wharfctl/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"os"
 
@@ -37,17 +38,32 @@
 	env     *environment
 	options options
 	parser  *flags.Parser
+	// started is set once the command line was understood.
+	started bool
 }
 
 func newApp(env *environment) *app {
 	a := &app{env: env}
 	a.parser = flags.NewNamedParser("wharfctl", flags.HelpFlag|flags.PassDoubleDash)
 	a.parser.LongDescription = helpText
+	a.parser.CommandHandler = a.execute
 	mustAdd(a.parser.AddGroup("Operator settings", "", &a.options))
 	a.addCommands()
 	return a
 }
 
+// execute runs a command whose options were understood.
+func (a *app) execute(command flags.Commander, rest []string) error {
+	if len(rest) > 0 {
+		return &flags.Error{Type: flags.ErrUnknown, Message: fmt.Sprintf("unexpected arguments: %q", rest)}
+	}
+	a.started = true
+	if command == nil {
+		return nil
+	}
+	return command.Execute(nil)
+}
+
 // mustAdd panics if the declaration of an option or command is faulty, which
 // any run shows.
 func mustAdd[T any](_ T, err error) {
--- a/cmd/wharfctl/options.go
+++ b/cmd/wharfctl/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"time"
 
@@ -55,7 +56,24 @@
 	if len(o.OperatorAddresses) > 0 {
 		file.OperatorAddresses = o.OperatorAddresses
 	}
-	return *file, nil
+	return *file, checkFlags(o)
+}
+
+// checkFlags refuses what the settings file would refuse as well.
+func checkFlags(o options) error {
+	addresses := o.OperatorAddresses
+	if o.Platform != "" {
+		addresses = append([]string{o.Platform}, addresses...)
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return errors.Errorf("address %q is not IP:port; host names are not used", a)
+		}
+	}
+	if o.Timeout < 0 {
+		return errors.Errorf("timeout %s is negative", o.Timeout)
+	}
+	return nil
 }
 
 func override[T comparable](to *T, flag T) {
--- a/cmd/wharfctl/revisions.go
+++ b/cmd/wharfctl/revisions.go
@@ -179,22 +179,25 @@
 	app *app
 }
 
-// Execute checks the history and fails if it has faults.
+// Execute checks the history and fails if it has faults. Only its single calls
+// are bounded in time, because it reads every revision.
 func (c *verifyCommand) Execute([]string) error {
-	return c.app.withHistory(func(ctx context.Context, h publish.History) error {
-		v, err := h.Verify(ctx)
-		if err != nil {
-			return err
-		}
-		err = c.app.show(v, func(w io.Writer) {
-			_, _ = fmt.Fprintf(w, "%d revisions, digest of the newest: %s\n", v.Revisions, v.Digest)
-			for _, f := range v.Faults {
-				_, _ = fmt.Fprintln(w, "  -", f)
-			}
-		})
-		if err == nil && len(v.Faults) > 0 {
-			return coded{fmt.Errorf("history has %d faults", len(v.Faults)), exitHistory}
-		}
+	store, err := c.app.store()
+	if err != nil {
+		return err
+	}
+	v, err := publish.History{Store: store}.Verify(context.Background())
+	if err != nil {
 		return err
+	}
+	err = c.app.show(v, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "%d revisions, digest of the newest: %s\n", v.Revisions, v.Digest)
+		for _, f := range v.Faults {
+			_, _ = fmt.Fprintln(w, "  -", f)
+		}
 	})
+	if err == nil && len(v.Faults) > 0 {
+		return coded{fmt.Errorf("history has %d faults", len(v.Faults)), exitHistory}
+	}
+	return err
 }
--- a/publish/history.go
+++ b/publish/history.go
@@ -55,10 +55,10 @@
 	}
 	r, err := settings.DecodeRevision(object.Value)
 	if err != nil {
-		return nil, errors.Annotatef(err, "object %q", object.Name)
+		return nil, errors.WithType(errors.Annotatef(err, "object %q", object.Name), errDamaged)
 	}
 	if r.Number != number {
-		return nil, errors.Errorf("object %q holds revision %d", object.Name, r.Number)
+		return nil, errors.WithType(errors.Errorf("object %q holds revision %d", object.Name, r.Number), errDamaged)
 	}
 	return r, nil
 }
@@ -69,7 +69,12 @@
 	if err != nil || len(numbers) == 0 {
 		return nil, err
 	}
-	return h.Get(ctx, numbers[len(numbers)-1])
+	number := numbers[len(numbers)-1]
+	r, err := h.Get(ctx, number)
+	if err != nil && result.From(err).Code == result.NoRevision {
+		return nil, errors.Errorf("revision %d is listed but not readable yet, try again", number)
+	}
+	return r, err
 }
 
 // Last returns at most limit revisions, newest first.
@@ -89,6 +94,15 @@
 	return all, nil
 }
 
+// errDamaged reports an object that does not hold the revision that its name
+// says.
+const errDamaged = errors.ConstError("revision is damaged")
+
+// isDamage tells a fault of the history from a failure to read it.
+func isDamage(err error) bool {
+	return errors.Is(err, errDamaged) || result.From(err).Code == result.NoRevision
+}
+
 // Verification is the outcome of a check of the whole history.
 type Verification struct {
 	Revisions int      `json:"revisions"`
@@ -104,27 +118,30 @@
 	if err != nil {
 		return v, err
 	}
-	want, parent := uint64(1), ""
+	// After a gap the parent's digest is not known and cannot be compared.
+	want, parent, known := uint64(1), "", true
 	for _, n := range numbers {
 		if n != want {
 			v.Faults = append(v.Faults, fmt.Sprintf("revisions %d to %d are missing", want, n-1))
+			known = false
 		}
+		want = n + 1
 		r, err := h.Get(ctx, n)
-		if errors.Is(err, platform.ErrUnavailable) || ctx.Err() != nil {
+		if err != nil && !isDamage(err) {
 			return v, err
 		}
 		if err != nil {
 			v.Faults = append(v.Faults, fmt.Sprintf("revision %d is not readable: %v", n, err))
-			want, parent = n+1, ""
+			parent, known = "", false
 			continue
 		}
-		if r.ParentDigest != parent {
+		if known && r.ParentDigest != parent {
 			v.Faults = append(v.Faults, fmt.Sprintf("revision %d names parent digest %q, but its parent has %q", n, r.ParentDigest, parent))
 		}
 		if parent, err = r.Digest(); err != nil {
 			return v, err
 		}
-		want = n + 1
+		known = true
 		v.Revisions++
 	}
 	v.Digest = parent
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -190,10 +190,18 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, v.Faults, qt.HasLen, 1)
 	qt.Assert(t, v.Faults[0], qt.Contains, "revision 3 names parent digest")
+	s.objects[ObjectName(2)] = []byte("{")
+	v, err = History{s}.Verify(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, v.Faults[0], qt.Contains, "revision 2 is not readable")
+	s.get = func(string) error { return errLost }
+	_, err = History{s}.Verify(context.Background())
+	qt.Assert(t, errors.Is(err, errLost), qt.IsTrue)
+	s.get = nil
 	delete(s.objects, ObjectName(2))
 	v, err = History{s}.Verify(context.Background())
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, v.Faults[0], qt.Equals, "revisions 2 to 2 are missing")
+	qt.Assert(t, v.Faults, qt.DeepEquals, []string{"revisions 2 to 2 are missing"})
 }
 
 // TestCompare guards against a change of a value that no sentence names.
