--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -112,7 +112,7 @@
 }
 
 // TestOnlyOperators guards against an instance, or an operator of another
-// deployment, that steers a process.
+// deployment, that gives orders to a process.
 func TestOnlyOperators(t *testing.T) {
 	ca := newCA(t)
 	s, state := serve(t, ca, "one")
@@ -133,8 +133,8 @@
 	qt.Assert(t, err, qt.IsNil)
 }
 
-// TestRefusedOrders guards against an order without a reason, and against one
-// about a name that a slip of the pen made.
+// TestRefusedOrders guards against an order without a reason or with a misspelt
+// name.
 func TestRefusedOrders(t *testing.T) {
 	state := control.NewState()
 	offer(t, state, control.ItemSettings, 1, settings.Revision{Number: 1, Files: []settings.File{{Path: "f", Text: `service: book
--- a/operator/server.go
+++ b/operator/server.go
@@ -1,5 +1,6 @@
-// Package operator is the port on which operators see and steer one process,
-// the client of that port, and the way of orders to platform and instances.
+// Package operator provides the port on which operators inspect and control one
+// process, the client of that port, and the delivery of orders to the platform
+// and to instances.
 package operator
 
 import (
--- a/settings/digest.go
+++ b/settings/digest.go
@@ -19,7 +19,7 @@
 }
 
 // Digest returns the SHA-256 of the whole revision in hexadecimal: files, audit
-// record and the parent's digest. So one digest vouches for all history.
+// record and the parent's digest. So one digest covers all earlier revisions.
 func (r Revision) Digest() (string, error) {
 	value, err := r.Encode()
 	if err != nil {
--- a/settings/field.go
+++ b/settings/field.go
@@ -101,7 +101,7 @@
 // services and searchers, short.
 const maxNameLength = 64
 
-// Bounds that guard against a slip of the pen. They are far above what the
+// Bounds that guard against typing errors. They are far above what the
 // deployments use.
 const (
 	maxSlots         = 1000
