--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -28,6 +28,8 @@
 	// Addresses are asked first. Instances are replaced at any time, so the
 	// others are found by the rosters of those that answer.
 	Addresses []string
+	// Step bounds each part of giving an order; zero means 500 ms.
+	Step time.Duration
 }
 
 // maxParallelCalls bounds the connections that one command opens at once.
@@ -111,19 +113,17 @@
 	return lagging
 }
 
-// Wait asks all known processes every interval until the revision is in force
-// in all of them or ctx ends, and returns those that lag.
-func (f Fleet) Wait(ctx context.Context, revision uint64, interval time.Duration) []Report {
+// Wait asks all known processes every interval, at least once, until the
+// revision is in force in all of them or patience has passed, and returns those
+// that lag.
+func (f Fleet) Wait(ctx context.Context, revision uint64, interval, patience time.Duration) []Report {
 	addresses := f.Discover(ctx)
-	lagging := Lag(f.reports(ctx, addresses), revision)
-	for len(lagging) > 0 && pause(ctx, interval) == nil {
-		latest := Lag(f.reports(ctx, addresses), revision)
-		if ctx.Err() != nil {
-			return lagging // The latest calls were cut short and say nothing.
+	for end := time.Now().Add(patience); ; {
+		lagging := Lag(f.reports(ctx, addresses), revision)
+		if len(lagging) == 0 || time.Until(end) < interval || pause(ctx, interval) != nil {
+			return lagging
 		}
-		lagging = latest
 	}
-	return lagging
 }
 
 // Explanation is what one process knows of a request.
@@ -191,15 +191,22 @@
 	return n
 }
 
-// Bounds of the parts of an order, so that one takes effect soon although the
-// platform is slow and instances are lost: the search for instances, the
-// question for their direct orders, and the record on the platform.
+// defaultStep and recordSteps bound the parts of an order: one step to find
+// instances, one to ask for their direct orders, and three to record it. With
+// the default they stay below the 3 s in which an order is to take effect,
+// although the platform is slow and instances are lost.
 const (
-	discoverTimeout = time.Second
-	directTimeout   = time.Second
-	recordTimeout   = 3 * time.Second
+	defaultStep = 500 * time.Millisecond
+	recordSteps = 3
 )
 
+func (f Fleet) step() time.Duration {
+	if f.Step > 0 {
+		return f.Step
+	}
+	return defaultStep
+}
+
 // Give records an order on the platform. If the platform does not confirm it,
 // every process that is reached receives the order directly.
 func (f Fleet) Give(ctx context.Context, store platform.Store, o control.Order) (Given, error) {
@@ -228,7 +235,7 @@
 		}
 	})
 	if given.Held() == 0 {
-		return given, errors.Annotate(err, "order is neither recorded nor held by any instance")
+		return given, errors.Annotate(err, "no instance holds the order, and the platform did not confirm it")
 	}
 	return given, nil
 }
@@ -237,7 +244,7 @@
 	if store == nil {
 		return nil, errors.WithType(errors.New("no platform address is set"), platform.ErrUnavailable)
 	}
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	ctx, cancel := context.WithTimeout(ctx, recordSteps*f.step())
 	defer cancel()
 	return Record(ctx, store, o, direct)
 }
@@ -245,10 +252,10 @@
 // directOrders returns the direct orders about the subject of o that any
 // process holds, and the addresses of all processes.
 func (f Fleet) directOrders(ctx context.Context, o control.Order) ([]control.Order, []string) {
-	discover, cancel := context.WithTimeout(ctx, discoverTimeout)
+	discover, cancel := context.WithTimeout(ctx, f.step())
 	addresses := f.Discover(discover)
 	cancel()
-	ask, cancel := context.WithTimeout(ctx, directTimeout)
+	ask, cancel := context.WithTimeout(ctx, f.step())
 	defer cancel()
 	seen := make(map[string]bool)
 	var direct []control.Order
