Add scenarios on real processes: check, publish, a killed broker

Scripts of testscript run sessions against the built programs. The deployment harness gets operators by name, the exit codes of wharfctl, changed service settings and a load that ends on demand; the load report says when it began, so that seconds can be compared with the moment of a fault.

--- a/internal/deployment/control.go
+++ b/internal/deployment/control.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -132,6 +133,19 @@
 	return &Load{process: p, output: output}, err
 }
 
+// Finish ends the load before its duration has passed and returns its report.
+func (l *Load) Finish() (*load.Report, error) {
+	l.process.Signal(syscall.SIGTERM)
+	return l.Wait()
+}
+
+// Kill ends the load at once, without a report.
+func (l *Load) Kill() {
+	if !l.process.Ended() {
+		l.process.Kill()
+	}
+}
+
 // Wait waits for the end of the load and returns its report.
 func (l *Load) Wait() (*load.Report, error) {
 	<-l.process.done
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -38,6 +38,10 @@
 	Upstream []string
 	// AddressLifetime is the lifetime of address answers; 2 s if zero.
 	AddressLifetime time.Duration
+	// Operators names the operators that get a certificate; "operator" if empty.
+	Operators []string
+	// Replace holds pairs of old and new text, applied to the service settings.
+	Replace []string
 }
 
 // Instance is one instance: an entry and a broker.
@@ -82,6 +86,9 @@
 	if c.AddressLifetime == 0 {
 		c.AddressLifetime = 2 * time.Second
 	}
+	if len(c.Operators) == 0 {
+		c.Operators = []string{"operator"}
+	}
 	d := &Deployment{config: c}
 	if err := d.start(); err != nil {
 		d.Kill()
@@ -140,6 +147,7 @@
 			return errors.Trace(err)
 		}
 		moved := strings.ReplaceAll(string(text), "127.0.0.1:", d.network+".1:")
+		moved = strings.NewReplacer(d.config.Replace...).Replace(moved)
 		if err := os.WriteFile(filepath.Join(d.ServicesDir(), filepath.Base(file)), []byte(moved), 0o644); err != nil {
 			return errors.Trace(err)
 		}
@@ -148,7 +156,10 @@
 }
 
 func (d *Deployment) makeCertificates() error {
-	args := []string{"dev-ca", "--operator=operator"}
+	args := []string{"dev-ca"}
+	for _, name := range d.config.Operators {
+		args = append(args, "--operator="+name)
+	}
 	d.Instances = nil
 	for _, domain := range d.config.Domains {
 		for i := range d.config.PerDomain {
@@ -253,28 +264,68 @@
 
 func (d *Deployment) binary(name string) string { return filepath.Join(d.config.Binaries, name) }
 
+// Output is what a program wrote until it ended with an exit code.
+type Output struct {
+	Stdout, Stderr string
+	ExitCode       int
+}
+
 // run runs a program to its end and returns its standard output.
 func (d *Deployment) run(name string, args ...string) (string, error) {
+	out, err := d.output(name, args...)
+	if err == nil && out.ExitCode != 0 {
+		err = errors.Errorf("%s %s: exit code %d: %s%s", name, strings.Join(args, " "), out.ExitCode, out.Stdout, out.Stderr)
+	}
+	return out.Stdout, err
+}
+
+// output runs a program to its end. The error reports a program that did not
+// run or was killed by a signal.
+func (d *Deployment) output(name string, args ...string) (Output, error) {
 	command := exec.Command(d.binary(name), args...)
-	var errorOutput strings.Builder
-	command.Stderr = &errorOutput
-	out, err := command.Output()
-	if err != nil {
-		return string(out), errors.Annotatef(err, "%s %s: %s%s", name, strings.Join(args, " "), out, errorOutput.String())
+	var stdout, stderr strings.Builder
+	command.Stdout, command.Stderr = &stdout, &stderr
+	err := command.Run()
+	out := Output{Stdout: stdout.String(), Stderr: stderr.String()}
+	if exit, ok := errors.AsType[*exec.ExitError](err); ok && exit.Exited() {
+		out.ExitCode, err = exit.ExitCode(), nil
 	}
-	return string(out), nil
+	return out, errors.Annotate(err, name)
 }
 
-// Wharfctl runs an operator's command and returns its output.
+// Wharfctl runs a command as the first operator and returns its output.
 func (d *Deployment) Wharfctl(args ...string) (string, error) {
+	return d.run("wharfctl", d.wharfctlArgs(d.config.Operators[0], args)...)
+}
+
+// Operate runs a command with the certificate of the named operator or instance.
+func (d *Deployment) Operate(name string, args ...string) (Output, error) {
+	return d.output("wharfctl", d.wharfctlArgs(name, args)...)
+}
+
+func (d *Deployment) wharfctlArgs(name string, args []string) []string {
 	all := append([]string{}, args...)
 	all = append(all, "--platform="+d.platformAddress,
-		"--certificate="+d.path("certificates/operator.pem"),
-		"--key="+d.path("certificates/operator-key.pem"), "--ca="+d.path("certificates/ca.pem"))
+		"--certificate="+d.path("certificates/"+name+".pem"),
+		"--key="+d.path("certificates/"+name+"-key.pem"), "--ca="+d.path("certificates/ca.pem"))
 	for _, i := range d.Instances {
 		all = append(all, "--operator-address="+i.BrokerOperatorAddress(), "--operator-address="+i.EntryOperatorAddress())
 	}
-	return d.run("wharfctl", all...)
+	return all
+}
+
+// Network is the beginning of all addresses of the deployment: three numbers
+// and a dot.
+func (d *Deployment) Network() string { return d.network + "." }
+
+// Instance returns the instance with the name, or nil.
+func (d *Deployment) Instance(name string) *Instance {
+	for _, i := range d.Instances {
+		if i.Name == name {
+			return i
+		}
+	}
+	return nil
 }
 
 // Stop stops the instances as a planned stop, then the stand-ins. It returns the
--- a/internal/deployment/smoke_test.go
+++ b/internal/deployment/smoke_test.go
@@ -17,7 +17,7 @@
 	c.Assert(err, qt.IsNil)
 	d, err := Start(Config{
 		Binaries: filepath.Join(root, "bin"), Services: filepath.Join(root, "examples/brac"),
-		Dir: smokeDir(c), Domains: []string{"split", "trogir", "brac"}, PerDomain: 2,
+		Dir: c.TempDir(), Domains: []string{"split", "trogir", "brac"}, PerDomain: 2,
 	})
 	c.Assert(err, qt.IsNil)
 	defer d.Kill()
@@ -39,5 +39,3 @@
 	t.Logf("%s %v", text, err)
 	c.Assert(d.Stop(), qt.IsNil)
 }
-
-func smokeDir(c *qt.C) string { return "/tmp/smoke" }
--- a/load/report.go
+++ b/load/report.go
@@ -16,6 +16,7 @@
 // exactly one of Good, PartialAnswers, RefusedTotal and Errors.
 type Report struct {
 	Seed            uint64         `json:"seed"`
+	StartUnixMs     int64          `json:"start_unix_ms"`
 	RatePerSecond   float64        `json:"rate_per_second"`
 	DurationSeconds float64        `json:"duration_seconds"`
 	Requests        int            `json:"requests"`
@@ -81,7 +82,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := &Report{
-		Seed: r.config.Seed, RatePerSecond: r.config.Rate, DurationSeconds: r.config.Duration.Seconds(),
+		Seed: r.config.Seed, StartUnixMs: r.start.UnixMilli(), RatePerSecond: r.config.Rate, DurationSeconds: r.config.Duration.Seconds(),
 		Requests: r.totals.offered, Good: r.totals.good, PartialAnswers: r.totals.partial,
 		RefusedTotal: r.totals.refused, Refused: r.codes, Errors: r.totals.errors, ErrorKinds: r.kinds,
 		P50Ms: quantile(r.totals.served, 50), P99Ms: quantile(r.totals.served, 99), P999Ms: quantile(r.totals.served, 99.9),
--- /dev/null
+++ b/scenarios/commands_test.go
@@ -0,0 +1,272 @@
+package scenarios
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/wisteriawharf/wisteriawharf/internal/deployment"
+)
+
+// command is one command of the language of scenarios.
+type command func(s *scenario, ts *testscript.TestScript, args []string) error
+
+// commands returns the language of scenarios.
+//
+//	deploy EXAMPLE [FLAG...]          start a deployment; flags of the upstream stand-in
+//	operator NAME ARGS...             run wharfctl; "!" expects a failure
+//	mark NAME                         remember the present moment
+//	elapse DURATION since MARK        wait until so much time has passed
+//	broker|entry kill|pause|resume|stop|start INSTANCE
+//	platform down|up|delay MS|lose-replies N|stale on|stale off
+//	upstream SELECTOR JSON            change searchers: ID, domain=NAME, service=NAME or *
+//	load NAME RATE ARGS...            start load that runs until finish
+//	finish NAME                       end load and keep its report
+//	read facts|platform NAME          keep the facts or the platform's statistics as a report
+//	status NAME INSTANCE              keep the status of an instance's broker as a report
+//	expect REPORT PATH OP VALUE       compare a number or text
+//	sound REPORT                      no answer and no fact breaks an invariant
+//	each-second REPORT RATIO from MARK DURATION
+//	wait-for DURATION expect ARGS...  read again until the comparison holds
+func commands() map[string]func(*testscript.TestScript, bool, []string) {
+	all := map[string]command{
+		"deploy": deploy, "mark": mark, "elapse": elapse, "platform": platformFault, "upstream": upstreamControl,
+		"load": startLoad, "finish": finishLoad, "read": read, "expect": expect, "sound": sound,
+		"each-second": eachSecond, "wait-for": waitFor, "set-service": setService,
+		"broker": processAction("broker"), "entry": processAction("entry"),
+	}
+	result := map[string]func(*testscript.TestScript, bool, []string){"operator": operate}
+	for name, run := range all {
+		result[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			if neg {
+				ts.Fatalf("%s cannot be negated", name)
+			}
+			s := ts.Value(scenarioKey{}).(*scenario)
+			if err := run(s, ts, args); err != nil {
+				ts.Fatalf("%s %s: %v", name, strings.Join(args, " "), err)
+			}
+		}
+	}
+	return result
+}
+
+// relaxed gives requests a deadline that a busy machine keeps too. What the
+// scenarios prove does not depend on the deadlines of the examples.
+var relaxed = []string{"deadline: 110ms\nsoft_deadline: 80ms", "deadline: 2s\nsoft_deadline: 1900ms", "deadline: 1s\n", "deadline: 2s\n"}
+
+func deploy(s *scenario, ts *testscript.TestScript, args []string) error {
+	if len(args) < 1 {
+		return errors.New("name of an example is missing")
+	}
+	dir := filepath.Join(s.dir, "deployment")
+	if err := os.Mkdir(dir, 0o755); err != nil {
+		return errors.Trace(err)
+	}
+	d, err := deployment.Start(deployment.Config{
+		Binaries: binaries, Services: filepath.Join(examples, args[0]), Dir: dir,
+		Domains: []string{"split", "trogir", "brac"}, PerDomain: 2,
+		Operators: []string{"ana", "ivo"}, Replace: relaxed,
+		Upstream: append([]string{"--service-time=20ms", "--sigma=0.2"}, args[1:]...),
+	})
+	if err != nil {
+		return err
+	}
+	s.deployment, s.words = d, newWords(d.Network(), dir)
+	ts.Setenv("SERVICES", d.ServicesDir())
+	return nil
+}
+
+// operate runs wharfctl. What it printed is added to the file session, and can
+// be checked with the commands stdout and stderr.
+func operate(ts *testscript.TestScript, neg bool, args []string) {
+	s := ts.Value(scenarioKey{}).(*scenario)
+	if len(args) < 2 {
+		ts.Fatalf("usage: operator NAME ARGS...")
+	}
+	out, err := s.deployment.Operate(args[0], args[1:]...)
+	ts.Check(err)
+	stdout, stderr := s.words.replace(out.Stdout), s.words.replace(out.Stderr)
+	_, _ = io.WriteString(ts.Stdout(), stdout)
+	_, _ = io.WriteString(ts.Stderr(), stderr)
+	_, err = fmt.Fprintf(s.session, "%s$ wharfctl %s\n%s%sexit code %d\n",
+		args[0], s.words.replace(strings.Join(args[1:], " ")), stdout, stderr, out.ExitCode)
+	ts.Check(err)
+	if neg != (out.ExitCode != 0) {
+		ts.Fatalf("exit code %d\n%s%s", out.ExitCode, stdout, stderr)
+	}
+}
+
+func mark(s *scenario, _ *testscript.TestScript, args []string) error {
+	if len(args) != 1 {
+		return errors.New("usage: mark NAME")
+	}
+	s.marks[args[0]] = time.Now()
+	return nil
+}
+
+func (s *scenario) after(name, duration string) (time.Time, error) {
+	moment, ok := s.marks[name]
+	if !ok {
+		return moment, errors.Errorf("mark %q is not set", name)
+	}
+	d, err := time.ParseDuration(duration)
+	return moment.Add(d), errors.Trace(err)
+}
+
+// elapse waits for time that is part of what is proved, such as an expired
+// lease. It does not wait for a condition; wait-for does.
+func elapse(s *scenario, _ *testscript.TestScript, args []string) error {
+	if len(args) != 3 || args[1] != "since" {
+		return errors.New("usage: elapse DURATION since MARK")
+	}
+	moment, err := s.after(args[2], args[0])
+	if err == nil {
+		time.Sleep(time.Until(moment))
+	}
+	return err
+}
+
+// processAction returns the command of one role.
+func processAction(role string) command {
+	return func(s *scenario, _ *testscript.TestScript, args []string) error {
+		if len(args) != 2 {
+			return errors.Errorf("usage: %s kill|pause|resume|stop|start INSTANCE", role)
+		}
+		i := s.deployment.Instance(args[1])
+		if i == nil {
+			return errors.Errorf("instance %q is not known", args[1])
+		}
+		p, start := i.Entry, s.deployment.StartEntry
+		if role == "broker" {
+			p, start = i.Broker, s.deployment.StartBroker
+		}
+		switch args[0] {
+		case "kill":
+			p.Kill()
+		case "pause":
+			p.Signal(syscall.SIGSTOP)
+		case "resume":
+			p.Signal(syscall.SIGCONT)
+		case "stop":
+			return p.Stop()
+		case "start":
+			return start(i)
+		default:
+			return errors.Errorf("action %q is not known", args[0])
+		}
+		return nil
+	}
+}
+
+func platformFault(s *scenario, _ *testscript.TestScript, args []string) error {
+	fault := map[string]any{}
+	number := func() (int, error) {
+		if len(args) != 2 {
+			return 0, errors.New("number is missing")
+		}
+		return strconv.Atoi(args[1])
+	}
+	var err error
+	switch args[0] {
+	case "down", "up":
+		fault["down"] = args[0] == "down"
+	case "delay":
+		fault["delay_ms"], err = number()
+	case "lose-replies":
+		fault["lose_replies"], err = number()
+	case "stale":
+		fault["stale_reads"] = len(args) == 2 && args[1] == "on"
+	default:
+		return errors.New("usage: platform down|up|delay MS|lose-replies N|stale on|stale off")
+	}
+	if err != nil {
+		return err
+	}
+	return s.deployment.PlatformFaults(fault)
+}
+
+// upstreamControl changes the searchers that a selector matches. The change is
+// the field "set" of a control of the stand-in.
+func upstreamControl(s *scenario, _ *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return errors.New("usage: upstream SELECTOR JSON")
+	}
+	var set map[string]any
+	if err := decode(args[1], &set); err != nil {
+		return err
+	}
+	control := map[string]any{"set": set}
+	switch selector, name, found := strings.Cut(args[0], "="); {
+	case !found:
+		control["searcher"] = args[0]
+	case selector == "domain":
+		control["failure_domain"] = name
+	default:
+		control[selector] = name
+	}
+	return s.deployment.UpstreamControl(control)
+}
+
+const (
+	// longLoad is longer than any scenario; finish ends the load.
+	longLoad = 10 * time.Minute
+	seed     = 7
+)
+
+// mixes are the services of the load by the name of the mix.
+var mixes = map[string][]string{
+	"searches": {"--search=restoration-desk=0.6", "--search=dispatch=0.4"},
+	"bookings": {"--book=order-booking=0.7", "--book=invoicing=0.3", "--repeat-share=0.3"},
+	"all":      {"--search=restoration-desk=0.5", "--search=dispatch=0.3", "--book=order-booking=0.15", "--book=invoicing=0.05"},
+}
+
+func startLoad(s *scenario, _ *testscript.TestScript, args []string) error {
+	if len(args) < 3 || mixes[args[2]] == nil {
+		return errors.New("usage: load NAME RATE searches|bookings|all [FLAG...]")
+	}
+	flags := append([]string{
+		"--rate=" + args[1], "--duration=" + longLoad.String(), fmt.Sprintf("--seed=%d", seed),
+		"--search-deadline=2s", "--booking-deadline=2s", "--grace=3s",
+	}, mixes[args[2]]...)
+	l, err := s.deployment.StartLoad("load-"+args[0], append(flags, args[3:]...)...)
+	if err == nil {
+		s.loads[args[0]] = l
+	}
+	return err
+}
+
+func finishLoad(s *scenario, _ *testscript.TestScript, args []string) error {
+	if len(args) != 1 || s.loads[args[0]] == nil {
+		return errors.New("usage: finish NAME")
+	}
+	report, err := s.loads[args[0]].Finish()
+	if err != nil {
+		return err
+	}
+	s.reports[args[0]] = report
+	return nil
+}
+
+// setService replaces text in a file of the service settings.
+func setService(s *scenario, _ *testscript.TestScript, args []string) error {
+	if len(args) != 3 {
+		return errors.New("usage: set-service NAME OLD NEW")
+	}
+	file := filepath.Join(s.deployment.ServicesDir(), args[0]+".yaml")
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if !strings.Contains(string(text), args[1]) {
+		return errors.Errorf("%s does not contain %q", file, args[1])
+	}
+	return errors.Trace(os.WriteFile(file, []byte(strings.ReplaceAll(string(text), args[1], args[2])), 0o644))
+}
