--- a/internal/deployment/process.go
+++ b/internal/deployment/process.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -116,3 +119,36 @@
 		return false
 	}
 }
+
+// clockTicksPerSecond is the unit of processor time in /proc on Linux.
+const clockTicksPerSecond = 100
+
+// CPU returns the processor time that the program has used.
+func (p *Process) CPU() (time.Duration, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	// The name in parentheses may hold spaces; the fields after it do not.
+	fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:]))
+	const user, system = 11, 12
+	var ticks int64
+	for _, field := range []string{fields[user], fields[system]} {
+		n, err := strconv.ParseInt(field, 10, 64)
+		if err != nil {
+			return 0, errors.Trace(err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / clockTicksPerSecond, nil
+}
+
+// ResidentBytes returns the memory that the program holds.
+func (p *Process) ResidentBytes() (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.command.Process.Pid))
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	pages, err := strconv.ParseInt(strings.Fields(string(text))[1], 10, 64)
+	return pages * int64(os.Getpagesize()), errors.Trace(err)
+}
