Lose held requests when a searcher stops

TestModes failed in 20 of 100 runs: a searcher that went from hanging to down started the requests it had held. A request now belongs to the incarnation that received it.

--- a/standin/answer.go
+++ b/standin/answer.go
@@ -101,12 +101,14 @@
 // the connection is closed.
 func (s *searcher) serveWork(w http.ResponseWriter, r *http.Request, request any, booking bool,
 	accept func() *refusal, answer func(id string) any) {
+	incarnation := s.currentIncarnation()
 	o, err := readOrder(r, booking)
 	if err != nil {
 		s.countBad()
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	o.incarnation = incarnation
 	if !readJSON(w, r, request) {
 		s.countBad()
 		return
@@ -127,6 +129,8 @@
 		return
 	}
 	switch {
+	case refused != nil && refused.status == 0:
+		panic(http.ErrAbortHandler)
 	case refused != nil:
 		writeJSON(w, refused.status, map[string]string{"work_id": o.id, "reason": refused.reason})
 	case started.ending == endDone:
--- a/standin/controls.go
+++ b/standin/controls.go
@@ -92,11 +92,11 @@
 }
 
 func (s *searcher) apply(c Change) error {
-	s.change(c)
-	down := c.Mode != nil && *c.Mode == ModeDown
-	if down || c.Restart {
+	// The port closes first, so that requests held by a hang end with it.
+	if c.Restart || c.Mode != nil && *c.Mode == ModeDown {
 		s.close()
 	}
+	s.change(c)
 	if c.Restart {
 		s.mu.Lock()
 		s.turnCold(true)
--- a/standin/searcher.go
+++ b/standin/searcher.go
@@ -44,7 +44,10 @@
 	behaviour Behaviour
 	mode      Mode
 	// resumed is closed when a hang ends; nil unless hanging.
-	resumed     chan struct{}
+	resumed chan struct{}
+	// incarnation rises when the searcher stops, with which it loses the
+	// requests it has not started.
+	incarnation int
 	fallenUntil time.Time
 	mislead     bool
 	shedShare   float64
@@ -112,11 +115,18 @@
 	s.server = nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.incarnation++
 	for _, w := range s.running {
 		s.end(w, endLost)
 	}
 }
 
+func (s *searcher) currentIncarnation() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation
+}
+
 func (s *searcher) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/search", s.serveSearch)
--- a/standin/work.go
+++ b/standin/work.go
@@ -42,9 +42,12 @@
 	id       string
 	deadline time.Time
 	booking  bool
+	// incarnation is the one that received the request.
+	incarnation int
 }
 
-// refusal is a request that was not started.
+// refusal is a request that was not started. A status of zero drops the
+// connection without an answer.
 type refusal struct {
 	status int
 	reason string
@@ -74,6 +77,9 @@
 func (s *searcher) start(o order, accept func() *refusal) (*work, *refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if o.incarnation != s.incarnation {
+		return nil, &refusal{}
+	}
 	now := time.Now()
 	s.endDue(now)
 	s.facts.Received++
