--- /dev/null
+++ b/slot/property_test.go
@@ -0,0 +1,234 @@
+package slot
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wisteriawharf/wisteriawharf/assign"
+	"github.com/wisteriawharf/wisteriawharf/result"
+	"github.com/wisteriawharf/wisteriawharf/settings"
+)
+
+// model is what is true outside a Searcher: which work the upstream runs, what
+// each connection carries, and the most that cold start can allow.
+type model struct {
+	t        *rapid.T
+	s        *Searcher
+	config   Config
+	grant    assign.Grant
+	now      time.Duration
+	lastWork WorkID
+	deadline map[WorkID]time.Duration
+	runs     map[WorkID]bool // at the upstream
+	carries  map[ConnID]Command
+	open     map[ConnID]bool // false while dialling
+	pending  map[WorkID]bool // without Deliver or Fail
+	started  map[WorkID]int  // how often dispatched
+	// successes counts evidence since the last sign of a cold start.
+	successes int
+	blocked   bool
+}
+
+func newModel(t *rapid.T) *model {
+	slots := rapid.IntRange(1, 5).Draw(t, "slots")
+	config := Config{QueueLimit: rapid.IntRange(0, 5).Draw(t, "queue"), Deadline: time.Second,
+		Limits: settings.Limits{Slots: slots, Connections: rapid.IntRange(1, 8).Draw(t, "connections"),
+			Cold: settings.Cold{Allowance: rapid.IntRange(1, slots).Draw(t, "allowance"), StepSuccesses: rapid.IntRange(1, 3).Draw(t, "step")}}}
+	s, err := New(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &model{t: t, s: s, config: config, deadline: map[WorkID]time.Duration{}, runs: map[WorkID]bool{},
+		carries: map[ConnID]Command{}, open: map[ConnID]bool{}, pending: map[WorkID]bool{}, started: map[WorkID]int{}}
+}
+
+// allowed is the most that may run at once.
+func (m *model) allowed() int {
+	l := m.config.Limits
+	ramp := min(l.Cold.Allowance+m.successes/l.Cold.StepSuccesses, l.Slots)
+	if m.grant.WarmOnly && ramp < l.Slots {
+		return 0
+	}
+	return min(ramp, m.grant.Slots(l))
+}
+
+func (m *model) apply(commands []Command) {
+	for _, c := range commands {
+		_, carrying := m.carries[c.Conn]
+		switch c.Action {
+		case Dispatch:
+			m.runs[c.Work] = true
+			m.started[c.Work]++
+			m.check(len(m.runs) <= m.allowed(), "%d run, %d are allowed", len(m.runs), m.allowed())
+			m.check(m.started[c.Work] == 1 && m.pending[c.Work], "work %d is dispatched again or after its end", c.Work)
+			m.check(m.now < m.deadline[c.Work], "work %d is dispatched after its deadline", c.Work)
+			m.check(!m.blocked, "work %d is dispatched while blocked", c.Work)
+			m.carry(c, carrying)
+		case Delete, Poll:
+			m.carry(c, carrying)
+		case Open:
+			m.open[c.Conn] = false
+			limit := m.grant.Connections(m.config.Limits)
+			m.check(len(m.open) <= limit, "%d connections are open, %d are allowed", len(m.open), limit)
+		case Close:
+			_, known := m.open[c.Conn]
+			m.check(known, "connection %d is closed twice", c.Conn)
+			delete(m.open, c.Conn)
+			delete(m.carries, c.Conn)
+		case Deliver, Fail:
+			m.check(m.pending[c.Work], "work %d ends twice", c.Work)
+			delete(m.pending, c.Work)
+			notRun := c.Action == Fail && c.Err.Run == result.RunNo
+			m.check(!notRun || !m.runs[c.Work], "work %d is said not to have run while it runs", c.Work)
+		}
+	}
+	if next, ok := m.s.Next(); ok {
+		m.check(next > m.now, "nothing changes by waiting from %v until %v", m.now, next)
+	}
+}
+
+func (m *model) carry(c Command, carrying bool) {
+	m.check(m.open[c.Conn] && !carrying, "connection %d is not free for %+v", c.Conn, c)
+	m.carries[c.Conn] = c
+}
+
+func (m *model) check(ok bool, format string, args ...any) {
+	if !ok {
+		m.t.Fatalf(format, args...)
+	}
+}
+
+func (m *model) chill() { m.successes = 0 }
+
+// draw picks a connection for which want holds, or skips the step.
+func (m *model) draw(t *rapid.T, want func(ConnID) bool) ConnID {
+	var ids []ConnID
+	for id := ConnID(1); id <= m.s.lastConn; id++ {
+		if _, ok := m.open[id]; ok && want(id) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		t.Skip("no such connection")
+	}
+	return rapid.SampledFrom(ids).Draw(t, "conn")
+}
+
+func (m *model) submit(t *rapid.T) {
+	m.lastWork++
+	m.deadline[m.lastWork] = m.now + time.Duration(rapid.IntRange(-5, 400).Draw(t, "deadline"))*time.Millisecond
+	m.pending[m.lastWork] = true
+	m.apply(m.s.Submit(m.now, m.lastWork, m.deadline[m.lastWork]))
+}
+
+// reply ends an exchange. The upstream is done with the work then.
+func (m *model) reply(t *rapid.T) {
+	id := m.draw(t, func(id ConnID) bool { _, ok := m.carries[id]; return ok })
+	c := m.carries[id]
+	o := Outcome{Kind: Succeeded, Latency: time.Duration(rapid.IntRange(1, 30).Draw(t, "latency")) * time.Millisecond,
+		Closed: rapid.IntRange(0, 9).Draw(t, "closed") == 0}
+	if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+		o.Kind = rapid.SampledFrom([]OutcomeKind{Failed, Shed, Refused, NotWritten}).Draw(t, "outcome")
+	}
+	if c.Action != Dispatch && o.Kind != Succeeded {
+		o.Kind = Failed
+	}
+	if c.Action == Poll {
+		o.Report = &Report{Load: rapid.SampledFrom([]float64{0, 2}).Draw(t, "load"), Draining: rapid.IntRange(0, 9).Draw(t, "draining") == 0}
+	}
+	delete(m.carries, id)
+	if c.Action == Dispatch || c.Action == Delete && o.Kind == Succeeded {
+		delete(m.runs, c.Work)
+	}
+	if c.Action == Dispatch && o.Kind == Succeeded && m.pending[c.Work] {
+		m.successes++
+	}
+	if o.Kind == Shed {
+		m.chill()
+	}
+	m.apply(m.s.Ended(m.now, id, o))
+}
+
+// breaks ends a connection. Work that was written to it may run on.
+func (m *model) breaks(t *rapid.T) {
+	id := m.draw(t, func(id ConnID) bool { return m.open[id] })
+	_, carrying := m.carries[id]
+	delete(m.open, id)
+	delete(m.carries, id)
+	m.chill()
+	if carrying {
+		m.apply(m.s.Ended(m.now, id, Outcome{Kind: Broken}))
+	} else {
+		m.apply(m.s.Lost(m.now, id))
+	}
+}
+
+func (m *model) dialled(t *rapid.T) {
+	id := m.draw(t, func(id ConnID) bool { return !m.open[id] })
+	if rapid.IntRange(0, 4).Draw(t, "fails") == 0 {
+		delete(m.open, id)
+		m.chill()
+		m.apply(m.s.OpenFailed(m.now, id))
+		return
+	}
+	m.open[id] = true
+	m.apply(m.s.Opened(m.now, id))
+}
+
+func (m *model) cancel(t *rapid.T) {
+	if m.lastWork > 0 {
+		m.apply(m.s.Cancel(m.now, WorkID(rapid.IntRange(1, int(m.lastWork)).Draw(t, "work"))))
+	}
+}
+
+func (m *model) setGrant(t *rapid.T) {
+	m.grant = assign.Grant{Share: assign.Share(rapid.IntRange(0, 3).Draw(t, "share")), WarmOnly: rapid.IntRange(0, 3).Draw(t, "warm") == 0}
+	m.apply(m.s.SetGrant(m.now, m.grant))
+}
+
+func (m *model) setLimits(t *rapid.T) {
+	m.config.Limits.Slots = rapid.IntRange(m.config.Limits.Cold.Allowance, 5).Draw(t, "slots")
+	m.config.Limits.Connections = rapid.IntRange(1, 8).Draw(t, "connections")
+	commands, err := m.s.SetConfig(m.now, m.config)
+	m.check(err == nil, "limits are refused: %v", err)
+	m.apply(commands)
+}
+
+func (m *model) block(t *rapid.T) {
+	if m.blocked = !m.blocked; m.blocked {
+		m.apply(m.s.Block(m.now, result.NotRun(result.DomainOut, "")))
+		return
+	}
+	m.chill()
+	m.apply(m.s.Unblock(m.now))
+}
+
+// pass lets time go by. The upstream gives work up soon after its deadline.
+func (m *model) pass(t *rapid.T) {
+	m.now += time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond
+	for id := range m.runs {
+		if m.now >= m.deadline[id]+Guard {
+			delete(m.runs, id)
+		}
+	}
+	m.apply(m.s.Tick(m.now))
+}
+
+// TestLimitsHold guards against more running work, connections or cold-start
+// work than allowed under any order of events, against work that runs twice or
+// ends twice, and against a second exchange on a connection that owes a reply.
+func TestLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		m.grant = assign.Grant{Share: assign.ShareFull}
+		m.apply(m.s.SetGrant(m.now, m.grant))
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": m.submit, "submit again": m.submit, "submit more": m.submit,
+			"reply": m.reply, "reply again": m.reply, "dialled": m.dialled, "dialled again": m.dialled,
+			"breaks": m.breaks, "cancel": m.cancel, "grant": m.setGrant, "limits": m.setLimits,
+			"block": m.block, "pass": m.pass,
+		})
+	})
+}
--- a/slot/searcher.go
+++ b/slot/searcher.go
@@ -249,8 +249,8 @@
 
 // settle applies what time alone has changed.
 func (s *Searcher) settle(now time.Duration) {
-	s.endGuarded(now)
 	s.expireRunning(now)
+	s.endGuarded(now)
 	s.expireConnections(now)
 	s.refuseQueue(now)
 }
