--- a/slot/searcher_test.go
+++ b/slot/searcher_test.go
@@ -215,26 +215,79 @@
 func TestSilentConnection(t *testing.T) {
 	d := newDriver(t)
 	d.warm(t)
-	_, quiet, _ := d.submit(time.Second)
-	_, sibling, _ := d.submit(time.Second)
-	d.do(d.Ended(d.now, sibling, Outcome{Kind: Succeeded, Latency: 10 * ms}))
-	d.do(d.Cancel(d.now, d.next-1)) // DELETE is answered on another connection
+	quietWork, quiet, _ := d.submit(time.Second)
+	var siblings []ConnID
+	for range 2 {
+		_, conn, _ := d.submit(time.Second)
+		siblings = append(siblings, conn)
+	}
+	for _, conn := range siblings {
+		d.do(d.Ended(d.now, conn, Outcome{Kind: Succeeded, Latency: 10 * ms}))
+	}
+	d.do(d.Cancel(d.now, quietWork)) // DELETE is answered on another connection
 	qt.Assert(t, d.State(d.now).Running, qt.Equals, 0)
 	qt.Assert(t, d.has(Close, quiet), qt.IsFalse)
 	d.log = nil
 	for _, c := range d.conns {
-		d.silent[c.id] = c.id != quiet // the siblings are silent as well
+		d.silent[c.id] = true
 	}
 	d.now += silenceBound
 	d.do(d.Tick(d.now))
 	qt.Assert(t, d.has(Close, quiet), qt.IsTrue)
-	qt.Assert(t, d.has(Poll, sibling), qt.IsTrue)
-	_, conn, err := d.submit(time.Second)
-	qt.Assert(t, err == nil, qt.IsTrue, qt.Commentf("%v", err))
-	qt.Assert(t, conn, qt.Not(qt.Equals), sibling)
+	for range 2 {
+		_, conn, err := d.submit(time.Second)
+		qt.Assert(t, err == nil, qt.IsTrue)
+		qt.Assert(t, siblings, qt.Not(qt.Contains), conn)
+	}
+	for _, conn := range siblings {
+		qt.Assert(t, d.has(Poll, conn), qt.IsTrue)
+	}
 	d.now += silenceBound
 	d.do(d.Tick(d.now))
-	qt.Assert(t, d.has(Close, sibling), qt.IsTrue)
+	for _, conn := range siblings {
+		qt.Assert(t, d.has(Close, conn), qt.IsTrue)
+	}
+}
+
+// TestTurnsCold guards against full slots being used after a sign that the
+// upstream may have restarted or has too much work.
+func TestTurnsCold(t *testing.T) {
+	signs := map[string]func(d *driver, conn ConnID) []Command{
+		"connection broken":    func(d *driver, c ConnID) []Command { return d.Ended(d.now, c, Outcome{Kind: Broken}) },
+		"stale connection":     func(d *driver, c ConnID) []Command { return d.Ended(d.now, c, Outcome{Kind: NotWritten, Closed: true}) },
+		"shed":                 func(d *driver, c ConnID) []Command { return d.Ended(d.now, c, Outcome{Kind: Shed}) },
+		"idle connection lost": func(d *driver, _ ConnID) []Command { return d.Lost(d.now, d.idle().id) },
+		"dial failed": func(d *driver, _ ConnID) []Command {
+			d.open(d.now, false)
+			return d.OpenFailed(d.now, d.lastConn)
+		},
+		"back in service": func(d *driver, _ ConnID) []Command {
+			d.do(d.Block(d.now, result.NotRun(result.DomainOut, "")))
+			return d.Unblock(d.now)
+		},
+	}
+	for name, sign := range signs {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t)
+			d.warm(t)
+			_, conn, _ := d.submit(time.Second)
+			_, other, _ := d.submit(time.Second)
+			d.do(d.Ended(d.now, other, Outcome{Kind: Succeeded, Latency: 10 * ms}))
+			d.do(sign(d, conn))
+			qt.Assert(t, d.State(d.now).Cold, qt.IsTrue)
+			qt.Assert(t, d.State(d.now).Allowance, qt.Equals, 1)
+		})
+	}
+}
+
+// TestWarmOnlyGrant guards against a dispatch to a cold searcher under a grant
+// that admits only warm ones.
+func TestWarmOnlyGrant(t *testing.T) {
+	d := newDriver(t)
+	d.do(d.SetGrant(d.now, assign.Grant{Share: assign.ShareFull, WarmOnly: true}))
+	_, _, err := d.submit(time.Second)
+	qt.Assert(t, err != nil, qt.IsTrue)
+	qt.Assert(t, err.Code, qt.Equals, result.NoRight)
 }
 
 // TestShrunkGrantOnlyDrains guards against work running above a shrunk grant
