Don't trust a DELETE that may have overtaken its work

A DELETE on another connection can arrive before the request it cancels and is then answered as for work that never existed; the cancellation storm showed 5 requests running in 3 slots. Its answer now counts only if it was sent 250 ms or more after the dispatch; an earlier one is repeated.

--- a/broker/fake_test.go
+++ b/broker/fake_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -17,13 +18,15 @@
 // behaviour is what a fake searcher does with one request for work.
 type behaviour struct {
 	// hold keeps the work running until it is closed or the work is cancelled.
-	hold chan struct{}
+	hold <-chan struct{}
 	// workID replaces the work id of the reply.
 	workID string
 	status int
 	// breaks closes the connection after the request was read, and mute leaves
 	// it open without a reply.
 	breaks, mute bool
+	// stubborn work runs on when it is cancelled.
+	stubborn bool
 	// copies is how many times more the reply is sent.
 	copies int
 }
@@ -43,6 +46,7 @@
 	mostOpen int
 	deletes  int
 	polls    int
+	closed   int
 	works    map[string]*fakeWork
 	conns    map[net.Conn]bool
 }
@@ -76,6 +80,13 @@
 	return value(f)
 }
 
+// script replaces the behaviour and starts counting running work anew.
+func (f *fake) script(behave func(n int, path string) behaviour) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.behave, f.most = behave, 0
+}
+
 // breakAll ends all connections, as a restart does.
 func (f *fake) breakAll() {
 	f.mu.Lock()
@@ -95,6 +106,7 @@
 		f.mu.Lock()
 		delete(f.conns, c)
 		f.open--
+		f.closed++
 		f.mu.Unlock()
 		_ = c.Close()
 	}()
@@ -170,17 +182,24 @@
 		_ = c.Close()
 	}
 	if b.hold != nil {
+		cancel := w.cancel
+		if b.stubborn {
+			cancel = nil
+		}
 		select {
 		case <-b.hold:
-		case <-w.cancel:
+		case <-cancel:
 		}
 	}
 	f.mu.Lock()
 	f.running--
 	close(w.done)
 	f.mu.Unlock()
+	if b.mute {
+		_, _ = io.Copy(io.Discard, c) // until the broker gives the connection up
+	}
 	if b.breaks || b.mute {
-		return !b.breaks
+		return false
 	}
 	if b.workID != "" {
 		id = b.workID
--- a/slot/conns.go
+++ b/slot/conns.go
@@ -133,7 +133,7 @@
 	if s.unreachable && now < s.redialAt {
 		return
 	}
-	wanted := min(len(s.queue), max(0, s.slots()-len(s.works))) + s.unsentDeletes()
+	wanted := min(len(s.queue), max(0, s.slots()-len(s.works))) + s.unsentDeletes(now)
 	if s.pollDue(now) {
 		wanted++
 	}
@@ -145,19 +145,23 @@
 	}
 }
 
-func (s *Searcher) unsentDeletes() int {
+func (s *Searcher) unsentDeletes(now time.Duration) int {
 	n := 0
 	for _, w := range s.works {
-		if w.abandoned && !w.deleteSent {
+		if w.deleteDue(now) {
 			n++
 		}
 	}
 	return n
 }
 
+func (w *work) deleteDue(now time.Duration) bool {
+	return w.abandoned && !w.deleteSent && now >= w.deleteAt
+}
+
 func (s *Searcher) sendDeletes(now time.Duration) {
 	for _, w := range s.works {
-		if !w.abandoned || w.deleteSent {
+		if !w.deleteDue(now) {
 			continue
 		}
 		c := s.idle()
@@ -320,16 +324,19 @@
 }
 
 func (s *Searcher) deleteEnded(now time.Duration, c *conn, o Outcome) {
-	w := s.work(c.work)
-	id := c.work
+	w, sent := s.work(c.work), c.since
 	if o.Kind == Broken || o.Kind == NotWritten {
 		s.lose(now, c)
 		return
 	}
 	s.release(now, c, o)
-	if o.Kind == Succeeded && w != nil {
-		s.remove(id)
-		s.awaitReply(now, id)
+	switch {
+	case w == nil || o.Kind != Succeeded:
+	case sent < w.dispatched+deliveryBound:
+		w.deleteSent, w.deleteAt = false, w.dispatched+deliveryBound
+	default:
+		s.remove(w.id)
+		s.awaitReply(now, w.id)
 	}
 }
 
--- a/slot/property_test.go
+++ b/slot/property_test.go
@@ -26,6 +26,8 @@
 	open     map[ConnID]bool // false while dialling
 	pending  map[WorkID]bool // without Deliver or Fail
 	started  map[WorkID]int  // how often dispatched
+	sent     map[WorkID]time.Duration
+	deleted  map[WorkID]time.Duration // when the last DELETE was sent
 	// successes counts evidence since the last sign of a cold start.
 	successes int
 	blocked   bool
@@ -41,7 +43,8 @@
 		t.Fatal(err)
 	}
 	return &model{t: t, s: s, config: config, deadline: map[WorkID]time.Duration{}, runs: map[WorkID]bool{},
-		carries: map[ConnID]Command{}, open: map[ConnID]bool{}, pending: map[WorkID]bool{}, started: map[WorkID]int{}}
+		carries: map[ConnID]Command{}, open: map[ConnID]bool{}, pending: map[WorkID]bool{}, started: map[WorkID]int{},
+		sent: map[WorkID]time.Duration{}, deleted: map[WorkID]time.Duration{}}
 }
 
 // allowed is the most that may run at once.
@@ -59,7 +62,7 @@
 		_, carrying := m.carries[c.Conn]
 		switch c.Action {
 		case Dispatch:
-			m.runs[c.Work] = true
+			m.runs[c.Work], m.sent[c.Work] = true, m.now
 			m.started[c.Work]++
 			m.check(len(m.runs) <= m.allowed(), "%d run, %d are allowed", len(m.runs), m.allowed())
 			m.check(m.started[c.Work] == 1 && m.pending[c.Work], "work %d is dispatched again or after its end", c.Work)
@@ -67,6 +70,7 @@
 			m.check(!m.blocked, "work %d is dispatched while blocked", c.Work)
 			m.carry(c, carrying)
 		case Delete, Poll:
+			m.deleted[c.Work] = m.now
 			m.carry(c, carrying)
 		case Open:
 			m.open[c.Conn] = false
@@ -139,7 +143,8 @@
 		o.Report = &Report{Load: rapid.SampledFrom([]float64{0, 2}).Draw(t, "load"), Draining: rapid.IntRange(0, 9).Draw(t, "draining") == 0}
 	}
 	delete(m.carries, id)
-	if c.Action == Dispatch || c.Action == Delete && o.Kind == Succeeded {
+	overtaken := m.deleted[c.Work] < m.sent[c.Work]+deliveryBound && rapid.Bool().Draw(t, "overtaken")
+	if c.Action == Dispatch || c.Action == Delete && o.Kind == Succeeded && !overtaken {
 		delete(m.runs, c.Work)
 	}
 	if c.Action == Dispatch && o.Kind == Succeeded && m.pending[c.Work] {
--- a/slot/searcher.go
+++ b/slot/searcher.go
@@ -19,6 +19,11 @@
 	// the slots when nothing else is known of it. It covers the difference of
 	// the clocks and the time the upstream takes to notice the deadline.
 	Guard = 250 * time.Millisecond
+	// deliveryBound is how long after its dispatch a request is taken to be still
+	// under way. A DELETE on another connection may overtake it and be answered
+	// as for work that never existed, so that an answer to a DELETE sent earlier
+	// proves nothing.
+	deliveryBound = 250 * time.Millisecond
 	// silenceBound is how long a connection may stay without the reply of work
 	// that has ended, or without the answer to a short exchange.
 	silenceBound = 300 * time.Millisecond
@@ -66,12 +71,15 @@
 
 // work is known to the upstream, or may be.
 type work struct {
-	id        WorkID
-	deadline  time.Duration
-	step      uint64
-	abandoned bool
+	id         WorkID
+	deadline   time.Duration
+	dispatched time.Duration
+	step       uint64
+	abandoned  bool
 	// deleteSent says that a DELETE is under way or was answered.
 	deleteSent bool
+	// deleteAt is when the next DELETE may be sent.
+	deleteAt time.Duration
 }
 
 // Searcher is the state machine. It is not safe for concurrent use. The
@@ -319,7 +327,7 @@
 		}
 		head := s.queue[0]
 		s.queue = s.queue[1:]
-		s.works = append(s.works, &work{id: head.id, deadline: head.deadline, step: s.ramp.step})
+		s.works = append(s.works, &work{id: head.id, deadline: head.deadline, dispatched: now, step: s.ramp.step})
 		c.state, c.work, c.since = busy, head.id, now
 		s.emit(Command{Action: Dispatch, Work: head.id, Conn: c.id})
 		s.refuseQueue(now)
@@ -402,6 +410,9 @@
 	for _, w := range s.works {
 		if w.abandoned {
 			consider(w.deadline + Guard)
+			if !w.deleteSent && w.deleteAt > s.now {
+				consider(w.deleteAt)
+			}
 		} else {
 			consider(w.deadline)
 		}
--- a/slot/searcher_test.go
+++ b/slot/searcher_test.go
@@ -225,6 +225,9 @@
 		d.do(d.Ended(d.now, conn, Outcome{Kind: Succeeded, Latency: 10 * ms}))
 	}
 	d.do(d.Cancel(d.now, quietWork)) // DELETE is answered on another connection
+	qt.Assert(t, d.State(d.now).Running, qt.Equals, 1)
+	d.now += deliveryBound
+	d.do(d.Tick(d.now))
 	qt.Assert(t, d.State(d.now).Running, qt.Equals, 0)
 	qt.Assert(t, d.has(Close, quiet), qt.IsFalse)
 	d.log = nil
