--- a/broker/broker.go
+++ b/broker/broker.go
@@ -77,6 +77,8 @@
 	config  Config
 	metrics *metrics
 	changes *broadcast
+	// ended receives after an owner has ended, so that it is forgotten.
+	ended chan struct{}
 
 	running sync.WaitGroup
 
@@ -94,6 +96,7 @@
 	b := &Broker{
 		config:  config,
 		changes: newBroadcast(),
+		ended:   make(chan struct{}, 1),
 		owners:  make(map[string]*owner),
 		taken:   make(map[string]taken),
 	}
@@ -116,6 +119,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-changed:
+		case <-b.ended:
 		case <-ticker.C:
 		}
 	}
--- a/broker/owner.go
+++ b/broker/owner.go
@@ -172,6 +172,10 @@
 		in(math.MaxInt64)
 	}
 	o.broker.changes.notify()
+	select {
+	case o.broker.ended <- struct{}{}:
+	default:
+	}
 }
 
 func (o *owner) ended() bool {
--- a/slot/conns.go
+++ b/slot/conns.go
@@ -23,6 +23,8 @@
 	reading
 	// untested has to answer a reading before anything else is sent on it.
 	untested
+	// closing was closed here and counts as open for a little longer.
+	closing
 )
 
 type conn struct {
@@ -77,9 +79,6 @@
 // rest show by their age that they are spare.
 func (s *Searcher) idle() *conn {
 	var best *conn
-	if len(s.conns) > s.connections() {
-		return nil
-	}
 	for _, c := range s.conns {
 		if c.state == idle && (best == nil || c.since > best.since) {
 			best = c
@@ -90,7 +89,7 @@
 
 func (s *Searcher) conn(id ConnID) *conn {
 	for _, c := range s.conns {
-		if c.id == id {
+		if c.id == id && c.state != closing {
 			return c
 		}
 	}
@@ -106,8 +105,8 @@
 	}
 }
 
-func (s *Searcher) closeConn(c *conn) {
-	s.forget(c.id)
+func (s *Searcher) closeConn(now time.Duration, c *conn) {
+	c.state, c.since, c.suspect, c.page = closing, now, false, false
 	s.emit(Command{Action: Close, Conn: c.id})
 }
 
@@ -118,13 +117,13 @@
 }
 
 // trim closes spare connections above the limit. Those in use are left to end.
-func (s *Searcher) trim() {
-	for i := 0; i < len(s.conns) && len(s.conns) > s.connections(); {
-		if c := s.conns[i]; c.state == idle || c.state == untested {
-			s.closeConn(c)
-			continue
+func (s *Searcher) trim(now time.Duration) {
+	excess := len(s.conns) - s.count(closing) - s.connections()
+	for _, c := range s.conns {
+		if excess > 0 && (c.state == idle || c.state == untested) {
+			s.closeConn(now, c)
+			excess--
 		}
-		i++
 	}
 }
 
@@ -382,7 +381,7 @@
 // release makes a connection ready for its next exchange.
 func (s *Searcher) release(now time.Duration, c *conn, o Outcome) {
 	if o.Closed {
-		s.closeConn(c)
+		s.closeConn(now, c)
 		if o.Kind == NotWritten {
 			// The connection broke while it was idle.
 			s.ramp.chill(s.config.Limits)
@@ -401,6 +400,8 @@
 	switch c.state {
 	case awaiting, reading, dialing:
 		return c.since + silenceBound, true
+	case closing:
+		return c.since + closeLinger, true
 	case deleting:
 		if w := s.work(c.work); w != nil {
 			return w.deadline + Guard + silenceBound, true
@@ -413,7 +414,7 @@
 
 func (s *Searcher) expireConnections(now time.Duration) {
 	for _, c := range append([]*conn(nil), s.conns...) {
-		if bound, ok := s.bound(c); ok && now >= bound && s.conn(c.id) != nil {
+		if bound, ok := s.bound(c); ok && now >= bound {
 			s.silent(now, c)
 		}
 	}
@@ -422,12 +423,16 @@
 // silent handles a connection that made no progress within its bound.
 func (s *Searcher) silent(now time.Duration, c *conn) {
 	switch {
+	case c.state == closing:
+		s.forget(c.id)
 	case c.state == dialing || c.probe:
-		s.closeConn(c)
+		probe := c.probe
+		c.probe = false
+		s.closeConn(now, c)
 		s.unreachable = true
 		s.redialAt = now + redialDelay
 		s.ramp.chill(s.config.Limits)
-		if c.probe {
+		if probe {
 			s.resolve(now, false)
 		}
 	case len(s.conns) < s.connections():
@@ -437,7 +442,7 @@
 		}
 	default:
 		// No connection is left for a probe, so the silent one makes room.
-		s.closeConn(c)
+		s.closeConn(now, c)
 		s.retest()
 	}
 }
@@ -457,7 +462,7 @@
 func (s *Searcher) resolve(now time.Duration, answered bool) {
 	for _, c := range append([]*conn(nil), s.conns...) {
 		if c.suspect {
-			s.closeConn(c)
+			s.closeConn(now, c)
 		}
 	}
 	if answered {
--- a/slot/searcher.go
+++ b/slot/searcher.go
@@ -27,6 +27,9 @@
 	// silenceBound is how long a connection may stay without the reply of work
 	// that has ended, or without the answer to a short exchange.
 	silenceBound = 300 * time.Millisecond
+	// closeLinger is how long a connection closed here still counts, because the
+	// upstream notices the end of it later than the start of the next.
+	closeLinger = 20 * time.Millisecond
 	// pollInterval is the time between readings of the state page.
 	pollInterval = 250 * time.Millisecond
 	// redialDelay keeps an upstream that is down from being dialled in a loop.
@@ -266,7 +269,7 @@
 func (s *Searcher) finish(now time.Duration) []Command {
 	s.now = now
 	s.settle(now)
-	s.trim()
+	s.trim(now)
 	s.dispatch(now)
 	s.sendDeletes(now)
 	s.poll(now)
--- /dev/null
+++ b/upstream/conn_test.go
@@ -0,0 +1,159 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+)
+
+// pair returns a connection and the searcher's end of it.
+func pair(t *testing.T) (*Conn, net.Conn) {
+	t.Helper()
+	near, far := net.Pipe()
+	c := newConn(near)
+	t.Cleanup(func() { c.Close(); _ = far.Close() })
+	return c, far
+}
+
+// answer reads a request and writes raw bytes.
+func answer(far net.Conn, raw string) {
+	if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+		_, _ = io.WriteString(far, raw)
+	}
+}
+
+func response(status int, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d x\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+}
+
+func requests(t *testing.T) map[string]*Request {
+	t.Helper()
+	d := Deadline{Remaining: time.Second, UnixMs: 1}
+	search, err1 := NewSearch("127.0.0.1:1", "w", d, Search{Index: "x"})
+	run, err2 := NewRun("127.0.0.1:1", "w", d, Run{Key: "k"})
+	remove, err3 := NewDelete("127.0.0.1:1", "w")
+	page, err4 := NewState("127.0.0.1:1")
+	for _, err := range []error{err1, err2, err3, err4} {
+		qt.Assert(t, err, qt.IsNil)
+	}
+	return map[string]*Request{"search": search, "run": run, "delete": remove, "state": page}
+}
+
+// TestReplies guards against a reply that is not valid, too large or for other
+// work being taken for the answer.
+func TestReplies(t *testing.T) {
+	const id = `{"work_id":"w"}`
+	for _, c := range []struct {
+		name, request, raw string
+		status             int // zero for an error
+	}{
+		{"answer", "search", response(200, "", id), 200},
+		{"chunked answer", "search", "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + id + "\r\n0\r\n\r\n", 200},
+		{"other work", "search", response(200, "", `{"work_id":"v"}`), 0},
+		{"no work", "search", response(200, "", `{}`), 0},
+		{"header of other work", "search", response(429, "Wharf-Work-Id: v\r\n", ""), 0},
+		{"header and body differ", "search", response(200, "Wharf-Work-Id: v\r\n", id), 0},
+		{"refusal", "search", response(429, "", ""), 429},
+		{"refusal of a booking", "run", response(429, "Wharf-Work-Id: w\r\n", ""), 429},
+		{"refusal that may be of another booking", "run", response(429, "", ""), 0},
+		{"answer in place of the end of other work", "delete", response(200, "", `{"work_id":"v"}`), 0},
+		{"answer in place of a state page", "state", response(200, "", id), 0},
+		{"state page", "state", response(200, "", `{"draining":false}`), 200},
+		{"not a state page", "state", response(200, "", `{}`), 0},
+		{"not JSON", "search", response(200, "Wharf-Work-Id: w\r\n", "<html>"), 0},
+		{"not HTTP", "search", "SSH-2.0-x\r\n\r\n", 0},
+		{"interim status", "search", "HTTP/1.1 100 Continue\r\n\r\n", 0},
+		{"cut off", "search", "HTTP/1.1 200 x\r\nContent-Length: 90\r\n\r\n" + id, 0},
+		{"large body", "search", response(200, "", `{"work_id":"w","body":"`+strings.Repeat("x", maxBodyBytes)+`"}`), 0},
+		{"endless header", "search", "HTTP/1.1 200 x\r\nA: " + strings.Repeat("x", maxReplyBytes+1), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn, far := pair(t)
+			go func() {
+				answer(far, c.raw)
+				if c.name == "cut off" {
+					_ = far.Close()
+				}
+			}()
+			reply, err := conn.Exchange(requests(t)[c.request])
+			if c.status == 0 {
+				qt.Assert(t, err, qt.IsNotNil)
+				qt.Assert(t, errors.Is(err, ErrNotWritten), qt.IsFalse)
+				<-conn.Done()
+				return
+			}
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, reply.Status, qt.Equals, c.status)
+		})
+	}
+}
+
+// TestWrittenOrNot guards against a request that may have been received being
+// reported as never written, and the reverse.
+func TestWrittenOrNot(t *testing.T) {
+	t.Run("broken before the write", func(t *testing.T) {
+		conn, far := pair(t)
+		_ = far.Close()
+		<-conn.Done()
+		_, err := conn.Exchange(requests(t)["run"])
+		qt.Assert(t, errors.Is(err, ErrNotWritten), qt.IsTrue)
+	})
+	t.Run("broken after a part of the write", func(t *testing.T) {
+		conn, far := pair(t)
+		go func() {
+			_, _ = far.Read(make([]byte, 10))
+			_ = far.Close()
+		}()
+		_, err := conn.Exchange(requests(t)["run"])
+		qt.Assert(t, err, qt.IsNotNil)
+		qt.Assert(t, errors.Is(err, ErrNotWritten), qt.IsFalse)
+	})
+	t.Run("broken after the write", func(t *testing.T) {
+		conn, far := pair(t)
+		go func() {
+			answer(far, "")
+			_ = far.Close()
+		}()
+		_, err := conn.Exchange(requests(t)["run"])
+		qt.Assert(t, err, qt.IsNotNil)
+		qt.Assert(t, errors.Is(err, ErrNotWritten), qt.IsFalse)
+	})
+	t.Run("a reply came that nobody asked for", func(t *testing.T) {
+		conn, far := pair(t)
+		_, _ = io.WriteString(far, "H")
+		<-conn.Done()
+		_, err := conn.Exchange(requests(t)["run"])
+		qt.Assert(t, errors.Is(err, ErrNotWritten), qt.IsTrue)
+	})
+}
+
+// TestAnyBytes guards against a crash on what a broken upstream may send.
+func TestAnyBytes(t *testing.T) {
+	all := requests(t)
+	rapid.Check(t, func(r *rapid.T) {
+		conn, far := pair(t)
+		defer conn.Close()
+		kind := rapid.SampledFrom([]string{"search", "run", "delete", "state"}).Draw(r, "kind")
+		raw := string(rapid.SliceOf(rapid.Byte()).Draw(r, "raw"))
+		if rapid.Bool().Draw(r, "framed") {
+			raw = response(rapid.IntRange(0, 999).Draw(r, "status"), "", raw)
+		}
+		go func() {
+			answer(far, raw)
+			_ = far.Close()
+		}()
+		reply, err := conn.Exchange(all[kind])
+		if err == nil && reply.Status == http.StatusOK && kind != "delete" {
+			r.Fatalf("%q is taken for an answer", raw)
+		}
+	})
+}
