--- a/slot/searcher.go
+++ b/slot/searcher.go
@@ -19,9 +19,17 @@
 	// the slots when nothing else is known of it. It covers the difference of
 	// the clocks and the time the upstream takes to notice the deadline.
 	Guard = 250 * time.Millisecond
+	// deliveryBound is how long after its dispatch a request is taken to be still
+	// under way. A DELETE on another connection may overtake it and be answered
+	// as for work that never existed, so that an answer to a DELETE sent earlier
+	// proves nothing.
+	deliveryBound = 250 * time.Millisecond
 	// silenceBound is how long a connection may stay without the reply of work
 	// that has ended, or without the answer to a short exchange.
 	silenceBound = 300 * time.Millisecond
+	// closeLinger is how long a connection closed here still counts, because the
+	// upstream notices the end of it later than the start of the next.
+	closeLinger = 20 * time.Millisecond
 	// pollInterval is the time between readings of the state page.
 	pollInterval = 250 * time.Millisecond
 	// redialDelay keeps an upstream that is down from being dialled in a loop.
@@ -66,12 +74,15 @@
 
 // work is known to the upstream, or may be.
 type work struct {
-	id        WorkID
-	deadline  time.Duration
-	step      uint64
-	abandoned bool
+	id         WorkID
+	deadline   time.Duration
+	dispatched time.Duration
+	step       uint64
+	abandoned  bool
 	// deleteSent says that a DELETE is under way or was answered.
 	deleteSent bool
+	// deleteAt is when the next DELETE may be sent.
+	deleteAt time.Duration
 }
 
 // Searcher is the state machine. It is not safe for concurrent use. The
@@ -249,8 +260,8 @@
 
 // settle applies what time alone has changed.
 func (s *Searcher) settle(now time.Duration) {
-	s.endGuarded(now)
 	s.expireRunning(now)
+	s.endGuarded(now)
 	s.expireConnections(now)
 	s.refuseQueue(now)
 }
@@ -258,7 +269,7 @@
 func (s *Searcher) finish(now time.Duration) []Command {
 	s.now = now
 	s.settle(now)
-	s.trim()
+	s.trim(now)
 	s.dispatch(now)
 	s.sendDeletes(now)
 	s.poll(now)
@@ -319,7 +330,7 @@
 		}
 		head := s.queue[0]
 		s.queue = s.queue[1:]
-		s.works = append(s.works, &work{id: head.id, deadline: head.deadline, step: s.ramp.step})
+		s.works = append(s.works, &work{id: head.id, deadline: head.deadline, dispatched: now, step: s.ramp.step})
 		c.state, c.work, c.since = busy, head.id, now
 		s.emit(Command{Action: Dispatch, Work: head.id, Conn: c.id})
 		s.refuseQueue(now)
@@ -402,6 +413,9 @@
 	for _, w := range s.works {
 		if w.abandoned {
 			consider(w.deadline + Guard)
+			if !w.deleteSent && w.deleteAt > s.now {
+				consider(w.deleteAt)
+			}
 		} else {
 			consider(w.deadline)
 		}
