control: record which confirmers all known epochs have in common

A departed member that knows an older epoch asks that epoch's confirmers. The reserve is safe for a successor only if one of those acknowledged.

--- a/control/types.go
+++ b/control/types.go
@@ -20,6 +20,9 @@
 	// Former are confirmers of earlier epochs that some member may still hold
 	// as its newest, and may therefore still ask.
 	Former []string `json:"former,omitempty"`
+	// Common are those that are confirmers of this epoch and of each earlier one
+	// that some member may still hold as its newest.
+	Common []string `json:"common"`
 	// Renewal rises with each renewal, so that a renewal is a change.
 	Renewal uint64 `json:"renewal"`
 }
@@ -42,9 +45,13 @@
 type Departed struct {
 	ID string `json:"id"`
 	// Epoch is the one that removed the member, Joined the one that added it.
-	Epoch      uint64   `json:"epoch"`
-	Joined     uint64   `json:"joined"`
+	Epoch  uint64 `json:"epoch"`
+	Joined uint64 `json:"joined"`
+	// Confirmers are all that the member may ask. Common are those that it asks
+	// whichever epoch it knows: unless one of them has acknowledged, it may still
+	// be confirmed by all.
 	Confirmers []string `json:"confirmers"`
+	Common     []string `json:"common"`
 	Acked      []string `json:"acked,omitempty"`
 }
 
