assign: give the reserve only after a common confirmer acknowledged

The model found a member at epoch 6, confirmed by all of that epoch, using 3 of 3 slots, while its successor used the reserve on the acknowledgement of a confirmer that only later epochs have. A planned leave that could not drain stays in the record.

--- a/assign/coordinate.go
+++ b/assign/coordinate.go
@@ -60,9 +60,13 @@
 	if changed || !slices.Equal(confirmers, previous.Confirmers) {
 		next.Epoch++
 		next.Former = union(previous.Former, previous.Confirmers)
+		next.Common = confirmers
+		if previous.Epoch > 0 {
+			next.Common = intersection(previous.Common, confirmers)
+		}
 		next.Confirmers = confirmers
 	} else if allKnow(next.Members, next.Epoch) {
-		next.Former = nil
+		next.Former, next.Common = nil, next.Confirmers
 	}
 	return next
 }
@@ -88,6 +92,7 @@
 			Epoch:      previous.Epoch + 1,
 			Joined:     m.Joined,
 			Confirmers: without(union(previous.Confirmers, previous.Former), m.ID),
+			Common:     without(previous.Common, m.ID),
 		})
 	}
 	next.Members = slices.DeleteFunc(next.Members, func(m control.Member) bool {
@@ -171,6 +176,10 @@
 	return slices.Compact(all)
 }
 
+func intersection(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(id string) bool { return !slices.Contains(b, id) })
+}
+
 func without(ids []string, id string) []string {
 	return slices.DeleteFunc(slices.Clone(ids), func(other string) bool { return other == id })
 }
--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -273,6 +273,8 @@
 	case p.gone && !member:
 		p.dead = true
 		return
+	case p.gone && m.anyBusy(p):
+		return
 	case p.gone:
 		self.Heard, self.Left = nil, []string{p.id}
 	case p.known.version == 0:
@@ -386,6 +388,10 @@
 	return most
 }
 
+func (m *model) anyBusy(p *process) bool {
+	return slices.ContainsFunc(modelSearchers, func(s string) bool { return m.busy(p, s) > 0 })
+}
+
 func (m *model) check(t *rapid.T) {
 	for _, s := range modelSearchers {
 		sum := 0
--- a/assign/takeover.go
+++ b/assign/takeover.go
@@ -211,24 +211,13 @@
 	if past(f.entry.ID) {
 		return ShareFull
 	}
-	others, acked := 0, 0
-	for _, c := range f.entry.Confirmers {
-		if c == f.entry.ID {
-			continue
-		}
-		others++
-		if past(c) {
-			acked++
-		}
-	}
-	switch {
-	case acked == others:
+	if !slices.ContainsFunc(f.entry.Confirmers, func(c string) bool { return !past(c) }) {
 		return ShareFull
-	case acked > 0:
+	}
+	if slices.ContainsFunc(f.entry.Common, past) {
 		return ShareReserve
-	default:
-		return ShareNone
 	}
+	return ShareNone
 }
 
 // Fenced returns the departed members that can hold no dispatch right any more.
--- a/member/handover.go
+++ b/member/handover.go
@@ -168,6 +168,11 @@
 		return nil
 	}
 	m.handAllOver(ctx)
+	if ctx.Err() != nil {
+		// Work may still run, so the record keeps naming this process and the
+		// next owners wait until it is over.
+		return errors.Annotate(ctx.Err(), "searchers not drained")
+	}
 	for {
 		left, err := m.leaveRecord(ctx)
 		if left {
