member, assign: bound watches and writes after an outage, keep the roster on a change of coordinator

A watch started at version zero would repeat every old revision. After an outage the coordinator may renew before others replace it. A new coordinator lists the processes of the former roster until it has heard them. Shares are planned once per record, as they are asked before each dispatch.

--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -75,7 +75,6 @@
 	processes []*process
 	cut       map[[2]string]bool
 	messages  []message
-	epochs    uint64
 }
 
 func newModel(seed uint64) *model {
@@ -450,12 +449,21 @@
 			p.dead = true
 		}
 	case 14:
-		p.offline, o.offline = true, true
-		m.cut[link(p.id, o.id)] = false
-		for _, other := range m.processes {
-			if other != p && other != o {
-				m.cut[link(p.id, other.id)], m.cut[link(o.id, other.id)] = true, true
-			}
+		m.isolate()
+	}
+}
+
+// isolate cuts a random group, which stays connected within, from the others
+// and from the platform. Its members may confirm each other an old epoch.
+func (m *model) isolate() {
+	inside := make(map[*process]bool)
+	for _, p := range m.processes {
+		inside[p] = m.random.IntN(2) == 0
+		p.offline = inside[p]
+	}
+	for _, a := range m.processes {
+		for _, b := range m.processes {
+			m.cut[link(a.id, b.id)] = inside[a] != inside[b]
 		}
 	}
 }
--- a/assign/takeover.go
+++ b/assign/takeover.go
@@ -21,6 +21,15 @@
 	fences map[string]*fence
 	// released holds the epoch at which a member released a searcher.
 	released map[string]map[string]uint64
+	// plans caches what does not depend on time, because Share is asked before
+	// each dispatch.
+	plans map[string]plan
+}
+
+// plan says whether the member owns a searcher and who may still use it.
+type plan struct {
+	owned        bool
+	predecessors []string
 }
 
 // fence follows one departed member.
@@ -37,6 +46,7 @@
 		terms:    terms,
 		fences:   make(map[string]*fence),
 		released: make(map[string]map[string]uint64),
+		plans:    make(map[string]plan),
 	}
 }
 
@@ -48,6 +58,7 @@
 		return
 	}
 	t.record = record
+	clear(t.plans)
 	if m, ok := record.Member(t.id); !ok {
 		t.origin, t.joined = nil, 0
 	} else if t.origin == nil || m.Joined != t.joined {
@@ -100,6 +111,7 @@
 		bySearcher = make(map[string]uint64)
 		t.released[from] = bySearcher
 	}
+	delete(t.plans, searcher)
 	bySearcher[searcher] = max(bySearcher[searcher], epoch)
 }
 
@@ -108,11 +120,17 @@
 	if t.origin == nil {
 		return ShareNone
 	}
-	if owner, _ := Owner(t.record.Members, searcher); owner.ID != t.id {
+	p, ok := t.plans[searcher]
+	if !ok {
+		owner, _ := Owner(t.record.Members, searcher)
+		p = plan{owned: owner.ID == t.id, predecessors: t.predecessors(searcher)}
+		t.plans[searcher] = p
+	}
+	if !p.owned {
 		return ShareNone
 	}
 	partly := 0
-	for _, id := range t.predecessors(searcher) {
+	for _, id := range p.predecessors {
 		f := t.fences[id]
 		if f == nil {
 			return ShareNone
--- a/member/coordinator.go
+++ b/member/coordinator.go
@@ -154,6 +154,9 @@
 	if !m.mayWrite(record) || !m.contact.open(m.config.Clock.Boottime()) {
 		return
 	}
+	if record.Coordinator != m.config.Self.ID && m.platformReturned(ctx) {
+		return
+	}
 	err := m.write(ctx, *record, version, m.change(record))
 	m.metrics.writes.WithLabelValues(outcome(err)).Inc()
 	if err != nil {
@@ -162,6 +165,22 @@
 	}
 }
 
+// platformReturned reads the record if the platform did not answer last time.
+// When it answers again, the coordinator gets half a lease to renew before
+// others replace it, so that not all members write at once after an outage.
+func (m *Member) platformReturned(ctx context.Context) bool {
+	if m.contact.reachable() {
+		return false
+	}
+	err := m.readRecord(ctx)
+	if answered(err) {
+		m.mu.Lock()
+		m.renewed = m.config.Clock.Boottime()
+		m.mu.Unlock()
+	}
+	return true
+}
+
 // mayWrite reports whether this process coordinates the domain, or may replace
 // a coordinator that has not renewed for half a lease.
 func (m *Member) mayWrite(record *control.Record) bool {
--- a/member/member.go
+++ b/member/member.go
@@ -250,9 +250,27 @@
 	t := m.config.Timing
 	m.detector = detect.New(detect.Timing{Silence: t.Silence, Removal: t.Removal})
 	m.heard = make(map[string]heartbeat)
+	m.followRoster(now)
 	m.config.Log.Info("coordinator changed", "domain", m.domain, "self", coordinating)
 }
 
+// followRoster keeps the processes of the former coordinator's roster listed
+// until they are heard or found lost. What is known of them renews no lease.
+func (m *Member) followRoster(now time.Duration) {
+	roster := m.config.State.View().Rosters[m.domain]
+	if !m.coordinating || roster == nil {
+		return
+	}
+	for _, i := range roster.Instances {
+		m.heard[i.ID] = heartbeat{at: now - m.config.Timing.Removal, Heartbeat: peer.Heartbeat{
+			ID: i.ID, Role: string(i.Role), Domain: i.FailureDomain,
+			PeerAddress: i.PeerAddress, CallerAddress: i.CallerAddress, OperatorAddress: i.OperatorAddress,
+			Leaving: i.State == control.Leaving, Revision: i.Revision,
+		}}
+		m.detector.Follow(i.ID, now)
+	}
+}
+
 func (m *Member) checkReady(leased bool) {
 	if m.config.State.View().Revision == 0 || m.isBroker() && !leased {
 		return
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -414,8 +414,10 @@
 		s.stale = true
 		s.objects[RevisionName(2)] = nil
 	})
-	c.Assert(a.read(context.Background(), prefixRevisions), qt.IsNil)
-	c.Assert(a.read(context.Background(), prefixDomains), qt.IsNil)
+	for _, prefix := range []string{prefixRevisions, prefixDomains} {
+		_, err := a.read(context.Background(), prefix)
+		c.Assert(err, qt.IsNil)
+	}
 	c.Assert(a.state.View().Revision, qt.Equals, uint64(2))
 	c.Assert(a.state.View().Records["x"].Renewal >= renewals, qt.IsTrue)
 }
--- a/member/platform.go
+++ b/member/platform.go
@@ -166,7 +166,7 @@
 		return
 	}
 	for _, prefix := range []string{prefixDomains, prefixOrders, prefixRevisions} {
-		if err := m.read(ctx, prefix); err != nil {
+		if _, err := m.read(ctx, prefix); err != nil {
 			m.config.Log.Debug("platform not read", "prefix", prefix, "error", err)
 			return
 		}
@@ -174,11 +174,16 @@
 }
 
 // read takes all objects with the prefix that may be newer than the known
-// state; of the settings only the newest revision.
-func (m *Member) read(ctx context.Context, prefix string) error {
+// state; of the settings only the newest revision. It returns the greatest
+// version listed.
+func (m *Member) read(ctx context.Context, prefix string) (uint64, error) {
 	objects, err := m.list(ctx, prefix)
 	if err != nil {
-		return err
+		return 0, err
+	}
+	var newest uint64
+	for _, object := range objects {
+		newest = max(newest, object.Version)
 	}
 	if prefix == prefixRevisions {
 		objects = newestRevision(objects)
@@ -189,11 +194,11 @@
 			continue
 		}
 		if err != nil {
-			return err
+			return 0, err
 		}
 		m.offerObject(full)
 	}
-	return nil
+	return newest, nil
 }
 
 // newestRevision returns the object with the greatest name, as revision numbers
@@ -226,7 +231,9 @@
 			return
 		}
 		if !current {
-			current = m.read(ctx, prefix) == nil
+			// A watch from the listed version on does not repeat old revisions.
+			newest, err := m.read(ctx, prefix)
+			after, current = max(after, newest), err == nil
 			return
 		}
 		ctx, cancel := context.WithTimeout(ctx, m.config.Timing.WatchCheck)
