--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -75,7 +75,6 @@
 	processes []*process
 	cut       map[[2]string]bool
 	messages  []message
-	epochs    uint64
 }
 
 func newModel(seed uint64) *model {
@@ -273,6 +272,8 @@
 	case p.gone && !member:
 		p.dead = true
 		return
+	case p.gone && m.anyBusy(p):
+		return
 	case p.gone:
 		self.Heard, self.Left = nil, []string{p.id}
 	case p.known.version == 0:
@@ -386,6 +387,10 @@
 	return most
 }
 
+func (m *model) anyBusy(p *process) bool {
+	return slices.ContainsFunc(modelSearchers, func(s string) bool { return m.busy(p, s) > 0 })
+}
+
 func (m *model) check(t *rapid.T) {
 	for _, s := range modelSearchers {
 		sum := 0
@@ -444,12 +449,21 @@
 			p.dead = true
 		}
 	case 14:
-		p.offline, o.offline = true, true
-		m.cut[link(p.id, o.id)] = false
-		for _, other := range m.processes {
-			if other != p && other != o {
-				m.cut[link(p.id, other.id)], m.cut[link(o.id, other.id)] = true, true
-			}
+		m.isolate()
+	}
+}
+
+// isolate cuts a random group, which stays connected within, from the others
+// and from the platform. Its members may confirm each other an old epoch.
+func (m *model) isolate() {
+	inside := make(map[*process]bool)
+	for _, p := range m.processes {
+		inside[p] = m.random.IntN(2) == 0
+		p.offline = inside[p]
+	}
+	for _, a := range m.processes {
+		for _, b := range m.processes {
+			m.cut[link(a.id, b.id)] = inside[a] != inside[b]
 		}
 	}
 }
