--- a/internal/deployment/control.go
+++ b/internal/deployment/control.go
@@ -56,6 +56,11 @@
 	return d.get("http://" + d.platformControl + "/stats")
 }
 
+// Object returns an object of the platform.
+func (d *Deployment) Object(name string) (map[string]any, error) {
+	return d.get("http://" + d.platformAddress + "/objects/" + name)
+}
+
 // UpstreamControl changes the behaviour of searchers.
 func (d *Deployment) UpstreamControl(change map[string]any) error {
 	_, err := call(http.MethodPost, "http://"+d.upstreamControl+"/control", change)
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -304,14 +304,13 @@
 }
 
 func (d *Deployment) wharfctlArgs(name string, args []string) []string {
-	all := append([]string{}, args...)
-	all = append(all, "--platform="+d.platformAddress,
-		"--certificate="+d.path("certificates/"+name+".pem"),
-		"--key="+d.path("certificates/"+name+"-key.pem"), "--ca="+d.path("certificates/ca.pem"))
+	all := []string{"--platform=" + d.platformAddress,
+		"--certificate=" + d.path("certificates/"+name+".pem"),
+		"--key=" + d.path("certificates/"+name+"-key.pem"), "--ca=" + d.path("certificates/ca.pem")}
 	for _, i := range d.Instances {
 		all = append(all, "--operator-address="+i.BrokerOperatorAddress(), "--operator-address="+i.EntryOperatorAddress())
 	}
-	return all
+	return append(all, args...)
 }
 
 // Network is the beginning of all addresses of the deployment: three numbers
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -78,6 +78,7 @@
 	s.session = session
 	env.Values[scenarioKey{}] = s
 	env.Defer(s.end)
+	env.Setenv("PATH", binaries+string(os.PathListSeparator)+env.Getenv("PATH"))
 	return nil
 }
 
--- a/scenarios/words_test.go
+++ b/scenarios/words_test.go
@@ -19,7 +19,9 @@
 	changePattern      = regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}`)
 	digestPattern      = regexp.MustCompile(`\b[0-9a-f]{64}\b`)
 	incarnationPattern = regexp.MustCompile(`\b((?:broker|entry)-[a-z]+-\d+)[~#/@.-][0-9a-z]+\b`)
-	gapPattern         = regexp.MustCompile(`  +`)
+	// Which searchers a broker holds follows from its incarnation.
+	heldPattern = regexp.MustCompile(`\b\d+/\d+\b`)
+	gapPattern  = regexp.MustCompile(`  +`)
 )
 
 func newWords(network, dir string) *words {
@@ -32,6 +34,7 @@
 	text = timePattern.ReplaceAllString(text, "TIME")
 	text = digestPattern.ReplaceAllString(text, "DIGEST")
 	text = incarnationPattern.ReplaceAllString(text, "$1")
+	text = heldPattern.ReplaceAllString(text, "WARM/HELD")
 	text = changePattern.ReplaceAllStringFunc(text, func(id string) string {
 		if w.changes[id] == "" {
 			w.changes[id] = fmt.Sprintf("CHANGE-%d", len(w.changes)+1)
