--- a/admission/admission.go
+++ b/admission/admission.go
@@ -180,13 +180,13 @@
 
 // shareOf returns what the named child may run at once of the capacity.
 func (g *group) shareOf(now time.Duration, capacity float64, name string) float64 {
+	if now-g.rotated >= window {
+		g.rotate(now)
+	}
 	if g.children[name] == nil {
 		g.children[name] = &child{}
 		g.stale = true
 	}
-	if now-g.rotated >= window {
-		g.rotate(now)
-	}
 	if g.stale || now-g.shared >= shareEvery || capacity != g.capacity {
 		g.level = g.fill(capacity)
 		g.capacity, g.shared, g.stale = capacity, now, false
--- a/caller/server.go
+++ b/caller/server.go
@@ -19,6 +19,9 @@
 	readHeaderTimeout = 10 * time.Second
 	// bodyTimeout bounds a request whose body does not arrive.
 	bodyTimeout = 20 * time.Second
+	// idleTimeout is long, because a connection that the server closes while its
+	// caller writes the next request costs that request.
+	idleTimeout = 10 * time.Minute
 	// linger is how long an idle connection that is about to be closed is still
 	// read: a request that was on its way is served.
 	linger = 300 * time.Millisecond
@@ -48,6 +51,7 @@
 		Handler:           s.announce(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
 		ConnState:         s.track,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
@@ -188,34 +192,34 @@
 	}
 }
 
-// Read reads from the connection. When closeIfIdle woke it, it reads on for
-// linger and reports the end of the stream if nothing arrived.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+// took notes that n bytes were read and reports whether closeIfIdle woke the
+// read. Bytes that came with the wake end it: they are of a request.
+func (c *conn) took(n int) (woken bool) {
 	c.mu.Lock()
-	idle, woken := c.idle, c.closing
+	defer c.mu.Unlock()
+	woken = c.closing
 	if n > 0 {
 		c.idle = false
+		if c.closing {
+			c.closing = false
+			_ = c.SetReadDeadline(time.Now().Add(readHeaderTimeout))
+		}
 	}
-	c.mu.Unlock()
+	return woken
+}
+
+// Read reads from the connection. When closeIfIdle woke it, it reads on for
+// linger and reports the end of the stream if nothing arrived.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	woken := c.took(n)
 	if n > 0 || !woken || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
-	if !idle {
-		// The wake came after the first bytes of a request.
-		_ = c.SetReadDeadline(time.Now().Add(readHeaderTimeout))
-		return c.Conn.Read(p)
-	}
 	_ = c.SetReadDeadline(time.Now().Add(linger))
 	n, err = c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if n > 0 {
-		c.idle = false
-		_ = c.SetReadDeadline(time.Time{})
-		return n, err
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	c.took(n)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, io.EOF
 	}
 	return n, err
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -69,7 +69,12 @@
 		return lost(b, err, result.RunUnknown)
 	}
 	go b.sendCancels(ctx, stream)
-	for open := len(frame.Parts); open > 0; {
+	// A reply that came twice must not end the wait for another part.
+	open := make(map[uint32]bool, len(frame.Parts))
+	for _, p := range frame.Parts {
+		open[p.ID] = true
+	}
+	for len(open) > 0 {
 		var reply peer.PartReply
 		if err := stream.Receive(&reply); err != nil {
 			if ctx.Err() == nil {
@@ -77,8 +82,8 @@
 			}
 			return lost(b, err, result.RunUnknown)
 		}
-		if reply.QueryID == frame.QueryID && asks(frame, reply.PartID) {
-			open--
+		if reply.QueryID == frame.QueryID {
+			delete(open, reply.PartID)
 		}
 		q.post(event{batch: b, reply: &reply})
 	}
@@ -86,15 +91,6 @@
 	return nil
 }
 
-func asks(frame *peer.Batch, id uint32) bool {
-	for _, p := range frame.Parts {
-		if p.ID == id {
-			return true
-		}
-	}
-	return false
-}
-
 // lost returns the error of every part that a broken stream left open. A frame
 // that is too large for the protocol keeps its own code.
 func lost(b *batch, err error, run result.Run) *result.Error {
--- a/entry/book.go
+++ b/entry/book.go
@@ -89,15 +89,16 @@
 }
 
 // claimOwner returns the broker that owns the partition of a key, among those
-// not tried. Suspected brokers are asked last.
+// not tried. Brokers that are suspected, or whose status stream is lost, are
+// asked last: ownership is for efficiency only, so another may be asked.
 func (e *Entry) claimOwner(service, key string, tried map[string]bool) (control.Member, bool) {
 	view := e.config.State.View()
-	suspected := suspectedIn(view)
+	doubted := e.table.doubted(view)
 	var members, doubtful []control.Member
 	for _, m := range brokersIn(view) {
 		switch {
 		case tried[m.ID]:
-		case suspected[m.ID]:
+		case doubted(m.ID):
 			doubtful = append(doubtful, m)
 		default:
 			members = append(members, m)
--- a/entry/table.go
+++ b/entry/table.go
@@ -285,6 +285,17 @@
 	return suspected
 }
 
+// doubted returns a function that reports brokers that are suspected or whose
+// status stream is lost.
+func (t *table) doubted(view *control.View) func(id string) bool {
+	suspected := suspectedIn(view)
+	return func(id string) bool {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return suspected[id] || t.brokers[id] == nil
+	}
+}
+
 // choice asks for a replica of one shard.
 type choice struct {
 	view    *control.View
