Measure congestion by the half of a query's shards

The slowest of 10 to 48 shards is late because of a straggler more often than because of congestion, and each such query would cut the limit of its service. Before settings are established every path but /v1/ready is now refused with code 3101, also unknown ones.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -51,11 +51,11 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = h.fail
-	e.Use(h.identify)
+	e.Use(h.identify, h.requireReady)
 	e.GET("/v1/ready", h.ready)
-	e.GET("/v1/addresses", h.addresses, h.requireReady)
-	e.POST("/v1/search/:service", h.search, h.requireReady)
-	e.POST("/v1/book/:service", h.book, h.requireReady)
+	e.GET("/v1/addresses", h.addresses)
+	e.POST("/v1/search/:service", h.search)
+	e.POST("/v1/book/:service", h.book)
 	return e
 }
 
@@ -89,7 +89,7 @@
 	return id
 }
 
-// requireReady refuses requests until settings are established.
+// requireReady refuses requests on every path until settings are established.
 func (h *handler) requireReady(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if e := h.config.Engine.Ready(); e != nil {
@@ -100,9 +100,6 @@
 }
 
 func (h *handler) ready(c echo.Context) error {
-	if e := h.config.Engine.Ready(); e != nil {
-		return e
-	}
 	return c.JSON(http.StatusOK, map[string]bool{"ready": true})
 }
 
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -150,7 +150,7 @@
 // established, and against a panic of one request ending the process.
 func TestNotReady(t *testing.T) {
 	f := &fakeEngine{notReady: result.NotRun(result.SettingsUnknown, "platform is not reachable")}
-	for _, path := range []string{"/v1/search/desk", "/v1/book/orders"} {
+	for _, path := range []string{"/v1/search/desk", "/v1/book/orders", "/v2"} {
 		status, answer := post(t, f, path, `{}`)
 		qt.Assert(t, status, qt.Equals, 503)
 		qt.Assert(t, answer.Code, qt.Equals, result.SettingsUnknown)
--- a/entry/query.go
+++ b/entry/query.go
@@ -55,6 +55,8 @@
 	nextPart uint32
 	answered int
 	failed   int
+	// halfway is when half of the shards were answered.
+	halfway time.Duration
 
 	cancelled   bool
 	shortOfRoom bool
@@ -408,6 +410,9 @@
 	s := &q.shards[a.shard]
 	s.answered, s.body = true, body
 	q.answered++
+	if q.halfway == 0 && 2*q.answered >= len(q.shards) {
+		q.halfway = q.now()
+	}
 	if a.hedge {
 		q.entry.metrics.hedgesWon.WithLabelValues(q.service.Name).Inc()
 	}
--- a/entry/search.go
+++ b/entry/search.go
@@ -14,9 +14,10 @@
 const (
 	// answerMargin is kept from a deadline for gathering and sending the answer.
 	answerMargin = 2 * time.Millisecond
-	// congestedShare is the share of its deadline after which an answer counts as
-	// a sign of congestion: later ones leave little for stragglers.
-	congestedShare = 0.7
+	// congestedShare is the share of its deadline in which a query has half of
+	// its shards while its upstreams are not congested. The slowest shard would
+	// be no measure: it is a straggler more often than a sign of congestion.
+	congestedShare = 0.5
 )
 
 // Search runs one search. With an error, the answer is nil or carries the
@@ -76,11 +77,11 @@
 
 // outcome says what the query learned about the room at its upstreams.
 func (q *query) outcome() admission.Outcome {
-	took := q.now() - q.began
+	took := q.halfway - q.began
 	switch {
-	case q.cancelled:
+	case q.cancelled || q.pinned == nil:
 		return admission.Neutral
-	case q.shortOfRoom || float64(took) > congestedShare*float64(q.deadline-q.began):
+	case q.shortOfRoom || q.halfway == 0 || float64(took) > congestedShare*float64(q.deadline-q.began):
 		return admission.Congested
 	default:
 		return admission.Good
