--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -173,9 +173,9 @@
 	b := newBench(t, f.address(), 2)
 	reply := b.one("q", time.Second)
 	qt.Assert(t, reply.Code, qt.Equals, uint16(result.OK), qt.Commentf("%v", reply.Detail))
-	qt.Assert(t, reply.Body, qt.Equals, "answer to q<nil>")
+	qt.Assert(t, reply.Body, qt.Equals, `"answer to q"`)
 	qt.Assert(t, reply.Snapshot, qt.Equals, "s1")
 	run := b.run("k", time.Second)
 	qt.Assert(t, run.Code, qt.Equals, uint16(result.OK), qt.Commentf("%v", run.Detail))
-	qt.Assert(t, run.Body, qt.Equals, "answer to <nil>item")
+	qt.Assert(t, run.Body, qt.Equals, `"answer to item"`)
 }
--- a/broker/fake_test.go
+++ b/broker/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -204,7 +205,7 @@
 	if b.workID != "" {
 		id = b.workID
 	}
-	body["work_id"], body["body"] = id, fmt.Sprint("answer to ", body["query"], body["item"])
+	body["work_id"], body["body"] = id, fmt.Sprint("answer to ", cmp.Or(body["query"], body["item"]))
 	if b.status == 0 {
 		b.status = http.StatusOK
 	}
--- a/broker/faults_test.go
+++ b/broker/faults_test.go
@@ -99,7 +99,7 @@
 		}
 		answered.Add(1)
 		qt.Check(t, reply.QueryID, qt.Equals, query)
-		qt.Check(t, reply.Body, qt.Equals, "answer to "+query+"<nil>")
+		qt.Check(t, reply.Body, qt.Equals, `"answer to `+query+`"`)
 	})
 	qt.Assert(t, answered.Load() > 0, qt.IsTrue)
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -19,9 +19,12 @@
 	readHeaderTimeout = 10 * time.Second
 	// bodyTimeout bounds a request whose body does not arrive.
 	bodyTimeout = 20 * time.Second
-	// linger is how long an idle connection that is about to be closed is still
+	// idleTimeout is long, because a connection that the server closes while its
+	// caller writes the next request costs that request.
+	idleTimeout = 10 * time.Minute
+	// defaultLinger is how long an idle connection that is about to be closed is still
 	// read: a request that was on its way is served.
-	linger = 300 * time.Millisecond
+	defaultLinger = 300 * time.Millisecond
 	// drainPoll is how often the stop looks for connections that became idle.
 	drainPoll = 20 * time.Millisecond
 )
@@ -31,6 +34,7 @@
 	http     *http.Server
 	listener net.Listener
 	log      *slog.Logger
+	linger   time.Duration
 	stopping atomic.Bool
 
 	mu    sync.Mutex
@@ -43,11 +47,12 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen on %q", address)
 	}
-	s := &Server{listener: listener, log: log, conns: make(map[*conn]struct{})}
+	s := &Server{listener: listener, log: log, linger: defaultLinger, conns: make(map[*conn]struct{})}
 	s.http = &http.Server{
 		Handler:           s.announce(handler),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
 		ConnState:         s.track,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
@@ -59,7 +64,7 @@
 
 // Serve answers requests until Stop or Close.
 func (s *Server) Serve() error {
-	err := s.http.Serve(acceptor{s.listener})
+	err := s.http.Serve(acceptor{s.listener, s.linger})
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -151,14 +156,17 @@
 	}
 }
 
-type acceptor struct{ net.Listener }
+type acceptor struct {
+	net.Listener
+	linger time.Duration
+}
 
 func (a acceptor) Accept() (net.Conn, error) {
 	c, err := a.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	return &conn{Conn: c, linger: a.linger}, nil
 }
 
 // conn is a connection that knows whether any byte of a next request has
@@ -166,6 +174,7 @@
 // its Shutdown would cut a request of which only a part has arrived.
 type conn struct {
 	net.Conn
+	linger  time.Duration
 	mu      sync.Mutex
 	idle    bool
 	closing bool
@@ -188,34 +197,34 @@
 	}
 }
 
-// Read reads from the connection. When closeIfIdle woke it, it reads on for
-// linger and reports the end of the stream if nothing arrived.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+// took notes that n bytes were read and reports whether closeIfIdle woke the
+// read. Bytes that came with the wake end it: they are of a request.
+func (c *conn) took(n int) (woken bool) {
 	c.mu.Lock()
-	idle, woken := c.idle, c.closing
+	defer c.mu.Unlock()
+	woken = c.closing
 	if n > 0 {
 		c.idle = false
+		if c.closing {
+			c.closing = false
+			_ = c.SetReadDeadline(time.Now().Add(readHeaderTimeout))
+		}
 	}
-	c.mu.Unlock()
+	return woken
+}
+
+// Read reads from the connection. When closeIfIdle woke it, it reads on for
+// linger and reports the end of the stream if nothing arrived.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	woken := c.took(n)
 	if n > 0 || !woken || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
-	if !idle {
-		// The wake came after the first bytes of a request.
-		_ = c.SetReadDeadline(time.Now().Add(readHeaderTimeout))
-		return c.Conn.Read(p)
-	}
-	_ = c.SetReadDeadline(time.Now().Add(linger))
+	_ = c.SetReadDeadline(time.Now().Add(c.linger))
 	n, err = c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if n > 0 {
-		c.idle = false
-		_ = c.SetReadDeadline(time.Time{})
-		return n, err
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	c.took(n)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, io.EOF
 	}
 	return n, err
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -146,9 +147,9 @@
 
 // publish creates a settings revision with n searchers in the domain "x".
 func (s *store) publish(c *qt.C, number uint64) {
-	text := "service: desk\nkind: booking\nlimits: {slots: 3, connections: 9, cold: {allowance: 1, step_successes: 8}}\nsearchers:\n"
-	for _, id := range testSearchers {
-		text += "  - {id: " + id + ", address: 127.0.0.1:9101, failure_domain: x}\n"
+	text := "service: desk\nkind: booking\ndeadline: 1s\nlimits: {slots: 3, connections: 9, cold: {allowance: 1, step_successes: 8}}\nsearchers:\n"
+	for i, id := range testSearchers {
+		text += fmt.Sprintf("  - {id: %s, address: 127.0.0.1:%d, failure_domain: x}\n", id, 9101+i)
 	}
 	value, err := json.Marshal(settings.Revision{Number: number, Files: []settings.File{{Path: "desk.yaml", Text: text}}})
 	c.Assert(err, qt.IsNil)
