--- a/entry/book_test.go
+++ b/entry/book_test.go
@@ -99,7 +99,7 @@
 	})
 	answer, refusal := w.entry.Book(context.Background(), caller.BookRequest{RequestID: "r", Service: "orders", Key: key})
 	succeeded(t, refusal)
-	qt.Assert(t, answer.Body, qt.Equals, next.id)
+	qt.Assert(t, string(answer.Body), qt.Equals, next.id)
 	_, refusal = w.entry.Book(context.Background(), caller.BookRequest{RequestID: "r", Service: "orders", Key: "not a key"})
 	qt.Assert(t, refusal.Code, qt.Equals, result.KeyInvalid)
 }
--- a/entry/search_test.go
+++ b/entry/search_test.go
@@ -36,7 +36,7 @@
 	qt.Assert(t, answer.Coverage.Missing[0].Shard, qt.Equals, uint32(1))
 	qt.Assert(t, answer.Coverage.Missing[0].Code, qt.Equals, result.SnapshotMismatch)
 	for _, r := range answer.Results {
-		qt.Assert(t, r.Body, qt.Equals, "q")
+		qt.Assert(t, string(r.Body), qt.Equals, "q")
 	}
 }
 
