Cover forged replies, avoided brokers and hedges in one domain

A run of the tests against 43 copies, each with one mechanism switched off, found four that no test noticed: the check that a reply came on the stream of its part, the total limit of admission, the failure domain of hedges, and (by chance) the reading on of idle connections.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -10,9 +10,12 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// places is the limit under which the shares are tested.
+const places = 30
+
 // load keeps a limiter busy: each source offers requests at its rate, which
 // run for exponential times of the given mean. It returns how many of each ran.
-func load(l *Limiter, rates map[string]float64, serviceOf func(string) string, length, span time.Duration) map[string]int {
+func load(t *testing.T, l *Limiter, rates map[string]float64, serviceOf func(string) string, length, span time.Duration) map[string]int {
 	random := rand.New(rand.NewSource(1))
 	ran := make(map[string]int)
 	var open ends
@@ -31,12 +34,13 @@
 				if offered < 1 && random.Float64() > offered {
 					continue
 				}
-				if t, ok := l.Admit(now, serviceOf(name), name); ok {
+				if ticket, ok := l.Admit(now, serviceOf(name), name); ok {
 					ran[name]++
-					heap.Push(&open, end{now + time.Duration(random.ExpFloat64()*float64(length)), t, true})
+					heap.Push(&open, end{now + time.Duration(random.ExpFloat64()*float64(length)), ticket, true})
 				}
 			}
 		}
+		qt.Assert(t, l.Running() <= places, qt.IsTrue)
 	}
 	return ran
 }
@@ -44,8 +48,8 @@
 // TestFairCallers guards against a caller that offers more than others pushing
 // them out.
 func TestFairCallers(t *testing.T) {
-	l := New(Config{Total: 1000, PerService: 30})
-	ran := load(l, map[string]float64{"greedy": 10000, "busy": 1000, "modest": 100}, func(string) string { return "desk" }, 20*time.Millisecond, 10*time.Second)
+	l := New(Config{Total: 1000, PerService: places})
+	ran := load(t, l, map[string]float64{"greedy": 10000, "busy": 1000, "modest": 100}, func(string) string { return "desk" }, 20*time.Millisecond, 10*time.Second)
 	t.Logf("ran %v", ran)
 	// 30 places of 20 ms run 1500 requests a second. Without shares each caller
 	// would run one in seven of its requests. No queue smooths the bursts, so a
@@ -59,12 +63,12 @@
 // and against places left empty when only one wants them.
 func TestFairServices(t *testing.T) {
 	same := func(name string) string { return name }
-	l := New(Config{Total: 30, PerService: 30})
-	ran := load(l, map[string]float64{"desk": 10000, "dispatch": 500}, same, 20*time.Millisecond, 10*time.Second)
+	l := New(Config{Total: places, PerService: places})
+	ran := load(t, l, map[string]float64{"desk": 10000, "dispatch": 500}, same, 20*time.Millisecond, 10*time.Second)
 	t.Logf("ran %v", ran)
 	qt.Check(t, ran["dispatch"] >= 4500, qt.IsTrue)
 	qt.Check(t, ran["desk"]+ran["dispatch"] >= 13500, qt.IsTrue)
-	alone := load(New(Config{Total: 30, PerService: 30}), map[string]float64{"desk": 10000}, same, 20*time.Millisecond, 10*time.Second)
+	alone := load(t, New(Config{Total: places, PerService: places}), map[string]float64{"desk": 10000}, same, 20*time.Millisecond, 10*time.Second)
 	qt.Check(t, alone["desk"] > 14500, qt.IsTrue)
 }
 
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,14 +24,24 @@
 	refusal  *result.Error
 	answer   *SearchAnswer
 	notReady *result.Error
+	mu       sync.Mutex
 	search   func(SearchRequest)
 	last     SearchRequest
 }
 
+func (f *fakeEngine) onSearch(search func(SearchRequest)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.search = search
+}
+
 func (f *fakeEngine) Search(_ context.Context, r SearchRequest) (*SearchAnswer, *result.Error) {
+	f.mu.Lock()
 	f.last = r
-	if f.search != nil {
-		f.search(r)
+	search := f.search
+	f.mu.Unlock()
+	if search != nil {
+		search(r)
 	}
 	return f.answer, f.refusal
 }
--- a/caller/server_test.go
+++ b/caller/server_test.go
@@ -79,12 +79,13 @@
 		qt.Assert(t, c.read().Close, qt.IsFalse)
 		return c
 	}
-	idle, half, racing, fresh := warm(), warm(), warm(), dial(t, s)
-	f.search = func(SearchRequest) { close(running); <-release }
+	idle, half, fresh := warm(), warm(), dial(t, s)
+	racing := []*client{warm(), warm(), warm(), warm(), warm()}
+	f.onSearch(func(SearchRequest) { close(running); <-release })
 	busy := dial(t, s)
 	busy.write(searchHead() + searchText)
 	<-running
-	f.search = nil
+	f.onSearch(nil)
 	half.write(searchHead()[:10])
 
 	const lifetime = 100 * time.Millisecond
@@ -94,10 +95,14 @@
 	go func() { stopped <- s.Stop(ctx, lifetime) }()
 
 	// The stop wakes the idle connections after the lifetime and reads them on
-	// for linger; this request is written in that time.
+	// for linger; these requests are written in that time.
 	waitClosing(t, s)
-	racing.write(searchHead() + searchText)
-	qt.Assert(t, racing.read().Close, qt.IsTrue)
+	for _, c := range racing {
+		c.write(searchHead() + searchText)
+	}
+	for _, c := range racing {
+		qt.Assert(t, c.read().Close, qt.IsTrue)
+	}
 	_, err := idle.reader.ReadByte()
 	qt.Assert(t, err, qt.Equals, io.EOF)
 	_, err = fresh.reader.ReadByte()
--- a/entry/search_test.go
+++ b/entry/search_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +17,7 @@
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/peer"
 	"github.com/wisteriawharf/wisteriawharf/result"
+	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
 // TestMismatchedSnapshot guards against a reply of another snapshot, or of
@@ -84,7 +88,17 @@
 		stray.PartID, stray.Body = p.ID+1000, "unknown part"
 		mixed := *own
 		mixed.QueryID, mixed.Body = "another query", "same part number"
-		return append(replies, &stray, &mixed, own, own), nil
+		replies = append(replies, &stray, &mixed)
+		// Parts are numbered by shard, so this forges the replies to the parts that
+		// other brokers have.
+		for id := uint32(1); id <= 6; id++ {
+			if !slices.ContainsFunc(b.Parts, func(p peer.Part) bool { return p.ID == id }) {
+				forged := *own
+				forged.PartID, forged.Shard, forged.Body = id, id-1, "part of another stream"
+				replies = append(replies, &forged)
+			}
+		}
+		return append(replies, own, own), nil
 	})
 	var group sync.WaitGroup
 	for i := range 200 {
@@ -110,10 +124,21 @@
 // sent to others, or parts that other replicas can answer.
 func TestLostBroker(t *testing.T) {
 	w := newWorld(t, 9, "min_coverage: 1")
+	lost := make(chan struct{})
+	var once sync.Once
 	w.answerAll(func(f *fakeBroker, b *peer.Batch, p peer.Part) ([]*peer.PartReply, error) {
 		if f.id == "broker-a" {
 			return nil, errors.New("lost")
 		}
+		// A batch of one part is a failover: by then the loss was handled. Other
+		// parts are still open until it is.
+		if len(b.Parts) == 1 {
+			once.Do(func() { close(lost) })
+		}
+		select {
+		case <-lost:
+		case <-time.After(2 * time.Second):
+		}
 		return answerGood(b, p)
 	})
 	trace, _ := w.entry.Explain(w.whole(t, "q").RequestID)
@@ -237,6 +262,37 @@
 	}
 }
 
+// TestHedgeOtherDomain guards against a hedge in the failure domain of the slow
+// part, where it would likely be slow for the same reason.
+func TestHedgeOtherDomain(t *testing.T) {
+	w := newWorld(t, 1, "")
+	text := strings.NewReplacer("failure_domain: b", "failure_domain: a", "failure_domain: c", "failure_domain: a").Replace(deskYAML(1, "hedge_budget: 0.05"))
+	revision, err := json.Marshal(settings.Revision{Number: 2, Files: []settings.File{{Path: "desk.yaml", Text: text}}})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = w.state.Offer(control.Item{Name: control.ItemSettings, Major: 2, Value: revision})
+	qt.Assert(t, err, qt.IsNil)
+	w.learn(0.05)
+	w.answerAll(func(*fakeBroker, *peer.Batch, peer.Part) ([]*peer.PartReply, error) { return nil, nil })
+	answer, refusal := w.search("q", 300*time.Millisecond)
+	qt.Assert(t, refusal.Code, qt.Equals, result.LowCoverage)
+	trace, _ := w.entry.Explain(answer.RequestID)
+	qt.Assert(t, trace.Steps, qt.HasLen, 1)
+}
+
+// TestAvoided guards against new work for a suspected broker and for searchers
+// that drain or that their owner calls unusable.
+func TestAvoided(t *testing.T) {
+	w := newWorld(t, 3, "")
+	w.offer(t, control.PrefixRoster+"a", &control.Roster{Instances: []control.Instance{{ID: "broker-a", State: control.Suspected}}})
+	w.eventually(t, func() bool { return w.usable(7) == 6 })
+	w.brokers[1].locked(func() { w.brokers[1].states[0].Draining = true })
+	w.eventually(t, func() bool { return w.usable(7) == 5 })
+	w.brokers[2].locked(func() { w.brokers[2].states[1].Usable = false })
+	w.eventually(t, func() bool { return w.usable(7) == 4 })
+	w.whole(t, "q")
+	w.brokers[0].locked(func() { qt.Assert(t, w.brokers[0].parts, qt.HasLen, 0) })
+}
+
 // TestDomainOut guards against new work in a failure domain that operators took
 // out of service, and against its addresses being given out.
 func TestDomainOut(t *testing.T) {
