--- a/member/member.go
+++ b/member/member.go
@@ -129,7 +129,7 @@
 	loop(t.Heartbeat, nil, m.sendHeartbeat)
 	loop(t.Exchange, nil, m.exchangeWithOne)
 	loop(t.WatchCheck, m.wakePush, m.pushChange)
-	loop(t.Exchange, nil, m.establish)
+	loop(t.Renewal, nil, m.establish)
 	if m.isBroker() {
 		loop(t.Renewal, nil, m.renew)
 		loop(t.Heartbeat/2, nil, m.detectLost)
--- a/member/platform.go
+++ b/member/platform.go
@@ -159,13 +159,18 @@
 	}
 }
 
-// establish reads the newest settings, and for a process that knows no
-// coordinator the records and orders, until settings are known.
+// establish reads the record of the own domain, the orders and the newest
+// settings, in this order, until settings are known: a process that is ready
+// then knows the orders too. All else comes by exchange.
 func (m *Member) establish(ctx context.Context) {
 	if m.config.State.View().Revision > 0 || !m.contact.open(m.config.Clock.Boottime()) {
 		return
 	}
-	for _, prefix := range []string{prefixDomains, prefixOrders, prefixRevisions} {
+	if err := m.readRecord(ctx); !answered(err) {
+		m.config.Log.Debug("record not read", "error", err)
+		return
+	}
+	for _, prefix := range []string{prefixOrders, prefixRevisions} {
 		if _, err := m.read(ctx, prefix); err != nil {
 			m.config.Log.Debug("platform not read", "prefix", prefix, "error", err)
 			return
