--- a/broker/commands.go
+++ b/broker/commands.go
@@ -43,6 +43,7 @@
 
 func (o *owner) dispatch(c slot.Command) {
 	j := o.jobs[c.Work]
+	j.dispatched = true
 	now := o.clock()
 	service := o.placement.Service.Name
 	o.broker.metrics.dispatches.WithLabelValues(service).Inc()
--- a/broker/job.go
+++ b/broker/job.go
@@ -34,9 +34,11 @@
 	// build returns the request with the time that remains when it is written.
 	build func(address, workID string, d upstream.Deadline) (*upstream.Request, error)
 	// read takes the outcome from a reply of status 200.
-	read     func(upstream.Reply) outcome
-	finished atomic.Bool
-	done     func(outcome)
+	read func(upstream.Reply) outcome
+	// dispatched is set by the owner before a connection receives the job.
+	dispatched bool
+	finished   atomic.Bool
+	done       func(outcome)
 }
 
 // finish passes the outcome on. Only the first one counts.
--- a/broker/owner.go
+++ b/broker/owner.go
@@ -161,7 +161,11 @@
 	}
 	for id, j := range o.jobs {
 		delete(o.jobs, id)
-		j.finish(outcome{err: result.MayHaveRun(result.Stopping, "while it was in progress")})
+		if j.dispatched {
+			j.finish(outcome{err: result.MayHaveRun(result.Stopping, "while it was in progress")})
+		} else {
+			o.broker.refuse(j, result.NotRun(result.Stopping, "while it was queued"))
+		}
 	}
 	// An input that was queued last was not dispatched.
 	for {
--- a/slot/conns.go
+++ b/slot/conns.go
@@ -136,14 +136,26 @@
 	if s.pollDue(now) {
 		wanted++
 	}
+	wanted = max(wanted-s.count(dialing)-s.count(untested), s.spare(now))
 	if s.unreachable {
-		wanted = min(wanted, 1)
+		wanted = min(wanted, 1-s.count(dialing))
 	}
-	for wanted -= s.count(dialing) + s.count(untested); wanted > 0 && len(s.conns) < s.connections(); wanted-- {
+	for ; wanted > 0 && len(s.conns) < s.connections(); wanted-- {
 		s.open(now, false)
 	}
 }
 
+// spare returns how many connections to open ahead of need, so that work does
+// not wait for a new one: enough for every slot and one for other exchanges.
+// After a loss it waits, so that an upstream that closes every connection is
+// not dialled in a loop.
+func (s *Searcher) spare(now time.Duration) int {
+	if s.slots() == 0 || now < s.spareAt {
+		return 0
+	}
+	return s.slots() + 1 - len(s.conns)
+}
+
 func (s *Searcher) unsentDeletes(now time.Duration) int {
 	n := 0
 	for _, w := range s.works {
@@ -249,6 +261,7 @@
 // lose handles the end of a connection that this side did not ask for. The
 // upstream may have restarted.
 func (s *Searcher) lose(now time.Duration, c *conn) {
+	s.spareAt = now + redialDelay
 	s.forget(c.id)
 	s.ramp.chill(s.config.Limits)
 	if c.probe {
--- a/slot/searcher.go
+++ b/slot/searcher.go
@@ -103,6 +103,7 @@
 	unreachable bool
 	redialAt    time.Duration
 	pollAt      time.Duration
+	spareAt     time.Duration // no connections are opened ahead of need before
 	now         time.Duration // time of the last input
 	commands    []Command
 }
--- a/slot/searcher_test.go
+++ b/slot/searcher_test.go
@@ -283,6 +283,22 @@
 	}
 }
 
+// TestConnectionsAheadOfNeed guards against work that waits for a new
+// connection although a slot is free.
+func TestConnectionsAheadOfNeed(t *testing.T) {
+	d := newDriver(t)
+	d.warm(t)
+	d.log = nil
+	for range testConfig.Limits.Slots {
+		_, conn, err := d.submit(time.Second)
+		qt.Assert(t, err == nil, qt.IsTrue)
+		qt.Assert(t, conn, qt.Not(qt.Equals), ConnID(0))
+	}
+	for _, c := range d.log {
+		qt.Assert(t, c.Action == Open, qt.IsFalse)
+	}
+}
+
 // TestWarmOnlyGrant guards against a dispatch to a cold searcher under a grant
 // that admits only warm ones.
 func TestWarmOnlyGrant(t *testing.T) {
