--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -93,7 +93,7 @@
 		return exitUsage
 	}
 	log := newLog(process, stderr)
-	if err := serve(process, role, log, newService); err != nil {
+	if err := serve(process, role, log, newService, notify()); err != nil {
 		log.Error("stopped", "error", err)
 		return exitFailed
 	}
--- a/daemon/signal.go
+++ b/daemon/signal.go
@@ -14,12 +14,16 @@
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
-// serve runs the service until a signal ends it. SIGTERM and SIGINT start a
-// planned stop, which a second one does not change; SIGQUIT stops at once.
-func serve(p *settings.Process, role control.Role, log *slog.Logger, newService func(*Base) (Service, error)) error {
+// notify returns the signals that end a daemon.
+func notify() chan os.Signal {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGQUIT)
-	defer signal.Stop(signals)
+	return signals
+}
+
+// serve runs the service until a signal ends it. SIGTERM and SIGINT start a
+// planned stop, which a second one does not change; SIGQUIT stops at once.
+func serve(p *settings.Process, role control.Role, log *slog.Logger, newService func(*Base) (Service, error), signals <-chan os.Signal) error {
 	base, err := newBase(p, role, log)
 	if err != nil {
 		return err
