--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -50,7 +50,7 @@
 	files, err := ca.Issue("broker", identity.RoleInstance)
 	qt.Assert(t, err, qt.IsNil)
 	text := fmt.Sprintf("id: b\nfailure_domain: d\npeer_address: 127.0.0.1:0\noperator_address: 127.0.0.1:0\n"+
-		"platform_address: 127.0.0.1:1\ncertificate: %s\nkey: %s\nca: %s\naddress_lifetime: 1ms\nstop_timeout: %s\n",
+		"platform_address: 127.0.0.1:1\ncertificate: %s\nkey: %s\nca: %s\naddress_lifetime: 100ms\nstop_timeout: %s\n",
 		files.Certificate, files.Key, files.CA, stopTimeout)
 	path := filepath.Join(dir, "broker.yaml")
 	qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
@@ -78,7 +78,7 @@
 		{"planned", []os.Signal{syscall.SIGTERM, syscall.SIGTERM}, true, "30s", ""},
 		{"immediate", []os.Signal{syscall.SIGQUIT}, false, "30s", "immediate stop.*"},
 		{"immediate while stopping", []os.Signal{syscall.SIGTERM, syscall.SIGQUIT}, false, "30s", "immediate stop.*"},
-		{"bounded", []os.Signal{syscall.SIGTERM}, false, "50ms", ".*(took longer|still open).*"},
+		{"bounded", []os.Signal{syscall.SIGTERM}, false, "1s", ".*(took longer|still open).*"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			service := &fakeService{finish: make(chan struct{})}
