--- a/cmd/wharf-entry/service.go
+++ b/cmd/wharf-entry/service.go
@@ -17,6 +17,15 @@
 	"github.com/wisteriawharf/wisteriawharf/peer"
 )
 
+const (
+	// leaveTimeout bounds the announcement of a stop to the coordinator.
+	leaveTimeout = 2 * time.Second
+	// rosterLag is how long other entries may still give out the address of one
+	// that leaves: until its coordinator's roster has reached them by the
+	// exchange of control state.
+	rosterLag = 2 * time.Second
+)
+
 // service is the entry with everything that it runs on.
 type service struct {
 	base    *daemon.Base
@@ -96,12 +105,14 @@
 func (s *service) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
 	s.entry.Leave()
-	if err := s.member.Leave(ctx); err != nil {
+	leave, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := s.member.Leave(leave); err != nil {
 		// Other entries then list this one until its heartbeats are missed; it
 		// serves callers in the meantime.
 		s.base.Log.Warn("leave was not announced", "error", err)
 	}
-	return errors.Annotate(s.server.Stop(ctx, s.base.Process.AddressLifetime), "requests were still open")
+	return errors.Annotate(s.server.Stop(ctx, s.base.Process.AddressLifetime+rosterLag), "requests were still open")
 }
 
 // Status implements daemon.Service.
