--- a/internal/deployment/control.go
+++ b/internal/deployment/control.go
@@ -51,6 +51,11 @@
 	return err
 }
 
+// CurrentPlatformFaults returns the faults in force at the platform stand-in.
+func (d *Deployment) CurrentPlatformFaults() (map[string]any, error) {
+	return d.get("http://" + d.platformControl + "/faults")
+}
+
 // PlatformStats returns the calls that the platform stand-in has counted.
 func (d *Deployment) PlatformStats() (map[string]any, error) {
 	return d.get("http://" + d.platformControl + "/stats")
--- a/scenarios/expect_test.go
+++ b/scenarios/expect_test.go
@@ -31,14 +31,16 @@
 	return err
 }
 
-// source reads the facts of the searchers, the calls of the platform, the
-// status of all processes or one object of the platform.
+// source reads the facts of the searchers, the calls or faults of the
+// platform, the status of all processes or one object of the platform.
 func (s *scenario) source(name string) (any, error) {
 	switch name {
 	case "facts":
 		return s.deployment.Facts()
 	case "platform":
 		return s.deployment.PlatformStats()
+	case "faults":
+		return s.deployment.CurrentPlatformFaults()
 	case "status":
 		return s.status()
 	}
