--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -25,7 +25,6 @@
 
 var (
 	modelTerms     = Terms{Lease: modelLease, Work: modelWork}
-	modelLimits    = settings.Limits{Slots: 3, Connections: 3, Cold: settings.Cold{Allowance: 1}}
 	modelSearchers = []string{"s0", "s1", "s2", "s3"}
 )
 
@@ -67,6 +66,7 @@
 
 type model struct {
 	random    *rand.Rand
+	limits    settings.Limits
 	tick      int
 	history   []stored
 	outage    bool
@@ -79,6 +79,7 @@
 
 func newModel(seed uint64) *model {
 	m := &model{random: rand.New(rand.NewPCG(seed, 1)), cut: make(map[[2]string]bool)}
+	m.limits = settings.Limits{Slots: 3, Connections: 3, Cold: settings.Cold{Allowance: 1 + m.random.IntN(2)}}
 	m.start(true)
 	m.start(true)
 	for range 3 {
@@ -366,7 +367,7 @@
 	}
 	for _, s := range modelSearchers {
 		grant := Combine(p.rights.At(m.now(p)), p.takeover.Share(s, m.now(p)))
-		if n := grant.Slots(modelLimits); n > 0 {
+		if n := grant.Slots(m.limits); n > 0 {
 			if p.used[s] == nil {
 				p.used[s] = make(map[int]int)
 			}
@@ -401,8 +402,8 @@
 				detail += fmt.Sprintf(" %s=%d(right %d, epoch %d)", p.id, n, p.rights.At(m.now(p)), p.takeover.Epoch())
 			}
 		}
-		if sum > modelLimits.Slots {
-			t.Fatalf("tick %d: %s has %d of %d slots in use:%s", m.tick, s, sum, modelLimits.Slots, detail)
+		if sum > m.limits.Slots {
+			t.Fatalf("tick %d: %s has %d of %d slots in use:%s", m.tick, s, sum, m.limits.Slots, detail)
 		}
 	}
 }
