--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -179,3 +179,18 @@
 	settled := next(known, Change{Others: []string{"y1", "y2", "y3"}})
 	qt.Assert(t, settled.Former, qt.HasLen, 0)
 }
+
+// TestTwoPartlyAcknowledged guards against a third owner that uses the reserve
+// which the second of two lost owners may be using.
+func TestTwoPartlyAcknowledged(t *testing.T) {
+	record := next(control.Record{}, Change{Heard: heard("a", "b", "c")})
+	lost := next(record, Change{Lost: []string{"b", "c"}})
+	some := next(lost, Change{Acked: map[string]uint64{"a": lost.Epoch}})
+	k := NewTakeover("a", terms)
+	k.Observe(&record, 0)
+	k.Observe(&some, 0)
+	qt.Assert(t, k.Share(ownedBy(t, "b", "c"), 100*second), qt.Equals, ShareNone)
+	acked := next(some, Change{Acked: map[string]uint64{"b": lost.Epoch}})
+	k.Observe(&acked, 0)
+	qt.Assert(t, k.Share(ownedBy(t, "b", "c"), wait), qt.Equals, ShareFull)
+}
