Keep a working connection when the opening of a stream is cancelled

peer.Node.Open forgot the connection whenever its caller gave up, so that a query that ended while a hedge was being opened left a connection open for good and dialled another. The new test fails without the fix.

--- a/peer/node.go
+++ b/peer/node.go
@@ -217,7 +217,7 @@
 	}
 	raw, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		n.forget(address, conn)
+		n.doubt(ctx, address, conn)
 		return nil, result.NotRun(result.ConnectionLost, "peer %s: %v", address, err)
 	}
 	name, _, _ := identity.Name(conn.ConnectionState().TLS)
@@ -227,12 +227,23 @@
 	}
 	if _, err := raw.Write([]byte{byte(kind)}); err != nil {
 		s.Cancel()
-		n.forget(address, conn)
+		n.doubt(ctx, address, conn)
 		return nil, result.NotRun(result.ConnectionLost, "peer %s: %v", address, err)
 	}
 	return s, nil
 }
 
+// doubt handles a stream that could not be opened. A connection that still works
+// is kept: it would otherwise stay open, unused, for as long as the peer runs.
+func (n *Node) doubt(ctx context.Context, address string, conn *quic.Conn) {
+	switch {
+	case conn.Context().Err() != nil:
+		n.forget(address, conn)
+	case !errors.Is(ctx.Err(), context.Canceled):
+		n.Retest(address)
+	}
+}
+
 // Call sends one frame and receives one. A failure after the stream was opened
 // leaves open whether the peer received the request; the error then says
 // result.RunUnknown. When the context's deadline ends the call, the connection
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -109,3 +109,27 @@
 	err := client.Call(ctx, address, KindProbe, &Probe{}, &ProbeReply{})
 	qt.Assert(t, result.From(err).Run, qt.Equals, result.RunNo)
 }
+
+// TestCancelledOpenKeepsConnection guards against a working connection being
+// replaced, and left open, whenever a caller gives up before its stream opens.
+func TestCancelledOpenKeepsConnection(t *testing.T) {
+	ca := newCA(t)
+	server := listen(t, issue(t, ca, "a", identity.RoleInstance), map[Kind]Handler{KindProbe: echoProbe})
+	client := listen(t, issue(t, ca, "b", identity.RoleInstance), nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	qt.Assert(t, client.Call(ctx, server.Address(), KindProbe, &Probe{}, &ProbeReply{}), qt.IsNil)
+	before := client.links[server.Address()]
+	cancelled, cancelNow := context.WithCancel(ctx)
+	cancelNow()
+	// Whether the stream or the connection notices the end first is chance.
+	for range 100 {
+		if s, err := client.Open(cancelled, server.Address(), KindProbe); err == nil {
+			s.Cancel()
+		}
+	}
+	qt.Assert(t, client.Call(ctx, server.Address(), KindProbe, &Probe{}, &ProbeReply{}), qt.IsNil)
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	qt.Assert(t, client.links[server.Address()] == before, qt.IsTrue)
+}
