--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -116,6 +116,7 @@
 		name, text string
 		command    flags.Commander
 	}{
+		{"limits", "ways of keeping the slots of a searcher, in a queueing model", &limits{}},
 		{"saturation", "offered load from 0.5 to 3 times capacity", &saturation{}},
 		{"queue", "p99 at 85 % load against one shared queue for each shard", &queueing{}},
 		{"hedging", "stragglers with hedging off and on", &hedging{}},
