State an unreadable reply as an unknown outcome

Cause: peer.Call passed on the error of the frame, which says 'not run', so that a booking whose reply could not be read was offered to another searcher. The new test gave RunNo before and RunUnknown after. A reply that says success without saying that the booking ran is now an unknown outcome too.

--- a/booking/dispatch.go
+++ b/booking/dispatch.go
@@ -106,8 +106,8 @@
 	if err := s.caller.Call(ctx, owner.Address, peer.KindRun, &request, &reply); err != nil {
 		return refusal(result.From(err))
 	}
-	if reply.Code == uint16(result.OK) {
-		reply.Run = uint8(result.RunYes)
+	if reply.Code == uint16(result.OK) && reply.Run != uint8(result.RunYes) {
+		return refusal(result.MayHaveRun(result.BadFrame, "reply of the owner of %q does not say that the booking ran", u.ID))
 	}
 	return peer.BookReply{Code: reply.Code, Run: reply.Run, Detail: reply.Detail, Body: reply.Body}
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -261,15 +261,25 @@
 		return n.callError(address, err)
 	}
 	if err := s.Receive(response); err != nil {
-		return n.callError(address, err)
+		return n.lostReply(address, err)
 	}
 	return nil
 }
 
+// callError is the error of a request that was not sent whole. Only a request
+// that was refused here is certainly not run.
 func (n *Node) callError(address string, err error) error {
 	if e, ok := errors.AsType[*result.Error](err); ok {
 		return e
 	}
+	return n.lostReply(address, err)
+}
+
+// lostReply is the error of a request that the peer may have received.
+func (n *Node) lostReply(address string, err error) error {
+	if e, ok := errors.AsType[*result.Error](err); ok {
+		return result.MayHaveRun(e.Code, "reply of peer %s: %s", address, e.Detail)
+	}
 	n.Retest(address)
 	return result.MayHaveRun(result.ConnectionLost, "peer %s: %v", address, err)
 }
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -133,3 +133,23 @@
 	defer client.mu.Unlock()
 	qt.Assert(t, client.links[server.Address()] == before, qt.IsTrue)
 }
+
+// TestUnreadableReply guards against a request being stated as not run because
+// its reply could not be read: the peer had the request and may have run it.
+func TestUnreadableReply(t *testing.T) {
+	ca := newCA(t)
+	server := listen(t, issue(t, ca, "a", identity.RoleInstance), map[Kind]Handler{
+		KindRun: func(_ context.Context, s *Stream) error {
+			var request Run
+			if err := s.Receive(&request); err != nil {
+				return err
+			}
+			return s.Send(&Heartbeat{CallerAddress: "a field of another type"})
+		},
+	})
+	client := listen(t, issue(t, ca, "b", identity.RoleInstance), nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	err := client.Call(ctx, server.Address(), KindRun, &Run{Key: "k"}, &RunReply{})
+	qt.Assert(t, result.From(err).Run, qt.Equals, result.RunUnknown)
+}
