--- /dev/null
+++ b/slot/latency_test.go
@@ -0,0 +1,37 @@
+package slot
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestGivenUpWorkShowsCold guards against an upstream that turns cold unnoticed
+// because all its slow work is given up after a hedge, long before its reply.
+func TestGivenUpWorkShowsCold(t *testing.T) {
+	d := newDriver(t)
+	d.warm(t)
+	qt.Assert(t, d.State(d.now).Cold, qt.IsFalse)
+	for range slowStreak {
+		id, conn, err := d.submit(time.Second)
+		qt.Assert(t, err == nil, qt.IsTrue)
+		d.now += 20 * ms
+		d.do(d.Cancel(d.now, id))
+		d.do(d.Ended(d.now, conn, Outcome{Kind: Failed}))
+	}
+	qt.Assert(t, d.State(d.now).Cold, qt.IsTrue)
+}
+
+// TestStragglersAreNotCold guards against a warm upstream that is taken as cold
+// because of single slow pieces of work.
+func TestStragglersAreNotCold(t *testing.T) {
+	d := newDriver(t)
+	d.warm(t)
+	for range 100 {
+		d.serve(t, 200*ms)
+		d.serve(t, 10*ms)
+		d.serve(t, 10*ms)
+	}
+	qt.Assert(t, d.State(d.now).Cold, qt.IsFalse)
+}
