Let a broker that has left refuse requests for 2 s before it closes

Cause: the broker closed its port as soon as it had left the record, while other processes learned of the leave from the exchange only later. A booking sent to it in between was answered 2112 with an unknown outcome, and could not go to another searcher. A longer push of the new record was ruled out: it reaches few processes.

--- a/cmd/wharf-broker/service.go
+++ b/cmd/wharf-broker/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
@@ -101,8 +102,14 @@
 	return errors.Trace(err)
 }
 
+// refusalTime is how long a broker that has left goes on refusing requests as
+// not run. The exchange takes a few rounds of 300 ms to tell every process of
+// the leave; a booking sent to a port that is closed already has an unknown
+// outcome and cannot go elsewhere.
+const refusalTime = 2 * time.Second
+
 // Stop implements daemon.Service: it hands all searchers over, leaves the
-// record and finishes what work is left.
+// record, finishes what work is left and refuses the rest for refusalTime.
 func (s *service) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
 	leaveErr := s.member.Leave(ctx)
@@ -116,6 +123,10 @@
 		return errors.New("bookings were still in progress")
 	}
 	s.broker.Stop(ctx)
+	select {
+	case <-time.After(refusalTime):
+	case <-ctx.Done():
+	}
 	return errors.Trace(leaveErr)
 }
 
