--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/wisteriawharf/wisteriawharf/internal/deployment"
 )
@@ -218,20 +219,26 @@
 }
 
 // replaceInstance puts new processes in the place of an instance, in the order
-// that docs/operators.md gives, and waits until they are known as live.
+// that docs/operators.md gives, and waits until every searcher has an owner.
 func replaceInstance(s *scenario, ts *testscript.TestScript, args []string) error {
 	i := s.deployment.Instance(args[0])
-	stops := []func() error{i.Entry.Stop, i.Broker.Stop}
-	for _, do := range append(stops,
+	var stops errgroup.Group
+	stops.Go(i.Entry.Stop)
+	stops.Go(i.Broker.Stop)
+	for _, do := range []func() error{
+		stops.Wait,
 		func() error { return s.deployment.StartBroker(i) },
 		func() error { return s.deployment.StartEntry(i) },
 		func() error { return s.deployment.WaitReady(startBound) },
-	) {
+	} {
 		if err := do(); err != nil {
 			return err
 		}
 	}
-	return waitFor(s, ts, []string{startBound.String(), "status", "live", "==", "12"})
+	if err := waitFor(s, ts, []string{startBound.String(), "status", "live", "==", "12"}); err != nil {
+		return err
+	}
+	return waitFor(s, ts, []string{startBound.String(), "status", "held", "==", "120"})
 }
 
 // startBound is the longest time until a started instance is known as live.
