Show '-' for what an entry does not know of the platform

Cause: an entry asks the platform only when it starts; 6 s later its status and its metric said that the platform was not reachable, which docs/operators.md names as an alarm. scenarios/status-broker-death showed PLATFORM no for six entries while the platform answered, and scenarios/platform-away waited 20 s in vain for them after an outage. Asking the platform regularly from each entry was ruled out for its cost.

--- a/cmd/wharf-broker/service.go
+++ b/cmd/wharf-broker/service.go
@@ -132,7 +132,8 @@
 
 // Status implements daemon.Service.
 func (s *service) Status(status *operator.Status) {
-	status.PlatformReachable = s.member.PlatformReachable()
+	reachable := s.member.PlatformReachable()
+	status.PlatformReachable = &reachable
 	if s.leaving.Load() {
 		status.State = control.Leaving
 	}
--- a/cmd/wharf-entry/service.go
+++ b/cmd/wharf-entry/service.go
@@ -117,7 +117,6 @@
 
 // Status implements daemon.Service.
 func (s *service) Status(status *operator.Status) {
-	status.PlatformReachable = s.member.PlatformReachable()
 	if s.leaving.Load() {
 		status.State = control.Leaving
 	}
--- a/cmd/wharfctl/status.go
+++ b/cmd/wharfctl/status.go
@@ -78,7 +78,7 @@
 		s := r.Status
 		rows = append(rows, []string{
 			r.Address, s.ID, string(s.Role), s.FailureDomain, string(s.State), fmt.Sprint(s.Revision),
-			yesNo(s.PlatformReachable), fmt.Sprintf("%d/%d", s.Warm(), len(s.Searchers)),
+			known(s.PlatformReachable), fmt.Sprintf("%d/%d", s.Warm(), len(s.Searchers)),
 			strings.Join(append(append([]string{}, s.OutDomains...), s.OutUpstreams...), ","),
 		})
 		for _, o := range s.DirectOrders {
@@ -94,6 +94,14 @@
 	}
 }
 
+// known shows what a process may not know.
+func known(b *bool) string {
+	if b == nil {
+		return "-"
+	}
+	return yesNo(*b)
+}
+
 type explainCommand struct {
 	app  *app
 	Args struct {
--- a/member/member.go
+++ b/member/member.go
@@ -197,8 +197,9 @@
 	return grant
 }
 
-// PlatformReachable reports whether the platform answered when it was last
-// asked, or granted this process a lease that still runs.
+// PlatformReachable reports for a broker whether the platform answered when it
+// was last asked, or granted this process a lease that still runs. An entry asks
+// only when it starts, so that it says nothing of one.
 func (m *Member) PlatformReachable() bool {
 	if m.contact.fresh(m.config.Clock.Boottime(), m.config.Timing.Lease) {
 		return m.contact.reachable()
--- a/member/metrics.go
+++ b/member/metrics.go
@@ -47,12 +47,14 @@
 		gauge("right", "Dispatch right: 3 leased, 2 confirmed by all, 1 by some, 0 none.", func() float64 {
 			return float64(m.right())
 		}),
-		gauge("platform_reachable", "1 if the platform is reachable.", func() float64 {
+	}
+	if m.isBroker() {
+		collectors = append(collectors, gauge("platform_reachable", "1 if the platform is reachable.", func() float64 {
 			if m.PlatformReachable() {
 				return 1
 			}
 			return 0
-		}),
+		}))
 	}
 	for _, c := range collectors {
 		if err := registry.Register(c); err != nil {
--- a/operator/status.go
+++ b/operator/status.go
@@ -14,8 +14,10 @@
 	FailureDomain string                `json:"failure_domain"`
 	State         control.InstanceState `json:"state"`
 	// Revision is the number of the settings in force; zero if none are known.
-	Revision          uint64           `json:"revision"`
-	PlatformReachable bool             `json:"platform_reachable"`
+	Revision uint64 `json:"revision"`
+	// PlatformReachable is left out by an entry, which asks the platform only
+	// when it starts.
+	PlatformReachable *bool            `json:"platform_reachable,omitempty"`
 	Searchers         []SearcherStatus `json:"searchers,omitempty"`
 	OutDomains        []string         `json:"out_domains"`
 	OutUpstreams      []string         `json:"out_upstreams"`
--- a/scenarios/expect_test.go
+++ b/scenarios/expect_test.go
@@ -59,9 +59,10 @@
 	// Held and Warm count searchers over all brokers.
 	Held int `json:"held"`
 	Warm int `json:"warm"`
-	// Platform counts processes that reach the platform, Unrecorded those that
-	// hold orders which the platform does not.
+	// Platform counts processes that reach the platform, Away those that do not,
+	// Unrecorded those that hold orders which the platform does not.
 	Platform   int `json:"platform"`
+	Away       int `json:"away"`
 	Unrecorded int `json:"unrecorded"`
 	// Revisions and Out count processes by revision and by name of what is out.
 	Revisions map[string]int `json:"revisions"`
@@ -95,8 +96,12 @@
 	}
 	s.Held += len(p.Searchers)
 	s.Warm += p.Warm()
-	if p.PlatformReachable {
+	switch {
+	case p.PlatformReachable == nil:
+	case *p.PlatformReachable:
 		s.Platform++
+	default:
+		s.Away++
 	}
 	if len(p.DirectOrders) > 0 {
 		s.Unrecorded++
