assign: do not wait for the release of a member that rejoined

A member waited for ever for the release of one that had been removed, was fenced and joined again under the same identifier.

--- a/assign/takeover.go
+++ b/assign/takeover.go
@@ -166,13 +166,16 @@
 			found = append(found, id)
 		}
 	}
-	for _, id := range formerOwners(t.origin, self, searcher) {
-		if t.released[id][searcher] >= t.joined {
+	for _, o := range formerOwners(t.origin, self, searcher) {
+		if t.released[o.ID][searcher] >= t.joined {
 			continue
 		}
-		_, living := t.record.Member(id)
-		if living || t.fences[id] != nil {
-			found = append(found, id)
+		// One that left or was fenced, and joined again later, has never owned the
+		// searcher since.
+		m, living := t.record.Member(o.ID)
+		f := t.fences[o.ID]
+		if living && m.Joined == o.Joined || f != nil && f.entry.Joined == o.Joined {
+			found = append(found, o.ID)
 		}
 	}
 	return found
@@ -181,18 +184,18 @@
 // formerOwners returns the members and departed members of record that may have
 // owned the searcher before self joined and have a lower precedence. A member
 // was never the owner if one of higher precedence has been there for as long.
-func formerOwners(record *control.Record, self control.Member, searcher string) []string {
-	var found []string
+func formerOwners(record *control.Record, self control.Member, searcher string) []control.Member {
+	var found []control.Member
 	mine := precedenceOf(self.ID, self.Domain, searcher)
 	lower := func(id, domain string) bool { return id != self.ID && precedenceOf(id, domain, searcher).less(mine) }
 	for _, m := range record.Members {
 		if m.Joined < self.Joined && lower(m.ID, m.Domain) && !dominated(record, m, searcher) {
-			found = append(found, m.ID)
+			found = append(found, m)
 		}
 	}
 	for _, d := range record.Departed {
 		if d.Joined < self.Joined && lower(d.ID, d.Domain) {
-			found = append(found, d.ID)
+			found = append(found, control.Member{ID: d.ID, Joined: d.Joined})
 		}
 	}
 	return found
