member: adopt the searchers of a lost failure domain

The runtime keeps rights, takeover and the duties of a coordinator per record, because a broker is now a member of each record that its domain adopted. The coordinator of the first domain in rendezvous order that is alive joins a record that was not renewed for a lease and the time to a removal while the platform was reachable, and removes its members; the other brokers follow by heartbeats. They leave once a broker of the domain has accepted every searcher.

The test runs this on loopback: two domains' brokers, the loss of one domain, the adoption, the return by release, and a second loss, with no double grant seen.

--- a/booking/clean.go
+++ b/booking/clean.go
@@ -84,7 +84,7 @@
 func Brokers(view *control.View) []control.Member {
 	var all []control.Member
 	for _, r := range view.Records {
-		all = append(all, r.Members...)
+		all = append(all, r.Home()...)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	return all
--- a/control/types.go
+++ b/control/types.go
@@ -72,9 +72,15 @@
 	return slices.Compact(ids)
 }
 
+// Home returns the members that are brokers of the record's own domain. Over all
+// records each broker is named once, also if it adopted searchers.
+func (r *Record) Home() []Member {
+	return slices.DeleteFunc(slices.Clone(r.Members), Member.Adopter)
+}
+
 // Adopted reports whether only brokers of other failure domains are members.
 func (r *Record) Adopted() bool {
-	return len(r.Members) > 0 && !slices.ContainsFunc(r.Members, func(m Member) bool { return !m.Adopter() })
+	return len(r.Members) > 0 && len(r.Home()) == 0
 }
 
 // Member returns the member with the given identifier.
--- a/entry/subscribe.go
+++ b/entry/subscribe.go
@@ -65,7 +65,7 @@
 func brokersIn(view *control.View) []control.Member {
 	var members []control.Member
 	for _, r := range view.Records {
-		members = append(members, r.Members...)
+		members = append(members, r.Home()...)
 	}
 	return members
 }
--- a/member/confirm.go
+++ b/member/confirm.go
@@ -10,7 +10,7 @@
 
 // confirm asks the confirmers once the lease has not been renewed for half its
 // duration, so that confirmations are there when it ends.
-func (m *Member) confirm(ctx context.Context) {
+func (m *membership) confirm(ctx context.Context) {
 	record, _ := m.record()
 	if record == nil {
 		return
@@ -34,7 +34,7 @@
 	asked.Wait()
 }
 
-func (m *Member) askConfirmer(ctx context.Context, id string, epoch uint64) {
+func (m *membership) askConfirmer(ctx context.Context, id string, epoch uint64) {
 	address, ok := m.addressOf(id)
 	if !ok {
 		return
@@ -91,7 +91,7 @@
 
 // collectAcknowledgements makes the epoch known to the confirmers of departed
 // members. The next renewal writes who acknowledged.
-func (m *Member) collectAcknowledgements(ctx context.Context) {
+func (m *membership) collectAcknowledgements(ctx context.Context) {
 	if !m.isCoordinating() {
 		return
 	}
@@ -116,7 +116,7 @@
 	calls.Wait()
 }
 
-func (m *Member) acknowledgeAt(ctx context.Context, id string, item control.Item) {
+func (m *membership) acknowledgeAt(ctx context.Context, id string, item control.Item) {
 	address, ok := m.addressOf(id)
 	if !ok {
 		return
@@ -142,9 +142,7 @@
 		Name:  control.PrefixDomain + request.Domain,
 		Major: request.Epoch, Minor: request.Version, Value: request.Record,
 	}})
-	if request.Domain == m.domain {
-		m.observe()
-	}
+	m.observe()
 	reply := peer.AcknowledgeReply{ID: m.config.Self.ID}
 	if record := m.config.State.View().Records[request.Domain]; record != nil {
 		reply.Epoch = record.Epoch
--- a/member/coordinator.go
+++ b/member/coordinator.go
@@ -21,10 +21,10 @@
 const probers = 2
 
 // sendHeartbeat reports to the coordinator, or to itself if it is that.
-func (m *Member) sendHeartbeat(ctx context.Context) {
+func (m *membership) sendHeartbeat(ctx context.Context) {
 	beat := m.heartbeat()
 	record, _ := m.record()
-	if record == nil {
+	if record == nil || !m.takesPart(record) {
 		return
 	}
 	coordinator, ok := record.Member(record.Coordinator)
@@ -52,13 +52,13 @@
 	m.mu.Unlock()
 }
 
-func (m *Member) heartbeat() peer.Heartbeat {
+func (m *membership) heartbeat() peer.Heartbeat {
 	now := m.config.Clock.Boottime()
 	self := m.config.Self
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return peer.Heartbeat{
-		ID: self.ID, Role: string(self.Role), Domain: self.FailureDomain,
+		ID: self.ID, Role: string(self.Role), Domain: self.FailureDomain, Record: m.domain,
 		PeerAddress: self.PeerAddress, CallerAddress: self.CallerAddress, OperatorAddress: self.OperatorAddress,
 		Leaving: m.leaving, Revision: m.config.State.View().Revision,
 		BoottimeNs: int64(now), Epoch: m.takeover.Epoch(),
@@ -66,10 +66,10 @@
 }
 
 // takeHeartbeat notes a heartbeat and reports whether this process coordinates.
-func (m *Member) takeHeartbeat(beat peer.Heartbeat) bool {
+func (m *membership) takeHeartbeat(beat peer.Heartbeat) bool {
 	now := m.config.Clock.Boottime()
 	m.mu.Lock()
-	if !m.coordinating || beat.Domain != m.domain {
+	if !m.coordinating {
 		m.mu.Unlock()
 		return false
 	}
@@ -86,8 +86,12 @@
 	if err := s.Receive(&beat); err != nil {
 		return err
 	}
-	reply := peer.HeartbeatReply{Coordinator: m.takeHeartbeat(beat)}
-	if record, _ := m.record(); record != nil {
+	seat := m.membershipIn(beat.Record)
+	if seat == nil {
+		return s.Send(&peer.HeartbeatReply{})
+	}
+	reply := peer.HeartbeatReply{Coordinator: seat.takeHeartbeat(beat)}
+	if record, _ := seat.record(); record != nil {
 		reply.Epoch = record.Epoch
 		if member, ok := record.Member(beat.ID); ok {
 			reply.GrantedNs = member.GrantedNs
@@ -97,7 +101,7 @@
 }
 
 // publishRoster offers the roster as the coordinator sees it, if it changed.
-func (m *Member) publishRoster() {
+func (m *membership) publishRoster() {
 	m.rosterMu.Lock()
 	defer m.rosterMu.Unlock()
 	roster, ok := m.roster()
@@ -119,7 +123,7 @@
 	m.offer([]control.Item{{Name: name, Major: max(known.Major, record.Epoch), Minor: known.Minor + 1, Value: value}})
 }
 
-func (m *Member) roster() (control.Roster, bool) {
+func (m *membership) roster() (control.Roster, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.coordinating {
@@ -127,6 +131,10 @@
 	}
 	roster := control.Roster{Coordinator: m.config.Self.ID}
 	for id, h := range m.heard {
+		if h.Domain != m.domain {
+			// An adopter is in the roster of its own domain.
+			continue
+		}
 		state := control.Live
 		if h.Leaving {
 			state = control.Leaving
@@ -145,13 +153,13 @@
 }
 
 // renew writes the record, as coordinator or in place of one that fell silent.
-func (m *Member) renew(ctx context.Context) {
+func (m *membership) renew(ctx context.Context) {
 	record, version := m.record()
-	if record == nil {
+	if record == nil && !m.adopted() {
 		m.bootstrap(ctx)
 		return
 	}
-	if !m.mayWrite(record) || !m.contact.open(m.config.Clock.Boottime()) {
+	if record == nil || !m.mayWrite(record) || !m.contact.open(m.config.Clock.Boottime()) {
 		return
 	}
 	if record.Coordinator != m.config.Self.ID && m.platformReturned(ctx) {
@@ -168,7 +176,7 @@
 // platformReturned reads the record if the platform did not answer last time.
 // When it answers again, the coordinator gets half a lease to renew before
 // others replace it, so that not all members write at once after an outage.
-func (m *Member) platformReturned(ctx context.Context) bool {
+func (m *membership) platformReturned(ctx context.Context) bool {
 	if m.contact.reachable() {
 		return false
 	}
@@ -183,10 +191,11 @@
 
 // mayWrite reports whether this process coordinates the domain, or may replace
 // a coordinator that has not renewed for half a lease.
-func (m *Member) mayWrite(record *control.Record) bool {
+func (m *membership) mayWrite(record *control.Record) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.gone {
+	_, member := record.Member(m.config.Self.ID)
+	if m.gone || m.adopted() && !member {
 		return false
 	}
 	if record.Coordinator == m.config.Self.ID {
@@ -196,7 +205,7 @@
 }
 
 // bootstrap reads the record and creates it if the domain has none.
-func (m *Member) bootstrap(ctx context.Context) {
+func (m *membership) bootstrap(ctx context.Context) {
 	err := m.readRecord(ctx)
 	if !errors.Is(err, platform.ErrNotFound) {
 		return
@@ -219,7 +228,7 @@
 
 // change collects what the next write does. A process that is not yet the
 // coordinator has heard from nobody, so it renews itself only.
-func (m *Member) change(record *control.Record) assign.Change {
+func (m *membership) change(record *control.Record) assign.Change {
 	self := m.config.Self
 	beat := m.heartbeat()
 	others := m.otherBrokers()
@@ -230,7 +239,7 @@
 		Self:   self.ID,
 		Acked:  map[string]uint64{self.ID: beat.Epoch},
 		Others: others,
-		Heard:  []assign.Heard{{ID: self.ID, Address: self.PeerAddress, GrantedNs: beat.BoottimeNs, Known: beat.Epoch}},
+		Heard:  []assign.Heard{{ID: self.ID, Address: self.PeerAddress, GrantedNs: beat.BoottimeNs, Known: beat.Epoch, Domain: m.foreign(self.FailureDomain)}},
 	}
 	if record.Coordinator != self.ID || !m.coordinating {
 		return c
@@ -244,20 +253,30 @@
 		_, member := record.Member(id)
 		fresh := now < h.at+m.config.Timing.Removal
 		if id != self.ID && control.Role(h.Role) == control.RoleBroker && fresh && (member || !h.Leaving) {
-			c.Heard = append(c.Heard, assign.Heard{ID: id, Address: h.PeerAddress, GrantedNs: h.BoottimeNs, Known: h.Epoch})
+			c.Heard = append(c.Heard, assign.Heard{
+				ID: id, Address: h.PeerAddress, GrantedNs: h.BoottimeNs, Known: h.Epoch, Domain: m.foreign(h.Domain),
+			})
 		}
 	}
 	return c
 }
 
-// otherBrokers returns the members of other failure domains.
-func (m *Member) otherBrokers() []string {
+// otherBrokers returns the brokers of failure domains of which no broker is a
+// member. Those of an adopting domain would be lost together with the adopters.
+func (m *membership) otherBrokers() []string {
 	var ids []string
-	for name, record := range m.config.State.View().Records {
-		if name == m.domain {
+	records := m.config.State.View().Records
+	inside := map[string]bool{m.domain: true, m.config.Self.FailureDomain: true}
+	if own := records[m.domain]; own != nil {
+		for _, member := range own.Members {
+			inside[member.Domain] = true
+		}
+	}
+	for name, record := range records {
+		if inside[name] {
 			continue
 		}
-		for _, member := range record.Members {
+		for _, member := range record.Home() {
 			ids = append(ids, member.ID)
 		}
 	}
@@ -267,7 +286,7 @@
 
 // write replaces the record if it still has the given version, and takes the
 // new one into the state. Only a confirmed write counts.
-func (m *Member) write(ctx context.Context, record control.Record, version uint64, c assign.Change) error {
+func (m *membership) write(ctx context.Context, record control.Record, version uint64, c assign.Change) error {
 	next := assign.Next(m.domain, record, c)
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -286,7 +305,7 @@
 }
 
 // forgetLost drops lost processes that are no members (any more).
-func (m *Member) forgetLost(record control.Record) {
+func (m *membership) forgetLost(record control.Record) {
 	now := m.config.Clock.Boottime()
 	m.mu.Lock()
 	for _, id := range m.detector.Lost(now) {
@@ -300,7 +319,7 @@
 }
 
 // detectLost probes silent processes and puts suspicions into the roster.
-func (m *Member) detectLost(ctx context.Context) {
+func (m *membership) detectLost(ctx context.Context) {
 	now := m.config.Clock.Boottime()
 	record, _ := m.record()
 	m.mu.Lock()
@@ -323,7 +342,7 @@
 	m.publishRoster()
 }
 
-func (m *Member) probe(ctx context.Context, id string) {
+func (m *membership) probe(ctx context.Context, id string) {
 	reached := false
 	if id == m.config.Self.ID {
 		reached = true
@@ -339,7 +358,7 @@
 }
 
 // reachedByOthers asks other processes of the domain to test an address.
-func (m *Member) reachedByOthers(ctx context.Context, id, address string) bool {
+func (m *membership) reachedByOthers(ctx context.Context, id, address string) bool {
 	var others []string
 	m.mu.Lock()
 	for other, h := range m.heard {
--- a/member/handover.go
+++ b/member/handover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/wisteriawharf/wisteriawharf/assign"
 	"github.com/wisteriawharf/wisteriawharf/control"
@@ -27,7 +28,7 @@
 type settlement struct{ epoch, revision uint64 }
 
 // releaseMoved releases searchers to members that joined later and own them now.
-func (m *Member) releaseMoved(ctx context.Context) {
+func (m *membership) releaseMoved(ctx context.Context) {
 	record, _ := m.record()
 	if record == nil || m.config.Holder == nil {
 		return
@@ -67,8 +68,8 @@
 	calls.Wait()
 }
 
-// searchers returns the searchers of the own failure domain, sorted.
-func (m *Member) searchers() []string {
+// searchers returns the searchers of the failure domain, sorted.
+func (m *membership) searchers() []string {
 	view := m.config.State.View()
 	if view.Settings == nil {
 		return nil
@@ -83,7 +84,7 @@
 	return ids
 }
 
-func (m *Member) wasHanded(h handover, joined uint64) bool {
+func (m *membership) wasHanded(h handover, joined uint64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	epoch, ok := m.handed[h]
@@ -91,7 +92,7 @@
 }
 
 // drain waits until no work of this process runs on the searchers.
-func (m *Member) drain(ctx context.Context, searchers []string) []peer.ReleasedSearcher {
+func (m *membership) drain(ctx context.Context, searchers []string) []peer.ReleasedSearcher {
 	drained := make([]peer.ReleasedSearcher, len(searchers))
 	var waits sync.WaitGroup
 	for i, searcher := range searchers {
@@ -109,7 +110,7 @@
 	return drained
 }
 
-func (m *Member) release(ctx context.Context, to control.Member, epoch uint64, searchers []peer.ReleasedSearcher) {
+func (m *membership) release(ctx context.Context, to control.Member, epoch uint64, searchers []peer.ReleasedSearcher) {
 	request := peer.Release{Domain: m.domain, Epoch: epoch, From: m.config.Self.ID, Searchers: searchers}
 	var reply peer.ReleaseReply
 	if err := m.call(ctx, to.Address, peer.KindRelease, &request, &reply); err != nil || !reply.Accepted {
@@ -132,11 +133,12 @@
 	if err := s.Receive(&request); err != nil {
 		return err
 	}
-	return s.Send(&peer.ReleaseReply{Accepted: m.takeRelease(request)})
+	seat := m.membershipIn(request.Domain)
+	return s.Send(&peer.ReleaseReply{Accepted: seat != nil && seat.takeRelease(request)})
 }
 
-func (m *Member) takeRelease(request peer.Release) bool {
-	if request.Domain != m.domain || m.config.Holder == nil {
+func (m *membership) takeRelease(request peer.Release) bool {
+	if m.config.Holder == nil {
 		return false
 	}
 	m.mu.Lock()
@@ -156,17 +158,29 @@
 	return true
 }
 
-// Leave hands all searchers over and leaves the record. The process stays in
+// Leave hands all searchers over and leaves all records. The process stays in
 // the roster as leaving, so that its peers stop using it. An error means that
 // ctx ended first and that the record may still name the process.
 func (m *Member) Leave(ctx context.Context) error {
 	m.mu.Lock()
 	m.leaving = true
 	m.mu.Unlock()
-	m.sendHeartbeat(ctx)
+	m.home.sendHeartbeat(ctx)
 	if !m.isBroker() {
 		return nil
 	}
+	var leaves errgroup.Group
+	for _, seat := range m.memberships() {
+		leaves.Go(func() error { return seat.leave(ctx) })
+	}
+	if err := leaves.Wait(); err != nil {
+		return err
+	}
+	m.spreadNow(ctx)
+	return nil
+}
+
+func (m *membership) leave(ctx context.Context) error {
 	m.handAllOver(ctx)
 	if ctx.Err() != nil {
 		// Work may still run, so the record keeps naming this process and the
@@ -177,7 +191,6 @@
 		left, err := m.leaveRecord(ctx)
 		if left {
 			m.config.Log.Info("left the record", "id", m.config.Self.ID, "domain", m.domain)
-			m.spreadNow(ctx)
 			return nil
 		}
 		select {
@@ -190,7 +203,7 @@
 
 // handAllOver drains each searcher and releases it to the member that owns it
 // once this process has left.
-func (m *Member) handAllOver(ctx context.Context) {
+func (m *membership) handAllOver(ctx context.Context) {
 	all := m.searchers()
 	var drained []peer.ReleasedSearcher
 	if m.config.Holder != nil {
@@ -220,7 +233,7 @@
 
 // leaveRecord reports whether the newest known record does not name this
 // process, after trying to write that.
-func (m *Member) leaveRecord(ctx context.Context) (bool, error) {
+func (m *membership) leaveRecord(ctx context.Context) (bool, error) {
 	record, version := m.record()
 	if record == nil {
 		return true, nil
--- a/member/member.go
+++ b/member/member.go
@@ -12,7 +12,6 @@
 
 	"github.com/wisteriawharf/wisteriawharf/assign"
 	"github.com/wisteriawharf/wisteriawharf/control"
-	"github.com/wisteriawharf/wisteriawharf/detect"
 	"github.com/wisteriawharf/wisteriawharf/peer"
 	"github.com/wisteriawharf/wisteriawharf/result"
 )
@@ -20,40 +19,25 @@
 // Member is the membership runtime of one process.
 type Member struct {
 	config  Config
-	domain  string
 	metrics *metrics
+	// home is the membership in the own failure domain, adoptions are those in
+	// other domains, kept once they were begun.
+	home        *membership
+	adoptions   map[string]*membership
+	adoptionsMu sync.Mutex
+	renewals    map[string]renewal
+	// follow starts the duties of a membership; set by Run.
+	follow  func(*membership)
 	ready   chan struct{}
 	node    atomic.Pointer[peer.Node]
 	contact contact
 
-	// wakePush and wakeRelease are signalled after changes of the state.
-	wakePush    chan struct{}
-	wakeRelease chan struct{}
+	// wakePush is signalled after changes of the state.
+	wakePush chan struct{}
 
-	mu       sync.Mutex
-	rights   *assign.Rights
-	takeover *assign.Takeover
-	// renewed is when the domain's record or this process's lease was last seen
-	// to be renewed.
-	renewed  time.Duration
-	renewal  uint64
-	version  uint64
-	detector *detect.Detector
-	// heard holds the last heartbeat of each process, while this one coordinates.
-	heard        map[string]heartbeat
-	acked        map[string]uint64
-	coordinating bool
-	leaving      bool
-	// given holds searchers that were drained on leaving.
-	given map[string]bool
-	// handed holds releases that were accepted, with the epoch at which the
-	// receiver had joined.
-	handed map[handover]uint64
-	used   map[string]bool
-	// settled is the state for which every release was accepted.
-	settled settlement
-	// gone is set once this process dispatches nothing any more.
-	gone bool
+	// mu guards what follows and the fields of all memberships.
+	mu      sync.Mutex
+	leaving bool
 	// pushed is the changeSum that was last pushed to peers.
 	pushed uint64
 
@@ -63,12 +47,6 @@
 	trying   sync.Mutex
 }
 
-// heartbeat is one received heartbeat with the time of its arrival.
-type heartbeat struct {
-	peer.Heartbeat
-	at time.Duration
-}
-
 // New returns a Member that does nothing before Run.
 func New(config Config) (*Member, error) {
 	if err := config.Validate(); err != nil {
@@ -77,24 +55,14 @@
 	if config.Timing == (Timing{}) {
 		config.Timing = DefaultTiming()
 	}
-	t := config.Timing
-	terms := assign.Terms{Lease: t.Lease, Work: t.Work}
 	m := &Member{
-		config:      config,
-		domain:      config.Self.FailureDomain,
-		ready:       make(chan struct{}),
-		wakePush:    make(chan struct{}, 1),
-		wakeRelease: make(chan struct{}, 1),
-		rights:      assign.NewRights(config.Self.ID, terms),
-		takeover:    assign.NewTakeover(config.Self.ID, terms),
-		renewed:     config.Clock.Boottime(),
-		detector:    detect.New(detect.Timing{Silence: t.Silence, Removal: t.Removal}),
-		heard:       make(map[string]heartbeat),
-		acked:       make(map[string]uint64),
-		given:       make(map[string]bool),
-		handed:      make(map[handover]uint64),
-		used:        make(map[string]bool),
+		config:    config,
+		ready:     make(chan struct{}),
+		wakePush:  make(chan struct{}, 1),
+		adoptions: make(map[string]*membership),
+		renewals:  make(map[string]renewal),
 	}
+	m.home = newMembership(m, config.Self.FailureDomain)
 	metrics, err := newMetrics(config.Registry, m)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -126,16 +94,24 @@
 		group.Go(func() error { return repeat(ctx, interval, wake, step) })
 	}
 	loop(t.Heartbeat, changes, func(context.Context) { m.observe() })
-	loop(t.Heartbeat, nil, m.sendHeartbeat)
+	loop(t.Heartbeat, nil, m.home.sendHeartbeat)
 	loop(t.Exchange, nil, m.exchangeWithOne)
 	loop(t.WatchCheck, m.wakePush, m.pushChange)
 	loop(t.Renewal, nil, m.establish)
 	if m.isBroker() {
-		loop(t.Renewal, nil, m.renew)
-		loop(t.Heartbeat/2, nil, m.detectLost)
-		loop(t.Heartbeat, nil, m.confirm)
-		loop(t.Heartbeat, nil, m.collectAcknowledgements)
-		loop(t.Heartbeat, m.wakeRelease, m.releaseMoved)
+		m.follow = func(seat *membership) {
+			loop(t.Renewal, nil, seat.renew)
+			loop(t.Heartbeat/2, nil, seat.detectLost)
+			loop(t.Heartbeat, nil, seat.confirm)
+			loop(t.Heartbeat, nil, seat.collectAcknowledgements)
+			loop(t.Heartbeat, seat.wakeRelease, seat.releaseMoved)
+			if seat.adopted() {
+				loop(t.Heartbeat, nil, seat.sendHeartbeat)
+				loop(t.Heartbeat, nil, seat.returnHome)
+			}
+		}
+		m.follow(m.home)
+		loop(t.Heartbeat, nil, m.adopt)
 		loop(t.Heartbeat, nil, m.recordDirectOrders)
 		for _, prefix := range []string{prefixDomains, prefixRevisions, prefixOrders} {
 			loop(t.Heartbeat/2, nil, m.watcher(prefix))
@@ -181,18 +157,22 @@
 func (m *Member) Grant(searcher string) assign.Grant {
 	view := m.config.State.View()
 	none := assign.Grant{Share: assign.ShareNone, WarmOnly: true}
-	if view.Settings == nil || view.Settings.Searchers[searcher].FailureDomain != m.domain {
+	if view.Settings == nil {
+		return none
+	}
+	seat := m.membershipIn(view.Settings.Searchers[searcher].FailureDomain)
+	if seat == nil {
 		return none
 	}
 	now := m.config.Clock.Boottime()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.gone || m.given[searcher] {
+	if seat.gone || seat.given[searcher] {
 		return none
 	}
-	grant := assign.Combine(m.rights.At(now), m.takeover.Share(searcher, now))
+	grant := assign.Combine(seat.rights.At(now), seat.takeover.Share(searcher, now))
 	if grant.Share != assign.ShareNone {
-		m.used[searcher] = true
+		seat.used[searcher] = true
 	}
 	return grant
 }
@@ -205,70 +185,22 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.rights.At(m.config.Clock.Boottime()) == assign.RightLeased
+	return m.home.rights.At(m.config.Clock.Boottime()) == assign.RightLeased
 }
 
 func (m *Member) isBroker() bool { return m.config.Self.Role == control.RoleBroker }
 
-// record returns the newest known record of the own failure domain and the
-// version of its object; nil if none is known.
-func (m *Member) record() (*control.Record, uint64) {
-	// The item may be newer than the view read before it, which makes the
-	// conditional update fail, so it is read first.
-	item, _ := m.config.State.Item(control.PrefixDomain + m.domain)
-	return m.config.State.View().Records[m.domain], item.Minor
-}
-
-// observe brings rights and takeover up to the newest known record.
+// observe brings all memberships up to the newest known records.
 func (m *Member) observe() {
-	now := m.config.Clock.Boottime()
-	m.mu.Lock()
-	record, version := m.record()
-	if record != nil && version >= m.version {
-		m.version = version
-		m.rights.Observe(record)
-		m.takeover.Observe(record, now)
-		if record.Renewal > m.renewal {
-			m.renewal, m.renewed = record.Renewal, now
-		}
-		m.setCoordinating(record.Coordinator == m.config.Self.ID, now)
+	for _, seat := range m.memberships() {
+		seat.observeRecord()
+		signal(seat.wakeRelease)
 	}
-	leased := m.rights.Granted() > 0
+	m.mu.Lock()
+	leased := m.home.rights.Granted() > 0
 	m.mu.Unlock()
 	m.checkReady(leased)
 	signal(m.wakePush)
-	signal(m.wakeRelease)
-}
-
-// setCoordinating starts the duties of a coordinator with no member suspected:
-// one that has just begun has not had time to hear the others.
-func (m *Member) setCoordinating(coordinating bool, now time.Duration) {
-	if coordinating == m.coordinating {
-		return
-	}
-	m.coordinating = coordinating
-	t := m.config.Timing
-	m.detector = detect.New(detect.Timing{Silence: t.Silence, Removal: t.Removal})
-	m.heard = make(map[string]heartbeat)
-	m.followRoster(now)
-	m.config.Log.Info("coordinator changed", "domain", m.domain, "self", coordinating)
-}
-
-// followRoster keeps the processes of the former coordinator's roster listed
-// until they are heard or found lost. What is known of them renews no lease.
-func (m *Member) followRoster(now time.Duration) {
-	roster := m.config.State.View().Rosters[m.domain]
-	if !m.coordinating || roster == nil {
-		return
-	}
-	for _, i := range roster.Instances {
-		m.heard[i.ID] = heartbeat{at: now - m.config.Timing.Removal, Heartbeat: peer.Heartbeat{
-			ID: i.ID, Role: string(i.Role), Domain: i.FailureDomain,
-			PeerAddress: i.PeerAddress, CallerAddress: i.CallerAddress, OperatorAddress: i.OperatorAddress,
-			Leaving: i.State == control.Leaving, Revision: i.Revision,
-		}}
-		m.detector.Follow(i.ID, now)
-	}
 }
 
 func (m *Member) checkReady(leased bool) {
@@ -289,7 +221,7 @@
 	case <-m.ready:
 	default:
 		close(m.ready)
-		m.config.Log.Info("ready", "id", m.config.Self.ID, "domain", m.domain)
+		m.config.Log.Info("ready", "id", m.config.Self.ID, "domain", m.home.domain)
 	}
 }
 
@@ -350,8 +282,13 @@
 			}
 		}
 	}
+	seats := m.memberships()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h, ok := m.heard[id]
-	return h.PeerAddress, ok
+	for _, seat := range seats {
+		if h, ok := seat.heard[id]; ok {
+			return h.PeerAddress, true
+		}
+	}
+	return "", false
 }
--- a/member/metrics.go
+++ b/member/metrics.go
@@ -39,7 +39,7 @@
 			return float64(m.config.State.View().Revision)
 		}),
 		gauge("epoch", "Epoch of the failure domain's record.", func() float64 {
-			if record, _ := m.record(); record != nil {
+			if record, _ := m.home.record(); record != nil {
 				return float64(record.Epoch)
 			}
 			return 0
@@ -66,7 +66,7 @@
 	now := m.config.Clock.Boottime()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.rights.At(now)
+	return m.home.rights.At(now)
 }
 
 func outcome(err error) string {
--- a/member/order.go
+++ b/member/order.go
@@ -18,7 +18,7 @@
 
 // recordDirectOrders writes direct orders to the platform, oldest first.
 func (m *Member) recordDirectOrders(ctx context.Context) {
-	if !m.isCoordinating() || !m.contact.open(m.config.Clock.Boottime()) {
+	if !m.home.isCoordinating() || !m.contact.open(m.config.Clock.Boottime()) {
 		return
 	}
 	direct := slices.Clone(m.config.State.View().Direct)
--- a/member/platform.go
+++ b/member/platform.go
@@ -107,9 +107,9 @@
 	return objects, err
 }
 
-// readRecord reads the record of the own failure domain. A reading older than
+// readRecord reads the record. A reading older than
 // the known state changes nothing.
-func (m *Member) readRecord(ctx context.Context) error {
+func (m *membership) readRecord(ctx context.Context) error {
 	object, err := m.get(ctx, prefixDomains+m.domain)
 	if err != nil {
 		return err
@@ -118,7 +118,7 @@
 	return nil
 }
 
-func (m *Member) offerRecord(domain string, version, epoch uint64, value []byte) {
+func (m *membership) offerRecord(domain string, version, epoch uint64, value []byte) {
 	m.offer([]control.Item{{Name: control.PrefixDomain + domain, Major: epoch, Minor: version, Value: value}})
 	m.observe()
 }
@@ -166,7 +166,7 @@
 	if m.config.State.View().Revision > 0 || !m.contact.open(m.config.Clock.Boottime()) {
 		return
 	}
-	if err := m.readRecord(ctx); !answered(err) {
+	if err := m.home.readRecord(ctx); !answered(err) {
 		m.config.Log.Debug("record not read", "error", err)
 		return
 	}
@@ -228,7 +228,7 @@
 	var after uint64
 	current := false
 	return func(ctx context.Context) {
-		if !m.isCoordinating() {
+		if !m.home.isCoordinating() {
 			current = false
 			return
 		}
@@ -259,9 +259,3 @@
 		}
 	}
 }
-
-func (m *Member) isCoordinating() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.coordinating
-}
