Keep newer orders, allow for clock rates in the wait of a takeover

A direct order given before the recorded one in force goes to the history only. Before, one that came late replaced it.

A successor waits D + W and a thousandth more: the lease and the work that it waits for run on another clock, and kernels steer clocks by at most 500 ppm.

--- a/assign/right.go
+++ b/assign/right.go
@@ -14,6 +14,18 @@
 	Work time.Duration
 }
 
+// clockRateParts is the inverse of the greatest difference between the rates of
+// two instances' clocks: 1 in 1000, as the kernel steers each clock by at most
+// 500 parts per million.
+const clockRateParts = 1000
+
+// Wait returns how long a successor waits, on its own clock, for all that the
+// former owner may do within Lease and Work on another clock.
+func (t Terms) Wait() time.Duration {
+	length := t.Lease + t.Work
+	return length + length/clockRateParts
+}
+
 // Right is what a broker may dispatch at all, whatever it owns.
 type Right uint8
 
--- a/assign/takeover.go
+++ b/assign/takeover.go
@@ -221,7 +221,7 @@
 
 // share returns what the departed member leaves to its successor.
 func (f *fence) share(terms Terms, now time.Duration) Share {
-	wait := terms.Lease + terms.Work
+	wait := terms.Wait()
 	if now < f.seen+wait {
 		return ShareNone
 	}
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -405,6 +405,21 @@
 	c.Assert(late.Order.Out, qt.IsFalse)
 }
 
+// TestReconcileKeepsNewerOrder guards against an order that comes late and
+// replaces one that was given after it.
+func TestReconcileKeepsNewerOrder(t *testing.T) {
+	c := qt.New(t)
+	at := func(seconds int64, id string, out bool) control.Order {
+		return control.Order{Time: time.Unix(seconds, 0), ChangeID: id, Out: out}
+	}
+	recorded := control.RecordedOrder{Sequence: 4, Order: at(2, "back", false)}
+	older := reconcile(recorded, true, at(1, "out", true))
+	c.Assert(older.Order.ChangeID, qt.Equals, "back")
+	c.Assert(older.Holds("out"), qt.IsTrue)
+	c.Assert(reconcile(recorded, true, at(3, "out", true)).Order.Out, qt.IsTrue)
+	c.Assert(reconcile(recorded, true, at(2, "out", true)).Order.Out, qt.IsTrue)
+}
+
 // TestStaleReads guards against settings that step back.
 func TestStaleReads(t *testing.T) {
 	c := newCluster(t)
--- a/member/order.go
+++ b/member/order.go
@@ -70,16 +70,17 @@
 	return nil
 }
 
-// reconcile returns the recorded order after a direct one. A direct "back"
-// replaces an "out" only if it was given in knowledge of it; otherwise the "out"
-// stays in force and the "back" goes to the history.
+// reconcile returns the recorded order after a direct one. An order that was
+// given before the one in force never replaces it. A direct "back" replaces an
+// "out" only if it was given in knowledge of it. An order that replaces nothing
+// goes to the history.
 func reconcile(recorded control.RecordedOrder, exists bool, order control.Order) control.RecordedOrder {
 	if !exists {
 		return control.RecordedOrder{Sequence: 1, Order: order}
 	}
 	next := control.RecordedOrder{Sequence: recorded.Sequence + 1}
 	inForce := recorded.Order
-	if !order.Out && inForce.Out && !slices.Contains(order.Supersedes, inForce.ChangeID) ||
+	if order.Time.Before(inForce.Time) || !order.Out && inForce.Out && !slices.Contains(order.Supersedes, inForce.ChangeID) ||
 		order.Out && supersededBy(recorded, order.ChangeID) {
 		next.Order = inForce
 		next.History = append([]control.Order{order}, recorded.History...)
