control: drop direct orders once they are recorded

They stayed in the items, and so in the summary of every exchange, for ever. An item that the recorded order holds is neither taken nor asked for again, so that a process that still has it does not bring it back. The sum that detects changes is now a digest, because an item that is dropped would lower a sum.

--- a/control/state.go
+++ b/control/state.go
@@ -51,7 +51,8 @@
 
 // State is the control state of one process. It is safe for concurrent use.
 // An item never replaces a newer one, and one that does not parse replaces
-// nothing.
+// nothing. A direct order is dropped once the recorded order holds it, and is
+// not taken again, so that the summaries of exchanges do not grow.
 type State struct {
 	mu      sync.Mutex
 	items   map[string]Item
@@ -88,7 +89,7 @@
 func (s *State) Offer(item Item) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.items[item.Name]; ok && !item.newer(known) {
+	if known, ok := s.items[item.Name]; ok && !item.newer(known) || s.view.Load().reconciled(item.Name) {
 		return false, nil
 	}
 	next := s.view.Load().clone()
@@ -97,6 +98,11 @@
 	}
 	next.dropReconciled()
 	s.items[item.Name] = item
+	for name := range s.items {
+		if next.reconciled(name) {
+			delete(s.items, name)
+		}
+	}
 	s.view.Store(next)
 	for _, c := range s.changed {
 		select {
@@ -128,6 +134,10 @@
 	theirs := make(map[string]Item, len(summary))
 	for _, item := range summary {
 		theirs[item.Name] = item
+		if s.view.Load().reconciled(item.Name) {
+			// The other drops it once it receives the recorded order.
+			continue
+		}
 		if ours, ok := s.items[item.Name]; !ok || item.newer(ours) {
 			wanted = append(wanted, item.Name)
 		}
@@ -250,6 +260,18 @@
 	return PrefixDirect + string(o.Kind) + "/" + o.Name + "/" + o.ChangeID
 }
 
+// reconciled reports whether the item is a direct order that the platform's
+// record holds.
+func (v *View) reconciled(name string) bool {
+	rest, direct := strings.CutPrefix(name, PrefixDirect)
+	i := strings.LastIndexByte(rest, '/')
+	if !direct || i < 0 {
+		return false
+	}
+	r := v.Recorded[rest[:i]]
+	return r != nil && r.Holds(rest[i+1:])
+}
+
 // dropReconciled removes direct orders that the platform's record holds.
 func (v *View) dropReconciled() {
 	kept := v.Direct[:0]
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/control"
@@ -44,17 +46,17 @@
 	}
 }
 
-// changeSum adds up what rises with each change other than a renewal. All terms
-// only rise, so that equal sums mean equal states.
+// changeSum is a digest of what differs after each change other than a renewal.
 func (m *Member) changeSum() uint64 {
-	var sum uint64
+	var digest xxhash.Digest
+	digest.Reset()
 	for _, item := range m.config.State.Summary() {
-		sum += item.Major + 1
-		if !isRecord(item.Name) {
-			sum += item.Minor
+		if isRecord(item.Name) {
+			item.Minor = 0
 		}
+		_, _ = fmt.Fprintf(&digest, "%s %d %d\n", item.Name, item.Major, item.Minor)
 	}
-	return sum
+	return digest.Sum64()
 }
 
 func isRecord(name string) bool {
