--- a/assign/right.go
+++ b/assign/right.go
@@ -14,6 +14,18 @@
 	Work time.Duration
 }
 
+// clockRateParts is the inverse of the greatest difference between the rates of
+// two instances' clocks: 1 in 1000, as the kernel steers each clock by at most
+// 500 parts per million.
+const clockRateParts = 1000
+
+// Wait returns how long a successor waits, on its own clock, for all that the
+// former owner may do within Lease and Work on another clock.
+func (t Terms) Wait() time.Duration {
+	length := t.Lease + t.Work
+	return length + length/clockRateParts
+}
+
 // Right is what a broker may dispatch at all, whatever it owns.
 type Right uint8
 
@@ -86,9 +98,10 @@
 	if r.granted > 0 && now < r.granted+r.terms.Lease {
 		return RightLeased
 	}
-	asked, confirmed := 0, 0
+	asked, confirmed, own := 0, 0, 0
 	for _, c := range r.record.Confirmers {
 		if c == r.id {
+			own = 1
 			continue
 		}
 		asked++
@@ -99,13 +112,21 @@
 	switch {
 	case confirmed == 0:
 		return RightNone
-	case confirmed < asked:
+	case confirmed == asked:
+		return RightAll
+	case confirmed+own >= majority(len(r.record.Confirmers)):
 		return RightSome
 	default:
-		return RightAll
+		return RightNone
 	}
 }
 
+// majority is the number of confirmers that gives a member a right. The member
+// counts itself if it is one of them. With a majority, the acknowledgements of
+// the others show that a departed member holds no right, although further
+// confirmers were lost together with it.
+func majority(confirmers int) int { return confirmers/2 + 1 }
+
 // Combine returns the grant of a broker with the given right for a searcher of
 // which its takeover admits share.
 func Combine(right Right, share Share) Grant {
