--- a/internal/deployment/control.go
+++ b/internal/deployment/control.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -50,11 +51,21 @@
 	return err
 }
 
+// CurrentPlatformFaults returns the faults in force at the platform stand-in.
+func (d *Deployment) CurrentPlatformFaults() (map[string]any, error) {
+	return d.get("http://" + d.platformControl + "/faults")
+}
+
 // PlatformStats returns the calls that the platform stand-in has counted.
 func (d *Deployment) PlatformStats() (map[string]any, error) {
 	return d.get("http://" + d.platformControl + "/stats")
 }
 
+// Object returns an object of the platform.
+func (d *Deployment) Object(name string) (map[string]any, error) {
+	return d.get("http://" + d.platformAddress + "/objects/" + name)
+}
+
 // UpstreamControl changes the behaviour of searchers.
 func (d *Deployment) UpstreamControl(change map[string]any) error {
 	_, err := call(http.MethodPost, "http://"+d.upstreamControl+"/control", change)
@@ -132,6 +143,19 @@
 	return &Load{process: p, output: output}, err
 }
 
+// Finish ends the load before its duration has passed and returns its report.
+func (l *Load) Finish() (*load.Report, error) {
+	l.process.Signal(syscall.SIGTERM)
+	return l.Wait()
+}
+
+// Kill ends the load at once, without a report.
+func (l *Load) Kill() {
+	if !l.process.Ended() {
+		l.process.Kill()
+	}
+}
+
 // Wait waits for the end of the load and returns its report.
 func (l *Load) Wait() (*load.Report, error) {
 	<-l.process.done
