Offer a refused booking to a searcher of another owner next

Cause: a booking is offered to four searchers at most. More attempts were ruled out, because each takes time of the deadline.

--- a/booking/dispatch.go
+++ b/booking/dispatch.go
@@ -57,10 +57,40 @@
 		if result.Run(last.Run) != result.RunNo {
 			return last
 		}
+		if ofOwner(result.Code(last.Code)) {
+			candidates = elsewhere(view, chosen, candidates)
+		}
 	}
 	return last
 }
 
+// ofOwner reports whether a refusal is about the owner of a searcher rather
+// than the searcher, so that its other searchers would be refused too.
+func ofOwner(code result.Code) bool {
+	switch code {
+	case result.NotOwner, result.NoRight, result.Stopping, result.ConnectionLost:
+		return true
+	default:
+		return false
+	}
+}
+
+// elsewhere returns the candidates of other owners than that of a searcher that
+// was refused, or all if there are none.
+func elsewhere(view *control.View, refused settings.Searcher, candidates []settings.Searcher) []settings.Searcher {
+	owner, _ := assign.OwnerOf(view.Records, refused.FailureDomain, refused.ID)
+	var others []settings.Searcher
+	for _, u := range candidates {
+		if o, ok := assign.OwnerOf(view.Records, u.FailureDomain, u.ID); ok && o.ID != owner.ID {
+			others = append(others, u)
+		}
+	}
+	if len(others) == 0 {
+		return candidates
+	}
+	return others
+}
+
 // candidates returns the searchers of a service that no order takes out of
 // service.
 func (s *Service) candidates(view *control.View, service string) []settings.Searcher {
