--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wisteriawharf/wisteriawharf/internal/deployment"
+	"github.com/wisteriawharf/wisteriawharf/internal/relay"
 )
 
 // command is one command of the language of scenarios.
@@ -43,7 +44,9 @@
 //	elapse DURATION since MARK        wait until so much time has passed
 //	wait-for DURATION SOURCE PATH OP VALUE
 //	expect REPORT PATH OP VALUE       compare a number or text
-//	unchanged REPORT REPORT PATH      the field is the same in both
+//	unchanged|grown REPORT REPORT PATH
+//	relay SEARCHER                    put a relay before it; its settings change
+//	silence                           all present connections of relays go silent
 //	sound REPORT                      no answer and no fact breaks an invariant
 //	clean REPORT                      every answer is complete, no request failed
 //	refused REPORT CODE               every request was refused with the code
@@ -55,7 +58,9 @@
 		"broker": processAction("broker"), "entry": processAction("entry"),
 		"replace": replaceInstance, "platform": platformFault, "upstream": upstreamControl, "load": startLoad, "finish": finishLoad,
 		"read": read, "mark": mark, "elapse": elapse, "wait-for": waitFor, "expect": expect,
-		"unchanged": unchanged, "sound": sound, "clean": clean, "refused": refused,
+		"unchanged": change("unchanged", func(before, after float64) bool { return before == after }),
+		"grown":     change("grown", func(before, after float64) bool { return after > before }),
+		"relay":     startRelay, "silence": silence, "sound": sound, "clean": clean, "refused": refused,
 		"each-second": eachSecond, "quiet": quiet,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){"operator": operate}
@@ -156,6 +161,35 @@
 	return errors.Trace(err)
 }
 
+// startRelay puts a relay before a searcher. A publish is needed after it.
+func startRelay(s *scenario, _ *testscript.TestScript, args []string) error {
+	if len(args) != 1 {
+		return errors.New("usage: relay SEARCHER")
+	}
+	facts, err := s.deployment.Facts()
+	if err != nil {
+		return err
+	}
+	searcher, ok := facts.Searchers[args[0]]
+	if !ok {
+		return errors.Errorf("searcher %q is not known", args[0])
+	}
+	r, err := relay.NewTCP(searcher.Address)
+	if err != nil {
+		return err
+	}
+	s.relays = append(s.relays, r)
+	file := filepath.Join(s.deployment.ServicesDir(), searcher.Services[0]+".yaml")
+	return replaceIn(file, searcher.Address+",", r.Address()+",")
+}
+
+func silence(s *scenario, _ *testscript.TestScript, _ []string) error {
+	for _, r := range s.relays {
+		r.SilenceExisting()
+	}
+	return nil
+}
+
 func mark(s *scenario, _ *testscript.TestScript, args []string) error {
 	if len(args) != 1 {
 		return errors.New("usage: mark NAME")
--- a/scenarios/expect_test.go
+++ b/scenarios/expect_test.go
@@ -267,19 +267,27 @@
 	return nil
 }
 
-func unchanged(s *scenario, _ *testscript.TestScript, args []string) error {
-	if len(args) != 3 {
-		return errors.New("usage: unchanged REPORT REPORT PATH")
-	}
-	before, err := value(s.reports[args[0]], args[2])
-	if err != nil {
-		return err
-	}
-	after, err := value(s.reports[args[1]], args[2])
-	if err == nil && before != after {
-		err = errors.Errorf("%s was %v and is %v", args[2], before, after)
+// change returns the command that compares a count in two reports.
+func change(usage string, holds func(before, after float64) bool) command {
+	return func(s *scenario, _ *testscript.TestScript, args []string) error {
+		if len(args) != 3 {
+			return errors.Errorf("usage: %s REPORT REPORT PATH", usage)
+		}
+		before, err := value(s.reports[args[0]], args[2])
+		if err != nil {
+			return err
+		}
+		after, err := value(s.reports[args[1]], args[2])
+		if err != nil {
+			return err
+		}
+		was, ok := before.(float64)
+		is, also := after.(float64)
+		if !ok || !also || !holds(was, is) {
+			return errors.Errorf("%s was %v and is %v", args[2], before, after)
+		}
+		return nil
 	}
-	return err
 }
 
 // loadReport returns the report of a finished load.
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -15,6 +15,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/wisteriawharf/wisteriawharf/internal/deployment"
+	"github.com/wisteriawharf/wisteriawharf/internal/relay"
 )
 
 var update = flag.Bool("update", false, "write the sessions that were seen into the scenarios")
@@ -59,6 +60,7 @@
 	reports    map[string]any
 	marks      map[string]time.Time
 	words      *words
+	relays     []*relay.TCP
 	session    *os.File
 }
 
@@ -90,5 +92,8 @@
 	if s.deployment != nil {
 		s.deployment.Kill()
 	}
+	for _, r := range s.relays {
+		r.Close()
+	}
 	_ = s.session.Close()
 }
