detect: suspect a process that the coordinator does not hear for a lease

A member that others reached, but whose heartbeats did not arrive at the coordinator, was neither renewed nor removed, so nobody used its searchers. It is now removed like a silent one; the fences decide what it may still do.

--- a/detect/detect.go
+++ b/detect/detect.go
@@ -13,6 +13,10 @@
 	Silence time.Duration
 	// Removal is how long a process is suspected before it is lost.
 	Removal time.Duration
+	// Unheard is how long a process that others reach may send no heartbeat. A
+	// coordinator that does not hear a member cannot renew its lease, so that its
+	// searchers would stay unused if it were kept.
+	Unheard time.Duration
 }
 
 // Detector follows the processes of one failure domain. Times are the boot time
@@ -23,7 +27,9 @@
 }
 
 type process struct {
+	// heard is the last heartbeat or successful probe, beat the last heartbeat.
 	heard     time.Duration
+	beat      time.Duration
 	probing   bool
 	suspected bool
 	since     time.Duration
@@ -38,13 +44,13 @@
 // nothing for a process that is followed already.
 func (d *Detector) Follow(id string, now time.Duration) {
 	if d.processes[id] == nil {
-		d.processes[id] = &process{heard: now}
+		d.processes[id] = &process{heard: now, beat: now}
 	}
 }
 
 // Heard notes a heartbeat, which ends any suspicion.
 func (d *Detector) Heard(id string, now time.Duration) {
-	d.processes[id] = &process{heard: now}
+	d.processes[id] = &process{heard: now, beat: now}
 }
 
 // Forget stops following a process.
@@ -65,15 +71,16 @@
 }
 
 // Probed reports whether any other process reached the one that was due. A
-// process that was reached is probed again after another silence. It reports
-// whether the process is suspected from now on.
+// process that was reached is probed again after another silence, until it sent
+// no heartbeat for Unheard. Probed returns whether the process is suspected from
+// now on.
 func (d *Detector) Probed(id string, reached bool, now time.Duration) bool {
 	p := d.processes[id]
 	if p == nil || !p.probing {
 		return false
 	}
 	p.probing = false
-	if reached {
+	if reached && now < p.beat+d.timing.Unheard {
 		p.heard = now
 		return false
 	}
--- a/detect/detect_test.go
+++ b/detect/detect_test.go
@@ -10,7 +10,7 @@
 const second = time.Second
 
 func newDetector() *Detector {
-	return New(Timing{Silence: 3 * second / 2, Removal: 3 * second})
+	return New(Timing{Silence: 3 * second / 2, Removal: 3 * second, Unheard: 6 * second})
 }
 
 // TestSilenceIsProbedBeforeSuspicion guards against suspicion on the word of
@@ -48,3 +48,19 @@
 	d.Forget("a")
 	qt.Assert(t, d.Due(60*second), qt.HasLen, 0)
 }
+
+// TestUnheardIsLost guards against a process that is kept for ever because
+// others reach it, although its heartbeats do not arrive.
+func TestUnheardIsLost(t *testing.T) {
+	d := newDetector()
+	d.Heard("a", 0)
+	for at := 2 * second; at < 6*second; at += 2 * second {
+		qt.Assert(t, d.Due(at), qt.DeepEquals, []string{"a"})
+		qt.Assert(t, d.Probed("a", true, at), qt.IsFalse)
+	}
+	d.Due(6 * second)
+	qt.Assert(t, d.Probed("a", true, 6*second), qt.IsTrue)
+	qt.Assert(t, d.Lost(9*second), qt.DeepEquals, []string{"a"})
+	d.Heard("a", 9*second)
+	qt.Assert(t, d.Lost(9*second), qt.HasLen, 0)
+}
--- a/member/coordinator.go
+++ b/member/coordinator.go
@@ -86,9 +86,14 @@
 	if err := s.Receive(&beat); err != nil {
 		return err
 	}
+	reply := m.answerHeartbeat(beat)
+	return s.Send(&reply)
+}
+
+func (m *Member) answerHeartbeat(beat peer.Heartbeat) peer.HeartbeatReply {
 	seat := m.membershipIn(beat.Record)
 	if seat == nil {
-		return s.Send(&peer.HeartbeatReply{})
+		return peer.HeartbeatReply{}
 	}
 	reply := peer.HeartbeatReply{Coordinator: seat.takeHeartbeat(beat)}
 	if record, _ := seat.record(); record != nil {
@@ -97,7 +102,7 @@
 			reply.GrantedNs = member.GrantedNs
 		}
 	}
-	return s.Send(&reply)
+	return reply
 }
 
 // publishRoster offers the roster as the coordinator sees it, if it changed.
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,6 +187,25 @@
 	holder *holder
 	node   *peer.Node
 	stop   func()
+	// unheard is the process whose heartbeats do not arrive here.
+	unheard atomic.Pointer[string]
+}
+
+// handlers returns the member's handlers without heartbeats that do not arrive.
+func (p *process) handlers() map[peer.Kind]peer.Handler {
+	handlers := p.Handlers()
+	handlers[peer.KindHeartbeat] = func(_ context.Context, s *peer.Stream) error {
+		var beat peer.Heartbeat
+		if err := s.Receive(&beat); err != nil {
+			return err
+		}
+		if unheard := p.unheard.Load(); unheard != nil && *unheard == beat.ID {
+			return io.ErrUnexpectedEOF
+		}
+		reply := p.answerHeartbeat(beat)
+		return s.Send(&reply)
+	}
+	return handlers
 }
 
 type cluster struct {
@@ -232,7 +252,7 @@
 	config.Self = control.Instance{ID: id, Role: role, FailureDomain: domain, PeerAddress: address}
 	p.Member, err = New(config)
 	c.Assert(err, qt.IsNil)
-	p.node, err = peer.Listen(peer.Config{Address: address, Identity: loaded, Handlers: p.Handlers(), Log: config.Log})
+	p.node, err = peer.Listen(peer.Config{Address: address, Identity: loaded, Handlers: p.handlers(), Log: config.Log})
 	c.Assert(err, qt.IsNil)
 	c.seeds = append(c.seeds, address)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -368,6 +388,28 @@
 	})
 }
 
+// TestUnheardMemberIsReplaced guards against searchers that nobody may use
+// because the coordinator does not hear their owner, whom others reach.
+func TestUnheardMemberIsReplaced(t *testing.T) {
+	c := newCluster(t)
+	c.store.publish(c.C, 1)
+	started := c.brokers("a", "b", "d")
+	c.eventually("shared", func() bool {
+		return started[1].grants(full) > 0 && started[0].grants(full)+started[1].grants(full)+started[2].grants(full) == len(testSearchers)
+	})
+	c.Assert(started[0].state.View().Records["x"].Coordinator, qt.Equals, "a")
+	unheard := "b"
+	started[0].unheard.Store(&unheard)
+	c.eventually("taken over", func() bool {
+		return started[0].grants(full)+started[2].grants(full) == len(testSearchers)
+	})
+	_, member := started[0].state.View().Records["x"].Member("b")
+	c.Assert(member, qt.IsFalse)
+	c.Assert(started[1].right(), qt.Equals, assign.RightNone)
+	started[0].unheard.Store(nil)
+	c.eventually("joined again", func() bool { return started[1].grants(full) > 0 })
+}
+
 // TestDirectOrder guards against an order that is lost while the platform is
 // away, or that is recorded twice after a lost reply.
 func TestDirectOrder(t *testing.T) {
--- a/member/membership.go
+++ b/member/membership.go
@@ -58,7 +58,7 @@
 		rights:      assign.NewRights(m.config.Self.ID, terms),
 		takeover:    assign.NewTakeover(m.config.Self.ID, terms),
 		renewed:     m.config.Clock.Boottime(),
-		detector:    detect.New(detect.Timing{Silence: t.Silence, Removal: t.Removal}),
+		detector:    detect.New(detect.Timing{Silence: t.Silence, Removal: t.Removal, Unheard: t.Lease}),
 		heard:       make(map[string]heartbeat),
 		acked:       make(map[string]uint64),
 		given:       make(map[string]bool),
@@ -114,7 +114,7 @@
 	}
 	m.coordinating = coordinating
 	t := m.config.Timing
-	m.detector = detect.New(detect.Timing{Silence: t.Silence, Removal: t.Removal})
+	m.detector = detect.New(detect.Timing{Silence: t.Silence, Removal: t.Removal, Unheard: t.Lease})
 	m.heard = make(map[string]heartbeat)
 	m.followRoster(now)
 	m.config.Log.Info("coordinator changed", "domain", m.domain, "self", coordinating)
