Adopt by domains in service, book only at searchers with an owner

Domains out of service adopt only if there is no other: they may be about to stop. A lost domain that is out of service needs no owner before it is back.

A searcher without an owner used one of the few attempts of a booking. The fixture of the booking tests relied on a domain without a record being owned by another domain's broker; it now has a record adopted by that broker.

--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -118,6 +118,9 @@
 	f.offer(c, control.ItemSettings, settings.Revision{Number: 1, Files: []settings.File{{Path: "lane.yaml", Text: laneBooking}}})
 	record := control.Record{Epoch: 1, Members: []control.Member{{ID: "b1", Address: "127.0.0.1:1"}}}
 	f.offer(c, control.PrefixDomain+"suva", record)
+	// The second searcher's domain has no broker of its own.
+	record.Members = []control.Member{{ID: "b1", Address: "127.0.0.1:1", Domain: "suva"}}
+	f.offer(c, control.PrefixDomain+"nadi", record)
 	return f
 }
 
--- a/booking/dispatch.go
+++ b/booking/dispatch.go
@@ -61,12 +61,13 @@
 	return last
 }
 
-// candidates returns the searchers of a service that no order takes out of
-// service.
+// candidates returns the searchers of a service that have an owner and that no
+// order takes out of service.
 func (s *Service) candidates(view *control.View, service string) []settings.Searcher {
 	var usable []settings.Searcher
 	for _, u := range view.Settings.Services[service].Searchers {
-		if !view.Out(control.OrderDomain, u.FailureDomain) && !view.Out(control.OrderUpstream, u.ID) {
+		_, owned := assign.OwnerOf(view.Records, u.FailureDomain, u.ID)
+		if owned && !view.Out(control.OrderDomain, u.FailureDomain) && !view.Out(control.OrderUpstream, u.ID) {
 			usable = append(usable, u)
 		}
 	}
--- a/member/adopt.go
+++ b/member/adopt.go
@@ -113,9 +113,12 @@
 }
 
 // isAdopter reports whether the domain is lost and this process's domain is the
-// first in rendezvous order that is not.
+// first in rendezvous order that is not. Domains that operators took out of
+// service come last, because they may be about to stop; the searchers of a lost
+// one get no work, so they need no owner.
 func (m *Member) isAdopter(view *control.View, domain string) bool {
-	if !m.lost(domain) {
+	out := func(name string) bool { return view.Out(control.OrderDomain, name) }
+	if !m.lost(domain) || out(domain) {
 		return false
 	}
 	alive := []string{m.home.domain}
@@ -124,7 +127,9 @@
 			alive = append(alive, name)
 		}
 	}
-	return assign.Rank(alive, domain)[0] == m.home.domain
+	ranked := assign.Rank(alive, domain)
+	first := max(0, slices.IndexFunc(ranked, func(name string) bool { return !out(name) }))
+	return ranked[first] == m.home.domain
 }
 
 // take joins the record of a lost domain and removes its members. What they may
--- a/member/adopt_test.go
+++ b/member/adopt_test.go
@@ -93,7 +93,8 @@
 }
 
 // TestAdoptionWait guards against adopting a domain that has only just been
-// seen, or that could not renew because the platform was away.
+// seen, that could not renew because the platform was away, or that is out of
+// service, and against adoption by a domain that is lost or out of service.
 func TestAdoptionWait(t *testing.T) {
 	c := qt.New(t)
 	manual := &clock.Manual{}
@@ -121,11 +122,24 @@
 	view.Records["x"] = &control.Record{Renewal: 1}
 	c.Assert(after(1, true), qt.IsFalse)
 	c.Assert(after(wait, true), qt.IsTrue)
+	order := func(domain string, out bool) *control.RecordedOrder {
+		return &control.RecordedOrder{Order: control.Order{Kind: control.OrderDomain, Name: domain, Out: out}}
+	}
+	view.Recorded = map[string]*control.RecordedOrder{"domain/x": order("x", true)}
+	c.Assert(m.isAdopter(view, "x"), qt.IsFalse)
+	view.Recorded["domain/x"] = order("x", false)
+	c.Assert(m.isAdopter(view, "x"), qt.IsTrue)
 	// A domain that is itself lost does not adopt, one that is alive may come first.
 	for _, other := range []string{"v", "w", "z"} {
 		view.Records[other] = &control.Record{Renewal: 1, Members: []control.Member{{ID: other}}}
 	}
 	after(0, true)
 	c.Assert(m.isAdopter(view, "x"), qt.Equals, assign.Rank([]string{"v", "w", "y", "z"}, "x")[0] == "y")
+	for _, other := range []string{"v", "w", "z"} {
+		view.Recorded["domain/"+other] = order(other, true)
+	}
+	c.Assert(m.isAdopter(view, "x"), qt.IsTrue)
+	view.Recorded["domain/y"] = order("y", true)
+	c.Assert(m.isAdopter(view, "x"), qt.Equals, assign.Rank([]string{"v", "w", "y", "z"}, "x")[0] == "y")
 	c.Assert(after(wait, true), qt.IsTrue)
 }
