--- /dev/null
+++ b/assign/model_faults_test.go
@@ -0,0 +1,139 @@
+package assign
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// disturb changes the surroundings. Most events last for several ticks, because
+// rights end only after D.
+func (m *model) disturb(event int) {
+	p := m.processes[m.random.IntN(len(m.processes))]
+	o := m.processes[m.random.IntN(len(m.processes))]
+	switch event {
+	case 1, 2:
+		m.cut[link(p.id, o.id)] = !m.cut[link(p.id, o.id)]
+	case 3:
+		// One group is cut from the rest.
+		for _, a := range m.processes {
+			for _, b := range m.processes {
+				if a == p || a == o {
+					m.cut[link(a.id, b.id)] = b != p && b != o
+				}
+			}
+		}
+	case 4:
+		m.cut = make(map[[2]string]bool)
+	case 5:
+		m.outage = !m.outage
+	case 6, 7:
+		p.offline = !p.offline
+	case 8:
+		p.pausedUntil = m.tick + m.random.IntN(25)
+	case 9:
+		m.lose = !m.lose
+	case 10:
+		m.stale = !m.stale
+	case 11:
+		if len(m.processes) < modelBrokers+2 {
+			m.start(false)
+		}
+	case 12:
+		if !p.foreign {
+			p.gone = true
+		}
+	case 13:
+		if !p.foreign {
+			p.dead = true
+		}
+	case 14:
+		m.isolate()
+	case 15:
+		m.loseDomain()
+	case 16:
+		p.dead = true
+	}
+}
+
+// loseDomain ends all brokers of the record's domain.
+func (m *model) loseDomain() {
+	for _, p := range m.processes {
+		p.dead = p.dead || !p.foreign
+	}
+}
+
+// isolate cuts a random group, which stays connected within, from the others
+// and from the platform. Its members may confirm each other an old epoch.
+func (m *model) isolate() {
+	inside := make(map[*process]bool)
+	for _, p := range m.processes {
+		inside[p] = m.random.IntN(2) == 0
+		p.offline = inside[p]
+	}
+	for _, a := range m.processes {
+		for _, b := range m.processes {
+			m.cut[link(a.id, b.id)] = inside[a] != inside[b]
+		}
+	}
+}
+
+// run lets the model go on, and checks the limits, until done or the given tick.
+func (m *model) run(t *rapid.T, end int, disturb func(), done func() bool) {
+	for ; m.tick < end && !done(); m.tick++ {
+		disturb()
+		m.deliver()
+		for _, p := range m.processes {
+			m.step(p)
+		}
+		m.deliver()
+		m.check(t)
+	}
+}
+
+// TestLimitsHoldInModel guards against two brokers that together use more of a
+// searcher than its limits, whatever is lost, late, cut, paused or replaced.
+func TestLimitsHoldInModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(t, "seed"))
+		calm := rapid.IntRange(17, 120).Draw(t, "calm")
+		m.run(t, modelTicks, func() {
+			if m.tick > 10 {
+				m.disturb(rapid.IntRange(0, calm).Draw(t, "event"))
+			}
+		}, func() bool { return false })
+	})
+}
+
+// full counts the searchers whose full limits are used by processes of one kind.
+func (m *model) full(foreign bool) int {
+	n := 0
+	for _, p := range m.processes {
+		for _, s := range modelSearchers {
+			if p.foreign == foreign && p.used[s][m.tick-1] == m.limits.Slots {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestAdoptionEndsInModel guards against searchers of a lost domain that stay
+// without an owner because its brokers died together, and against adopters that
+// keep them after a broker of the domain came back.
+func TestAdoptionEndsInModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(t, "seed"))
+		reach := func(foreign bool) {
+			m.run(t, m.tick+modelTicks, func() {}, func() bool { return m.full(foreign) == len(modelSearchers) })
+			if n := m.full(foreign); n != len(modelSearchers) {
+				t.Fatalf("tick %d: %d of %d searchers in use, by adopters: %t", m.tick, n, len(modelSearchers), foreign)
+			}
+		}
+		reach(false)
+		m.loseDomain()
+		reach(true)
+		m.start(false)
+		reach(false)
+	})
+}
