Do not exchange renewals of leases

Cause: each renewal changes the version of a record, and an exchange pulled the whole record for it: at 28 domains with 75 members each, every process would receive all records every 2 s. Ruled out: longer intervals of the exchange, which delay what others wait for. Records now count changes other than renewals, and exchanges compare that count. Members learn of renewals by heartbeats and coordinators from the platform.

--- a/assign/coordinate.go
+++ b/assign/coordinate.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"reflect"
 	"slices"
 	"strings"
 
@@ -76,6 +77,10 @@
 	} else if allKnow(next.Members, next.Epoch) {
 		next.Former = nil
 	}
+	if next.Epoch != previous.Epoch || next.Coordinator != previous.Coordinator ||
+		!reflect.DeepEqual(next.Departed, previous.Departed) || !reflect.DeepEqual(next.Former, previous.Former) {
+		next.Change++
+	}
 	return next
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -29,6 +29,10 @@
 	Major uint64
 	Minor uint64
 	Value []byte
+	// Change takes the place of Minor between processes, if it is not zero. A
+	// record has a new Minor with each renewal of its leases, which no other
+	// process needs.
+	Change uint64
 }
 
 func (i Item) newer(other Item) bool {
@@ -38,6 +42,15 @@
 	return i.Minor > other.Minor
 }
 
+// changed reports whether the item is newer in something that other processes
+// need.
+func (i Item) changed(other Item) bool {
+	if i.Major != other.Major || i.Change == 0 || other.Change == 0 {
+		return i.newer(other)
+	}
+	return i.Change > other.Change
+}
+
 // View is an immutable reading of the control state.
 type View struct {
 	// Revision is the number of the settings in force; zero if none are known.
@@ -97,6 +110,9 @@
 		return false, errors.Annotatef(err, "item %q", item.Name)
 	}
 	next.dropReconciled()
+	if domain, ok := strings.CutPrefix(item.Name, PrefixDomain); ok {
+		item.Change = next.Records[domain].Change
+	}
 	s.items[item.Name] = item
 	for name := range s.items {
 		if next.reconciled(name) {
@@ -138,12 +154,12 @@
 			// The other drops it once it receives the recorded order.
 			continue
 		}
-		if ours, ok := s.items[item.Name]; !ok || item.newer(ours) {
+		if ours, ok := s.items[item.Name]; !ok || item.changed(ours) {
 			wanted = append(wanted, item.Name)
 		}
 	}
 	for name, item := range s.items {
-		if other, ok := theirs[name]; !ok || item.newer(other) {
+		if other, ok := theirs[name]; !ok || item.changed(other) {
 			newer = append(newer, item)
 		}
 	}
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -32,3 +32,28 @@
 	c.Assert(wanted, qt.DeepEquals, []string{DirectName(second)})
 	c.Assert(s.View().Out(OrderDomain, "x"), qt.IsTrue)
 }
+
+// TestRenewalsAreNotExchanged guards against the renewal of leases, which every
+// record sees every two seconds, being sent to processes that do not need it.
+func TestRenewalsAreNotExchanged(t *testing.T) {
+	c := qt.New(t)
+	offer := func(s *State, minor uint64, r Record) {
+		value, err := json.Marshal(r)
+		c.Assert(err, qt.IsNil)
+		taken, err := s.Offer(Item{Name: PrefixDomain + "split", Major: r.Epoch, Minor: minor, Value: value})
+		c.Assert(err, qt.IsNil)
+		c.Assert(taken, qt.IsTrue)
+	}
+	here, there := NewState(), NewState()
+	offer(here, 7, Record{Epoch: 1, Renewal: 1, Change: 1})
+	offer(there, 9, Record{Epoch: 1, Renewal: 3, Change: 1})
+	newer, wanted := here.Compare(there.Summary())
+	c.Assert(newer, qt.HasLen, 0)
+	c.Assert(wanted, qt.HasLen, 0)
+
+	offer(there, 11, Record{Epoch: 1, Renewal: 4, Change: 2})
+	_, wanted = here.Compare(there.Summary())
+	c.Assert(wanted, qt.DeepEquals, []string{PrefixDomain + "split"})
+	newer, _ = there.Compare(here.Summary())
+	c.Assert(newer, qt.HasLen, 1)
+}
--- a/control/types.go
+++ b/control/types.go
@@ -25,6 +25,9 @@
 	Former [][]string `json:"former,omitempty"`
 	// Renewal rises with each renewal, so that a renewal is a change.
 	Renewal uint64 `json:"renewal"`
+	// Change rises with each write that does more than renew leases. Renewals
+	// alone need not reach other processes.
+	Change uint64 `json:"change"`
 }
 
 // Member is one broker incarnation of a failure domain.
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -51,18 +51,14 @@
 	var digest xxhash.Digest
 	digest.Reset()
 	for _, item := range m.config.State.Summary() {
-		if isRecord(item.Name) {
-			item.Minor = 0
+		if item.Change > 0 {
+			item.Minor = item.Change
 		}
 		_, _ = fmt.Fprintf(&digest, "%s %d %d\n", item.Name, item.Major, item.Minor)
 	}
 	return digest.Sum64()
 }
 
-func isRecord(name string) bool {
-	return len(name) >= len(control.PrefixDomain) && name[:len(control.PrefixDomain)] == control.PrefixDomain
-}
-
 func (m *Member) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Timing.Call)
 	defer cancel()
@@ -79,7 +75,9 @@
 		return err
 	}
 	defer s.Cancel()
-	if err := s.Send(&peer.Exchange{ID: m.config.Self.ID, Summary: frameItems(m.config.State.Summary())}); err != nil {
+	summary := m.config.State.Summary()
+	m.noteSent("summary", summary)
+	if err := s.Send(&peer.Exchange{ID: m.config.Self.ID, Summary: frameItems(summary)}); err != nil {
 		return errors.Trace(err)
 	}
 	var reply peer.ExchangeReply
@@ -89,7 +87,9 @@
 	}
 	m.offer(stateItems(reply.Newer))
 	if len(reply.Wanted) > 0 {
-		push := peer.ExchangePush{Items: frameItems(bounded(m.config.State.Items(reply.Wanted)))}
+		items := bounded(m.config.State.Items(reply.Wanted))
+		m.noteSent("items", items)
+		push := peer.ExchangePush{Items: frameItems(items)}
 		if err := s.Send(&push); err != nil {
 			return errors.Trace(err)
 		}
@@ -110,7 +110,9 @@
 		return err
 	}
 	newer, wanted := m.config.State.Compare(stateItems(request.Summary))
-	if err := s.Send(&peer.ExchangeReply{Newer: frameItems(bounded(newer)), Wanted: wanted}); err != nil {
+	newer = bounded(newer)
+	m.noteSent("items", newer)
+	if err := s.Send(&peer.ExchangeReply{Newer: frameItems(newer), Wanted: wanted}); err != nil {
 		return err
 	}
 	if len(wanted) == 0 {
@@ -124,6 +126,17 @@
 	return nil
 }
 
+// itemBytes is what an item takes in a frame besides its name and value.
+const itemBytes = 16
+
+func (m *Member) noteSent(content string, items []control.Item) {
+	size := 0
+	for _, item := range items {
+		size += itemBytes + len(item.Name) + len(item.Value)
+	}
+	m.metrics.exchanged.WithLabelValues(content).Add(float64(size))
+}
+
 // offer hands items to the state. One that does not parse is dropped, so that
 // a faulty process cannot replace the last good state.
 func (m *Member) offer(items []control.Item) {
--- a/member/metrics.go
+++ b/member/metrics.go
@@ -8,6 +8,7 @@
 
 type metrics struct {
 	exchanges *prometheus.CounterVec
+	exchanged *prometheus.CounterVec
 	writes    *prometheus.CounterVec
 	platform  *prometheus.CounterVec
 	suspected prometheus.Counter
@@ -27,6 +28,7 @@
 	}
 	result := &metrics{
 		exchanges: vector("exchanges_total", "Exchanges of control state that this process started.", "outcome"),
+		exchanged: vector("exchange_sent_bytes_total", "Bytes of control state sent in exchanges, apart from framing: summaries, and items with their values.", "content"),
 		writes:    vector("record_writes_total", "Writes of the failure domain's record.", "outcome"),
 		platform:  vector("platform_calls_total", "Calls to the platform.", "call", "outcome"),
 		suspected: counter("suspicions_total", "Processes that this coordinator began to suspect."),
@@ -34,7 +36,7 @@
 		released:  counter("searchers_released_total", "Searchers released to another owner."),
 	}
 	collectors := []prometheus.Collector{
-		result.exchanges, result.writes, result.platform, result.suspected, result.recorded, result.released,
+		result.exchanges, result.exchanged, result.writes, result.platform, result.suspected, result.recorded, result.released,
 		gauge("revision", "Number of the settings revision in force.", func() float64 {
 			return float64(m.config.State.View().Revision)
 		}),
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -213,6 +213,8 @@
 	Major uint64 `msg:"a"`
 	Minor uint64 `msg:"i"`
 	Value []byte `msg:"v"`
+	// Change takes the place of Minor between processes, if it is not zero.
+	Change uint64 `msg:"c"`
 }
 
 // Exchange offers the sender's control state by name and order, without
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -2749,6 +2749,12 @@
 				err = msgp.WrapError(err, "Value")
 				return
 			}
+		case "c":
+			z.Change, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Change")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2762,9 +2768,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Item) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "n"
-	err = en.Append(0x84, 0xa1, 0x6e)
+	err = en.Append(0x85, 0xa1, 0x6e)
 	if err != nil {
 		return
 	}
@@ -2803,15 +2809,25 @@
 		err = msgp.WrapError(err, "Value")
 		return
 	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Change)
+	if err != nil {
+		err = msgp.WrapError(err, "Change")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Item) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "n"
-	o = append(o, 0x84, 0xa1, 0x6e)
+	o = append(o, 0x85, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Name)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -2822,6 +2838,9 @@
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendBytes(o, z.Value)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Change)
 	return
 }
 
@@ -2867,6 +2886,12 @@
 				err = msgp.WrapError(err, "Value")
 				return
 			}
+		case "c":
+			z.Change, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Change")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2881,7 +2906,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Item) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Value)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Value) + 2 + msgp.Uint64Size
 	return
 }
 
