Add make capacity: slopes of control and data path at several sizes

Measures heartbeats, exchanges, revisions, owner look-ups, subscriptions, idle searchers and connections in one process, and platform calls on deployments of real processes. The command cost of internal/measure takes its duration as an option and prints a fit, so that make capacity can reuse it.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build lint test demo clean
+.PHONY: build lint test demo capacity clean
 
 build:
 	mkdir -p $(BIN)
@@ -18,5 +18,12 @@
 demo: build
 	$(GO) run ./internal/demo
 
+# Figures of docs/CAPACITY.md. Few processors leave the rest of the machine to
+# others; figures are processor time, which does not depend on their number.
+capacity: build
+	$(GO) build -o $(BIN)/measure/ ./internal/capacity ./internal/measure
+	GOMAXPROCS=3 $(BIN)/measure/capacity
+	GOMAXPROCS=3 $(BIN)/measure/measure --out=out/capacity/cost cost --duration=6s
+
 clean:
 	rm -rf $(BIN) out
--- /dev/null
+++ b/internal/capacity/heartbeat.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/internal/slope"
+	"github.com/wisteriawharf/wisteriawharf/member"
+	"github.com/wisteriawharf/wisteriawharf/peer"
+	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/standin"
+)
+
+// coordinator is a member that coordinates a failure domain of its own.
+type coordinator struct {
+	node  *peer.Node
+	state *control.State
+	stop  func()
+}
+
+// heartbeats measures a coordinator that hears processes, half of them brokers.
+func (b *bench) heartbeats() error {
+	service, err := standin.StartPlatform(standin.PlatformConfig{
+		Address: "127.0.0.1:0", Control: "127.0.0.1:0", WriteBudget: 1000, ReadBudget: 1000, Log: quiet,
+	})
+	if err != nil {
+		return err
+	}
+	defer service.Close()
+	store, err := platform.NewHTTP(platform.HTTPConfig{Address: service.Address(), Timeout: time.Second, Registry: prometheus.NewRegistry()})
+	if err != nil {
+		return err
+	}
+	cost := &slope.Table{
+		Title: "Heartbeats at a coordinator (processor time of both ends; bytes of both directions)", Size: "process",
+		Columns: []string{"us/heartbeat", "frame bytes/heartbeat", "UDP bytes/heartbeat"},
+	}
+	held := &slope.Table{
+		Title: "State of a coordinator (half of the processes are brokers, the members of the record)", Size: "process",
+		Columns: []string{"roster bytes", "record bytes", "memory bytes"},
+	}
+	for _, size := range []int{10, 75, 300} {
+		for run := range repeats {
+			if err := b.heartbeatRun(store, size, run, cost, held); err != nil {
+				return err
+			}
+		}
+	}
+	show(cost, held)
+	return nil
+}
+
+func (b *bench) heartbeatRun(store platform.Store, size, run int, cost, held *slope.Table) error {
+	domain := fmt.Sprintf("domain-%d-%d", size, run)
+	c, err := b.startCoordinator(domain, store)
+	if err != nil {
+		return err
+	}
+	defer c.stop()
+	client, err := b.network.listen(nil)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	relay, err := newRelay(c.node.Address())
+	if err != nil {
+		return err
+	}
+	defer relay.close()
+	beatTo := func(address string) func(int) error {
+		return func(i int) error {
+			ctx, cancel := timeout(5 * time.Second)
+			defer cancel()
+			request, reply := heartbeatOf(domain, client.Address(), i%size), peer.HeartbeatReply{}
+			return client.Call(ctx, address, peer.KindHeartbeat, &request, &reply)
+		}
+	}
+	beat := beatTo(c.node.Address())
+	before := heldBytes()
+	// The first round makes the processes known, which changes the roster each
+	// time; the second follows the renewal that adds the brokers to the record.
+	if _, err := microsOf(size, beat); err != nil {
+		return err
+	}
+	if err := until(func() bool {
+		_, err := microsOf(size, beat)
+		record := c.state.View().Records[domain]
+		return err == nil && len(record.Members) >= size/2
+	}); err != nil {
+		return err
+	}
+	memory := heldBytes() - before
+	// The relay's own work is kept out of the processor time.
+	const beats, counted = 1000, 200
+	micros, err := microsOf(beats, beat)
+	if err != nil {
+		return err
+	}
+	relayed := beatTo(relay.address())
+	if err := relayed(0); err != nil {
+		return err
+	}
+	bytes := relay.bytes()
+	if _, err := microsOf(counted, relayed); err != nil {
+		return err
+	}
+	request := heartbeatOf(domain, client.Address(), 0)
+	frames := 1 + frameBytes(&request) + frameBytes(&peer.HeartbeatReply{Coordinator: true, Epoch: 9, GrantedNs: request.BoottimeNs})
+	cost.Add(float64(size), micros, float64(frames), float64(relay.bytes()-bytes)/counted)
+	roster, _ := c.state.Item(control.PrefixRoster + domain)
+	record, _ := c.state.Item(control.PrefixDomain + domain)
+	held.Add(float64(size), float64(len(roster.Value)), float64(len(record.Value)), memory)
+	return nil
+}
+
+func heartbeatOf(domain, address string, i int) peer.Heartbeat {
+	role := control.RoleBroker
+	if i%2 == 1 {
+		role = control.RoleEntry
+	}
+	return peer.Heartbeat{
+		ID: processID(i), Role: string(role), Domain: domain, PeerAddress: address,
+		CallerAddress: "10.123.123.123:7001", OperatorAddress: "10.123.123.123:7201",
+		Revision: 1, BoottimeNs: int64(1000 * time.Hour), Epoch: 1,
+	}
+}
+
+// processID has the length of the identifiers that daemons make.
+func processID(i int) string {
+	return fmt.Sprintf("broker-domain-%04d-0198f3c2-7f6e-7b1a-9d35-%012d", i, i)
+}
+
+func (b *bench) startCoordinator(domain string, store platform.Store) (*coordinator, error) {
+	c := &coordinator{state: control.NewState()}
+	// The member needs its address before the node has its handlers.
+	handlers := make(map[peer.Kind]peer.Handler)
+	node, err := b.network.listen(handlers)
+	if err != nil {
+		return nil, err
+	}
+	config := memberConfig(domain, node.Address(), c.state, store)
+	config.Timing = member.DefaultTiming()
+	// Exchanges are measured on their own.
+	config.Timing.Exchange = time.Hour
+	m, err := member.New(config)
+	if err != nil {
+		return nil, err
+	}
+	for kind, handler := range m.Handlers() {
+		handlers[kind] = handler
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = m.Run(ctx, node)
+	}()
+	c.node = node
+	c.stop = func() {
+		cancel()
+		_ = node.Close()
+		<-done
+	}
+	return c, until(func() bool { return c.state.View().Rosters[domain] != nil })
+}
--- a/internal/deployment/control.go
+++ b/internal/deployment/control.go
@@ -44,6 +44,9 @@
 	return answer, nil
 }
 
+// PlatformAddress is the address of the platform stand-in's object service.
+func (d *Deployment) PlatformAddress() string { return d.platformAddress }
+
 // PlatformFaults sets the faults of the platform stand-in.
 func (d *Deployment) PlatformFaults(faults map[string]any) error {
 	_, err := call(http.MethodPut, "http://"+d.platformControl+"/faults", faults)
--- a/internal/measure/faults.go
+++ b/internal/measure/faults.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/internal/deployment"
+	"github.com/wisteriawharf/wisteriawharf/internal/slope"
 )
 
 // faultLoad is the share of capacity during faults.
@@ -91,17 +93,22 @@
 
 // cost shows what a query takes of entries and brokers.
 type cost struct {
-	Rate float64 `long:"rate" default:"50" description:"queries per second at a fan-out of 48; others are scaled to equal sub-requests"`
+	Rate     float64       `long:"rate" default:"50" description:"queries per second at a fan-out of 48; others are scaled to equal sub-requests"`
+	Duration time.Duration `long:"duration" default:"20s" description:"length of the measured load at each fan-out"`
+
+	fit *slope.Table
 }
 
 // Execute implements flags.Commander.
 func (c *cost) Execute([]string) error {
+	c.fit = &slope.Table{Title: "Processor time of a query", Size: "sub-request", Columns: []string{"entry us/query", "broker us/query"}}
 	fmt.Println("fan-out | queries/s | entry us/query | broker us/query | entry us/sub-request | broker us/sub-request | p50 ms | p99 ms | entry MB | broker MB")
 	for _, fanOut := range []int{8, 48, 480} {
 		if err := c.measure(fanOut); err != nil {
 			return err
 		}
 	}
+	c.fit.Write(os.Stdout)
 	return nil
 }
 
@@ -116,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	m, err := observe(d, "load", rate/capacity(), 20*time.Second)
+	m, err := observe(d, "load", rate/capacity(), c.Duration)
 	if err != nil {
 		return err
 	}
@@ -127,6 +134,7 @@
 	queries := float64(m.Requests)
 	entryMicros := float64((entriesAfter.cpu - entries.cpu).Microseconds()) / queries
 	brokerMicros := float64((brokersAfter.cpu - brokers.cpu).Microseconds()) / queries
+	c.fit.Add(float64(fanOut), entryMicros, brokerMicros)
 	fmt.Printf("%d | %.1f | %.0f | %.0f | %.1f | %.1f | %.1f | %.1f | %d | %d\n", fanOut, rate, entryMicros, brokerMicros,
 		entryMicros/float64(fanOut), brokerMicros/float64(fanOut), m.P50Ms, m.P99Ms,
 		entriesAfter.resident/int64(len(d.Instances))>>20, brokersAfter.resident/int64(len(d.Instances))>>20)
