--- a/internal/capacity/exchange.go
+++ b/internal/capacity/exchange.go
@@ -6,8 +6,6 @@
 	"io"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/internal/slope"
 	"github.com/wisteriawharf/wisteriawharf/member"
@@ -25,20 +23,13 @@
 	last int
 }
 
-func (b *bench) newPair() (*pair, error) {
+func (b *bench) newPair() *pair {
 	p := &pair{server: control.NewState(), client: control.NewState()}
-	m, err := member.New(memberConfig("x", "127.0.0.1:1", p.server, struct{ platform.Store }{}))
-	if err != nil {
-		return nil, err
-	}
+	m := must(member.New(memberConfig("x", "127.0.0.1:1", p.server, struct{ platform.Store }{})))
 	for _, handlers := range []map[peer.Kind]peer.Handler{m.Handlers(), nil} {
-		node, err := b.network.listen(handlers)
-		if err != nil {
-			return nil, err
-		}
-		p.nodes = append(p.nodes, node)
+		p.nodes = append(p.nodes, b.network.listen(handlers))
 	}
-	return p, nil
+	return p
 }
 
 func (p *pair) close() {
@@ -49,43 +40,31 @@
 
 // exchange compares the states as member does every 300 ms and takes what is
 // newer at the server.
-func (p *pair) exchange(int) error {
+func (p *pair) exchange(int) {
 	ctx, cancel := timeout(5 * time.Second)
 	defer cancel()
-	s, err := p.nodes[1].Open(ctx, p.nodes[0].Address(), peer.KindExchange)
-	if err != nil {
-		return err
-	}
+	s := must(p.nodes[1].Open(ctx, p.nodes[0].Address(), peer.KindExchange))
 	defer s.Cancel()
 	request := peer.Exchange{ID: processID(1)}
 	for _, item := range p.client.Summary() {
 		request.Summary = append(request.Summary, peer.Item(item))
 	}
-	if err := s.Send(&request); err != nil {
-		return err
-	}
+	check(s.Send(&request))
 	var reply peer.ExchangeReply
-	if err := s.Receive(&reply); err != nil {
-		return err
-	}
+	check(s.Receive(&reply))
 	for _, item := range reply.Newer {
-		if _, err := p.client.Offer(control.Item(item)); err != nil {
-			return err
-		}
+		must(p.client.Offer(control.Item(item)))
 		p.last = len(item.Value)
 	}
-	if err := s.CloseSend(); err != nil {
-		return err
-	}
+	check(s.CloseSend())
 	if err := s.Receive(&peer.ExchangeReply{}); err != io.EOF {
-		return errors.Annotate(err, "end of exchange")
+		panic(err)
 	}
 	p.frames = 1 + frameBytes(&request) + frameBytes(&reply)
-	return nil
 }
 
 // digests measures exchanges of equal states.
-func (b *bench) digests() error {
+func (b *bench) digests() {
 	byDomain := &slope.Table{
 		Title: "Exchange of equal states (both ends; a record and a roster per domain)", Size: "domain",
 		Columns: []string{"us/exchange", "frame bytes/exchange"},
@@ -96,25 +75,17 @@
 	}
 	for range repeats {
 		for _, domains := range []int{3, 28, 56} {
-			if err := b.digest(byDomain, domains, domains, 0); err != nil {
-				return err
-			}
+			b.digest(byDomain, domains, domains, 0)
 		}
 		for _, orders := range []int{0, 100, 1000} {
-			if err := b.digest(byOrder, orders, 28, orders); err != nil {
-				return err
-			}
+			b.digest(byOrder, orders, 28, orders)
 		}
 	}
 	show(byDomain, byOrder)
-	return nil
 }
 
-func (b *bench) digest(t *slope.Table, size, domains, orders int) error {
-	p, err := b.newPair()
-	if err != nil {
-		return err
-	}
+func (b *bench) digest(t *slope.Table, size, domains, orders int) {
+	p := b.newPair()
 	defer p.close()
 	for i := range domains {
 		name := fmt.Sprintf("failure-domain-%02d", i)
@@ -122,39 +93,28 @@
 			itemOf(control.PrefixDomain+name, 1000, 1e8, record(3)),
 			itemOf(control.PrefixRoster+name, 1000, 1e6, roster(3, 1)),
 		}
-		if err := p.offerBoth(items); err != nil {
-			return err
-		}
+		p.offerBoth(items)
 	}
 	for i := range orders {
 		o := control.Order{Kind: control.OrderUpstream, Name: fmt.Sprintf("searcher-%06d", i), Out: true, Author: "operator", ChangeID: processID(i)}
 		name := control.OrderName(o.Kind, o.Name)
-		if err := p.offerBoth([]control.Item{itemOf(name, 1, 1e8, control.RecordedOrder{Sequence: 1, Order: o})}); err != nil {
-			return err
-		}
-	}
-	if err := p.exchange(0); err != nil {
-		return err
+		p.offerBoth([]control.Item{itemOf(name, 1, 1e8, control.RecordedOrder{Sequence: 1, Order: o})})
 	}
-	micros, err := microsOf(200, p.exchange)
-	t.Add(float64(size), micros, float64(p.frames))
-	return err
+	p.exchange(0)
+	t.Add(float64(size), microsOf(200, p.exchange), float64(p.frames))
 }
 
-func (p *pair) offerBoth(items []control.Item) error {
+func (p *pair) offerBoth(items []control.Item) {
 	for _, item := range items {
 		for _, state := range []*control.State{p.server, p.client} {
-			if _, err := state.Offer(item); err != nil {
-				return err
-			}
+			must(state.Offer(item))
 		}
 	}
-	return nil
 }
 
 // items measures what one changed record or roster costs to send whole and to
 // apply, beyond the exchange that carries it.
-func (b *bench) items() error {
+func (b *bench) items() {
 	pulledRecord := &slope.Table{
 		Title: "A renewed record, pulled (offered at one end, sent, applied at the other)", Size: "member",
 		Columns: []string{"us/pull", "us/apply", "item bytes"},
@@ -165,64 +125,37 @@
 	}
 	for range repeats {
 		for _, size := range []int{5, 75, 300} {
-			err := b.pull(pulledRecord, size, func(i uint64) control.Item {
+			b.pull(pulledRecord, size, func(i uint64) control.Item {
 				return itemOf(control.PrefixDomain+"x", 1, i, record(size))
 			})
-			if err != nil {
-				return err
-			}
-			err = b.pull(pulledRoster, size, func(i uint64) control.Item {
+			b.pull(pulledRoster, size, func(i uint64) control.Item {
 				return itemOf(control.PrefixRoster+"x", 1, i, roster(size, i))
 			})
-			if err != nil {
-				return err
-			}
 		}
 	}
 	show(pulledRecord, pulledRoster)
-	return nil
 }
 
-func (b *bench) pull(t *slope.Table, size int, version func(i uint64) control.Item) error {
+func (b *bench) pull(t *slope.Table, size int, version func(i uint64) control.Item) {
 	const pulls = 100
-	p, err := b.newPair()
-	if err != nil {
-		return err
-	}
+	p := b.newPair()
 	defer p.close()
 	var versions []control.Item
 	for i := range uint64(2*pulls + 1) {
 		versions = append(versions, version(i+1))
 	}
-	if _, err := p.server.Offer(versions[0]); err != nil {
-		return err
-	}
-	if err := p.exchange(0); err != nil {
-		return err
-	}
-	pull, err := microsOf(pulls, func(i int) error {
-		if _, err := p.server.Offer(versions[i+1]); err != nil {
-			return err
-		}
-		return p.exchange(i)
-	})
-	if err != nil {
-		return err
-	}
-	apply, err := microsOf(pulls, func(i int) error {
-		_, err := p.client.Offer(versions[pulls+1+i])
-		return err
+	must(p.server.Offer(versions[0]))
+	p.exchange(0)
+	pull := microsOf(pulls, func(i int) {
+		must(p.server.Offer(versions[i+1]))
+		p.exchange(i)
 	})
+	apply := microsOf(pulls, func(i int) { must(p.client.Offer(versions[pulls+1+i])) })
 	t.Add(float64(size), pull, apply, float64(p.last))
-	return err
 }
 
 func itemOf(name string, major, minor uint64, value any) control.Item {
-	text, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	return control.Item{Name: name, Major: major, Minor: minor, Value: text}
+	return control.Item{Name: name, Major: major, Minor: minor, Value: must(json.Marshal(value))}
 }
 
 func record(members int) control.Record {
--- a/internal/capacity/heartbeat.go
+++ b/internal/capacity/heartbeat.go
@@ -23,18 +23,12 @@
 }
 
 // heartbeats measures a coordinator that hears processes, half of them brokers.
-func (b *bench) heartbeats() error {
-	service, err := standin.StartPlatform(standin.PlatformConfig{
+func (b *bench) heartbeats() {
+	service := must(standin.StartPlatform(standin.PlatformConfig{
 		Address: "127.0.0.1:0", Control: "127.0.0.1:0", WriteBudget: 1000, ReadBudget: 1000, Log: quiet,
-	})
-	if err != nil {
-		return err
-	}
+	}))
 	defer service.Close()
-	store, err := platform.NewHTTP(platform.HTTPConfig{Address: service.Address(), Timeout: time.Second, Registry: prometheus.NewRegistry()})
-	if err != nil {
-		return err
-	}
+	store := must(platform.NewHTTP(platform.HTTPConfig{Address: service.Address(), Timeout: time.Second, Registry: prometheus.NewRegistry()}))
 	cost := &slope.Table{
 		Title: "Heartbeats at a coordinator (processor time of both ends; bytes of both directions)", Size: "process",
 		Columns: []string{"us/heartbeat", "frame bytes/heartbeat", "UDP bytes/heartbeat"},
@@ -45,76 +39,49 @@
 	}
 	for _, size := range []int{10, 75, 300} {
 		for run := range repeats {
-			if err := b.heartbeatRun(store, size, run, cost, held); err != nil {
-				return err
-			}
+			b.heartbeatRun(store, size, run, cost, held)
 		}
 	}
 	show(cost, held)
-	return nil
 }
 
-func (b *bench) heartbeatRun(store platform.Store, size, run int, cost, held *slope.Table) error {
+func (b *bench) heartbeatRun(store platform.Store, size, run int, cost, held *slope.Table) {
 	domain := fmt.Sprintf("domain-%d-%d", size, run)
-	c, err := b.startCoordinator(domain, store)
-	if err != nil {
-		return err
-	}
+	c := b.startCoordinator(domain, store)
 	defer c.stop()
-	client, err := b.network.listen(nil)
-	if err != nil {
-		return err
-	}
+	client := b.network.listen(nil)
 	defer client.Close()
-	relay, err := newRelay(c.node.Address())
-	if err != nil {
-		return err
-	}
+	relay := newRelay(c.node.Address())
 	defer relay.close()
-	beatTo := func(address string) func(int) error {
-		return func(i int) error {
-			ctx, cancel := timeout(5 * time.Second)
-			defer cancel()
-			request, reply := heartbeatOf(domain, client.Address(), i%size), peer.HeartbeatReply{}
-			return client.Call(ctx, address, peer.KindHeartbeat, &request, &reply)
+	beatTo := func(address string) func(int) {
+		return func(i int) {
+			request := heartbeatOf(domain, client.Address(), i%size)
+			call(client, address, &request)
 		}
 	}
 	beat := beatTo(c.node.Address())
 	before := heldBytes()
 	// The first round makes the processes known, which changes the roster each
 	// time; the second follows the renewal that adds the brokers to the record.
-	if _, err := microsOf(size, beat); err != nil {
-		return err
-	}
-	if err := until(func() bool {
-		_, err := microsOf(size, beat)
-		record := c.state.View().Records[domain]
-		return err == nil && len(record.Members) >= size/2
-	}); err != nil {
-		return err
-	}
+	microsOf(size, beat)
+	until(func() bool {
+		microsOf(size, beat)
+		return len(c.state.View().Records[domain].Members) >= size/2
+	})
 	memory := heldBytes() - before
 	// The relay's own work is kept out of the processor time.
 	const beats, counted = 1000, 200
-	micros, err := microsOf(beats, beat)
-	if err != nil {
-		return err
-	}
+	micros := microsOf(beats, beat)
 	relayed := beatTo(relay.address())
-	if err := relayed(0); err != nil {
-		return err
-	}
+	relayed(0)
 	bytes := relay.bytes()
-	if _, err := microsOf(counted, relayed); err != nil {
-		return err
-	}
+	microsOf(counted, relayed)
 	request := heartbeatOf(domain, client.Address(), 0)
 	frames := 1 + frameBytes(&request) + frameBytes(&peer.HeartbeatReply{Coordinator: true, Epoch: 9, GrantedNs: request.BoottimeNs})
 	cost.Add(float64(size), micros, float64(frames), float64(relay.bytes()-bytes)/counted)
 	roster, _ := c.state.Item(control.PrefixRoster + domain)
 	record, _ := c.state.Item(control.PrefixDomain + domain)
 	held.Add(float64(size), float64(len(roster.Value)), float64(len(record.Value)), memory)
-	return nil
 }
 
 func heartbeatOf(domain, address string, i int) peer.Heartbeat {
@@ -134,36 +101,25 @@
 	return fmt.Sprintf("broker-domain-%04d-0198f3c2-7f6e-7b1a-9d35-%012d", i, i)
 }
 
-func (b *bench) startCoordinator(domain string, store platform.Store) (*coordinator, error) {
+func (b *bench) startCoordinator(domain string, store platform.Store) *coordinator {
 	c := &coordinator{state: control.NewState()}
 	// The member needs its address before the node has its handlers.
 	handlers := make(map[peer.Kind]peer.Handler)
-	node, err := b.network.listen(handlers)
-	if err != nil {
-		return nil, err
-	}
+	node := b.network.listen(handlers)
 	config := memberConfig(domain, node.Address(), c.state, store)
 	config.Timing = member.DefaultTiming()
 	// Exchanges are measured on their own.
 	config.Timing.Exchange = time.Hour
-	m, err := member.New(config)
-	if err != nil {
-		return nil, err
-	}
+	m := must(member.New(config))
 	for kind, handler := range m.Handlers() {
 		handlers[kind] = handler
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = m.Run(ctx, node)
-	}()
+	stop := background(func(ctx context.Context) error { return m.Run(ctx, node) })
 	c.node = node
 	c.stop = func() {
-		cancel()
+		stop()
 		_ = node.Close()
-		<-done
 	}
-	return c, until(func() bool { return c.state.View().Rosters[domain] != nil })
+	until(func() bool { return c.state.View().Rosters[domain] != nil })
+	return c
 }
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
-	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/internal/slope"
 )
@@ -42,29 +41,16 @@
 		}
 		os.Exit(1)
 	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	run(o)
 }
 
-func run(o options) error {
-	out, err := filepath.Abs(o.Out)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	o.Out = out
-	if err := os.RemoveAll(o.Out); err != nil {
-		return errors.Trace(err)
-	}
-	n, err := newNetwork(filepath.Join(o.Out, "certificates"))
-	if err != nil {
-		return err
-	}
-	b := &bench{options: o, network: n}
+func run(o options) {
+	o.Out = must(filepath.Abs(o.Out))
+	check(os.RemoveAll(o.Out))
+	b := &bench{options: o, network: newNetwork(filepath.Join(o.Out, "certificates"))}
 	for _, job := range []struct {
 		name string
-		run  func() error
+		run  func()
 	}{
 		{"heartbeat", b.heartbeats},
 		{"digest", b.digests},
@@ -80,12 +66,22 @@
 			continue
 		}
 		began := time.Now()
-		if err := job.run(); err != nil {
-			return errors.Annotate(err, job.name)
-		}
+		job.run()
 		fmt.Printf("(job %s took %.0f s)\n", job.name, time.Since(began).Seconds())
 	}
-	return nil
+}
+
+// check ends the run on an error. A panic runs the deferred calls, which end
+// the programs that a job has started.
+func check(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func must[T any](value T, err error) T {
+	check(err)
+	return value
 }
 
 func show(tables ...*slope.Table) {
@@ -98,21 +94,17 @@
 // threads, in user and kernel mode.
 func processorTime() time.Duration {
 	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		panic(err)
-	}
+	check(syscall.Getrusage(syscall.RUSAGE_SELF, &u))
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 // microsOf returns the processor time of one of n calls, in microseconds.
-func microsOf(n int, call func(i int) error) (float64, error) {
+func microsOf(n int, call func(i int)) float64 {
 	before := processorTime()
 	for i := range n {
-		if err := call(i); err != nil {
-			return 0, err
-		}
+		call(i)
 	}
-	return float64((processorTime() - before).Nanoseconds()) / 1000 / float64(n), nil
+	return float64((processorTime() - before).Nanoseconds()) / 1000 / float64(n)
 }
 
 // heldBytes returns the heap and stacks in use after a collection.
--- a/internal/capacity/network.go
+++ b/internal/capacity/network.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
@@ -26,21 +25,14 @@
 	identity *identity.Identity
 }
 
-func newNetwork(dir string) (*network, error) {
-	ca, err := identity.NewDevCA(dir)
-	if err != nil {
-		return nil, err
-	}
-	files, err := ca.Issue("capacity", identity.RoleInstance)
-	if err != nil {
-		return nil, err
-	}
-	id, err := identity.Load(files)
-	return &network{identity: id}, err
+func newNetwork(dir string) *network {
+	ca := must(identity.NewDevCA(dir))
+	files := must(ca.Issue("capacity", identity.RoleInstance))
+	return &network{identity: must(identity.Load(files))}
 }
 
-func (n *network) listen(handlers map[peer.Kind]peer.Handler) (*peer.Node, error) {
-	return peer.Listen(peer.Config{Address: "127.0.0.1:0", Identity: n.identity, Handlers: handlers, Log: quiet})
+func (n *network) listen(handlers map[peer.Kind]peer.Handler) *peer.Node {
+	return must(peer.Listen(peer.Config{Address: "127.0.0.1:0", Identity: n.identity, Handlers: handlers, Log: quiet}))
 }
 
 // memberConfig describes a broker of a failure domain at an address.
@@ -59,11 +51,7 @@
 // frameBytes returns the size of a frame with its length prefix.
 func frameBytes(m message) int {
 	const prefix = 4
-	text, err := m.MarshalMsg(nil)
-	if err != nil {
-		panic(err)
-	}
-	return prefix + len(text)
+	return prefix + len(must(m.MarshalMsg(nil)))
 }
 
 // relay passes the datagrams of one client to a target and counts them.
@@ -74,21 +62,15 @@
 	client             atomic.Pointer[net.UDPAddr]
 }
 
-func newRelay(target string) (*relay, error) {
-	address, err := net.ResolveUDPAddr("udp", target)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	r := &relay{}
-	if r.front, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
-		return nil, errors.Trace(err)
-	}
-	if r.back, err = net.DialUDP("udp", nil, address); err != nil {
-		return nil, errors.Trace(err)
+func newRelay(target string) *relay {
+	address := must(net.ResolveUDPAddr("udp", target))
+	r := &relay{
+		front: must(net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})),
+		back:  must(net.DialUDP("udp", nil, address)),
 	}
 	go r.forward()
 	go r.backward()
-	return r, nil
+	return r
 }
 
 func (r *relay) address() string { return r.front.LocalAddr().String() }
@@ -126,15 +108,36 @@
 }
 
 // until waits for a condition that a machine reaches soon.
-func until(condition func() bool) error {
+func until(condition func() bool) {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if condition() {
-			return nil
+			return
 		}
 	}
-	return errors.New("not reached within 20 s")
+	panic("not reached within 20 s")
 }
 
 func timeout(d time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), d)
 }
+
+// call sends a heartbeat frame and waits for the reply.
+func call(client *peer.Node, address string, beat *peer.Heartbeat) {
+	ctx, cancel := timeout(5 * time.Second)
+	defer cancel()
+	check(client.Call(ctx, address, peer.KindHeartbeat, beat, &peer.HeartbeatReply{}))
+}
+
+// background runs a function until the returned function is called.
+func background(run func(ctx context.Context) error) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
@@ -41,16 +40,13 @@
 	at                     time.Time
 }
 
-func callsOf(d *deployment.Deployment) (calls, error) {
-	stats, err := d.PlatformStats()
-	if err != nil {
-		return calls{}, err
-	}
+func callsOf(d *deployment.Deployment) calls {
+	stats := must(d.PlatformStats())
 	read := func(name string) float64 {
 		v, _ := stats[name].(float64)
 		return v
 	}
-	return calls{reads: read("reads"), watches: read("watches"), writes: read("writes"), at: time.Now()}, nil
+	return calls{reads: read("reads"), watches: read("watches"), writes: read("writes"), at: time.Now()}
 }
 
 // since returns the calls after an earlier count, less those of an undisturbed
@@ -70,7 +66,7 @@
 }
 
 // platform counts calls on the platform in deployments of real processes.
-func (b *bench) platform() error {
+func (b *bench) platform() {
 	tables := platformTables{
 		idle: &slope.Table{Title: "Calls on the platform of an undisturbed deployment (reads include watches)", Size: "domain",
 			Columns: []string{"reads/s", "of them watches/s", "writes/s", "reads/s per domain"}},
@@ -82,19 +78,16 @@
 			Columns: []string{"reads", "writes"}},
 	}
 	for _, domains := range []int{2, 4, 8} {
-		if err := b.deploy(domains, tables); err != nil {
-			return errors.Annotatef(err, "%d domains", domains)
-		}
+		b.deploy(domains, tables)
 	}
 	show(tables.idle, tables.change, tables.start, tables.book)
-	return nil
 }
 
 // instances is the number of instances per failure domain, with two processes
 // each.
 const instances = 2
 
-func (b *bench) deploy(domains int, tables platformTables) error {
+func (b *bench) deploy(domains int, tables platformTables) {
 	names := make([]string, domains)
 	for i := range names {
 		names[i] = fmt.Sprintf("failure-domain-%02d", i)
@@ -102,160 +95,91 @@
 	dir := filepath.Join(b.Out, fmt.Sprintf("deployment-%d", domains))
 	source := filepath.Join(dir, "source")
 	search := deployment.SearchService{Name: "measured", Shards: 8, Slots: 3, Domains: names, Deadline: "1s", MinCoverage: 0.5}
-	if err := search.Write(source); err != nil {
-		return err
-	}
-	if err := writeBooking(filepath.Join(source, "booked.yaml"), names); err != nil {
-		return err
-	}
-	binaries, err := filepath.Abs(b.Binaries)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	d, err := deployment.Start(deployment.Config{Binaries: binaries, Services: source, Dir: dir, Domains: names, PerDomain: instances})
-	if err != nil {
-		return err
-	}
+	check(search.Write(source))
+	writeBooking(filepath.Join(source, "booked.yaml"), names)
+	binaries := must(filepath.Abs(b.Binaries))
+	d := must(deployment.Start(deployment.Config{Binaries: binaries, Services: source, Dir: dir, Domains: names, PerDomain: instances}))
 	defer d.Kill()
 	time.Sleep(settle)
-	before, err := callsOf(d)
-	if err != nil {
-		return err
-	}
+	before := callsOf(d)
 	time.Sleep(counted)
-	after, err := callsOf(d)
-	if err != nil {
-		return err
-	}
+	after := callsOf(d)
 	total, seconds := after.since(before, calls{}), after.at.Sub(before.at).Seconds()
 	idle := calls{reads: total.reads / seconds, watches: total.watches / seconds, writes: total.writes / seconds}
 	tables.idle.Add(float64(domains), idle.reads, idle.watches, idle.writes, idle.reads/float64(domains))
-	if err := b.change(d, dir, idle, tables.change); err != nil {
-		return errors.Annotate(err, "change")
-	}
-	if err := restart(d, float64(domains), idle, tables.start); err != nil {
-		return errors.Annotate(err, "start")
-	}
-	return errors.Annotate(book(d, float64(domains), idle, tables.book), "booking")
+	b.change(d, dir, idle, tables.change)
+	restart(d, float64(domains), idle, tables.start)
+	book(d, float64(domains), idle, tables.book)
 }
 
-func writeBooking(file string, domains []string) error {
+func writeBooking(file string, domains []string) {
 	text := "service: booked\nkind: booking\ndeadline: 1s\nqueue_limit: 64\n" +
 		"limits: {slots: 3, connections: 9, cold: {allowance: 1, step_successes: 4}}\nsearchers:\n"
 	for i, name := range domains {
 		text += fmt.Sprintf("  - {id: b-%d, address: 127.0.0.1:%d, failure_domain: %s}\n", i, 9100+i, name)
 	}
-	return errors.Trace(os.WriteFile(file, []byte(text), 0o644))
+	check(os.WriteFile(file, []byte(text), 0o644))
 }
 
 // change publishes revisions and asks all processes until each is in force.
-func (b *bench) change(d *deployment.Deployment, dir string, idle calls, t *slope.Table) error {
+func (b *bench) change(d *deployment.Deployment, dir string, idle calls, t *slope.Table) {
 	certificate := func(name string) string { return filepath.Join(dir, "certificates", name) }
-	id, err := identity.Load(identity.Files{Certificate: certificate("operator.pem"), Key: certificate("operator-key.pem"), CA: certificate("ca.pem")})
-	if err != nil {
-		return err
-	}
+	id := must(identity.Load(identity.Files{Certificate: certificate("operator.pem"), Key: certificate("operator-key.pem"), CA: certificate("ca.pem")}))
 	client := operator.NewClient(id, 2*time.Second)
 	defer client.Close()
 	fleet := operator.Fleet{Port: client}
 	for _, i := range d.Instances {
 		fleet.Addresses = append(fleet.Addresses, i.BrokerOperatorAddress(), i.EntryOperatorAddress())
 	}
-	store, err := platform.NewHTTP(platform.HTTPConfig{Address: d.PlatformAddress(), Timeout: 2 * time.Second, Registry: prometheus.NewRegistry()})
-	if err != nil {
-		return err
-	}
+	store := must(platform.NewHTTP(platform.HTTPConfig{Address: d.PlatformAddress(), Timeout: 2 * time.Second, Registry: prometheus.NewRegistry()}))
 	ctx, cancel := timeout(time.Minute)
 	defer cancel()
 	// A first question opens the connections.
 	processes := float64(len(fleet.Reports(ctx)))
 	for i := range changes {
-		before, err := callsOf(d)
-		if err != nil {
-			return err
-		}
+		before := callsOf(d)
 		began := time.Now()
-		if err := publishChange(ctx, store, d.ServicesDir(), i); err != nil {
-			return err
-		}
-		number, err := publish.History{Store: store}.Numbers(ctx)
-		if err != nil {
-			return err
-		}
+		publishChange(ctx, store, d.ServicesDir(), i)
+		number := must(publish.History{Store: store}.Numbers(ctx))
 		if lagging := fleet.Wait(ctx, number[len(number)-1], poll, 20*time.Second); len(lagging) > 0 {
-			return errors.Errorf("%d processes lag", len(lagging))
+			panic(fmt.Sprintf("%d processes lag", len(lagging)))
 		}
 		took := time.Since(began)
 		// What follows a change, such as rosters and watches, ends soon after.
 		time.Sleep(time.Second)
-		after, err := callsOf(d)
-		if err != nil {
-			return err
-		}
+		after := callsOf(d)
 		c := after.since(before, idle)
 		t.Add(processes, float64(took.Milliseconds()), c.reads, c.writes)
 	}
-	return nil
 }
 
-func publishChange(ctx context.Context, store platform.Store, dir string, i int) error {
-	files, err := publish.Collect(dir, publish.DefaultPattern)
-	if err != nil {
-		return err
-	}
+func publishChange(ctx context.Context, store platform.Store, dir string, i int) {
+	files := must(publish.Collect(dir, publish.DefaultPattern))
 	for j := range files {
 		files[j].Text = strings.ReplaceAll(files[j].Text, "queue_limit: 64", fmt.Sprintf("queue_limit: %d", 65+i))
 	}
-	id, err := publish.NewChangeID()
-	if err != nil {
-		return err
-	}
-	_, err = publish.New(store, clock.System{}).Publish(ctx, publish.Request{Files: files, Author: "operator", Reason: "measurement", ChangeID: id})
-	return err
+	id := must(publish.NewChangeID())
+	must(publish.New(store, clock.System{}).Publish(ctx, publish.Request{Files: files, Author: "operator", Reason: "measurement", ChangeID: id}))
 }
 
 // restart stops one broker as planned and starts it again.
-func restart(d *deployment.Deployment, domains float64, idle calls, t *slope.Table) error {
-	before, err := callsOf(d)
-	if err != nil {
-		return err
-	}
+func restart(d *deployment.Deployment, domains float64, idle calls, t *slope.Table) {
+	before := callsOf(d)
 	i := d.Instances[len(d.Instances)-1]
-	if err := i.Broker.Stop(); err != nil {
-		return err
-	}
-	if err := d.StartBroker(i); err != nil {
-		return err
-	}
+	check(i.Broker.Stop())
+	check(d.StartBroker(i))
 	time.Sleep(settle)
-	after, err := callsOf(d)
-	if err != nil {
-		return err
-	}
+	after := callsOf(d)
 	c := after.since(before, idle)
 	t.Add(domains, c.reads, c.writes)
-	return nil
 }
 
 // book runs bookings, each of them with a key of its own.
-func book(d *deployment.Deployment, domains float64, idle calls, t *slope.Table) error {
-	before, err := callsOf(d)
-	if err != nil {
-		return err
-	}
-	l, err := d.StartLoad("bookings", fmt.Sprintf("--rate=%d", bookingRate), "--duration="+bookingTime.String(), "--book=booked", "--repeat-share=0")
-	if err != nil {
-		return err
-	}
-	report, err := l.Wait()
-	if err != nil {
-		return err
-	}
-	after, err := callsOf(d)
-	if err != nil {
-		return err
-	}
+func book(d *deployment.Deployment, domains float64, idle calls, t *slope.Table) {
+	before := callsOf(d)
+	l := must(d.StartLoad("bookings", fmt.Sprintf("--rate=%d", bookingRate), "--duration="+bookingTime.String(), "--book=booked", "--repeat-share=0"))
+	report := must(l.Wait())
+	after := callsOf(d)
 	c, n := after.since(before, idle), float64(max(report.Good, 1))
 	t.Add(domains, c.reads/n, c.writes/n)
-	return nil
 }
