capacity: count what successors may use after several brokers are lost together

Two brokers of a domain that are lost in one epoch are confirmers of each other and never acknowledge, so that neither entry is ever fenced.

--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -60,6 +60,7 @@
 		{"status", b.status},
 		{"searcher", b.searchers},
 		{"connection", b.connections},
+		{"departure", b.departures},
 		{"platform", b.platform},
 	} {
 		if len(o.Only) > 0 && !slices.Contains(o.Only, job.name) {
