--- a/internal/capacity/departed.go
+++ b/internal/capacity/departed.go
@@ -25,32 +25,54 @@
 		Title: "Brokers of one domain of 75 lost in one epoch, none of which answers again: one hour later", Size: "lost broker",
 		Columns: []string{"record bytes", "searchers moved", "of them at full limits", "at the cold allowance", "not usable"},
 	}
-	for _, lost := range []int{1, 2, 5, 25} {
+	for _, lost := range []int{0, 1, 2, 5, 25} {
 		depart(t, lost)
 	}
-	show(t)
+	replaced := &slope.Table{
+		Title: "All brokers of a domain replaced at once (the new ones join, then the old ones are removed)", Size: "broker",
+		Columns: []string{"record bytes"},
+	}
+	for _, brokers := range []int{3, 25, domainMembers} {
+		all := heardOf(2 * brokers)
+		r := next(next(control.Record{}, all[:brokers]), all[:brokers])
+		r = next(r, all[brokers:])
+		replaced.Add(float64(brokers), float64(len(itemOf("record", 1, 1, nextWithout(r, all[brokers:], all[:brokers], nil)).Value)))
+	}
+	show(t, replaced)
 }
 
-func depart(t *slope.Table, lost int) {
+func heardOf(brokers int) []assign.Heard {
 	var heard []assign.Heard
-	for i := range domainMembers {
+	for i := range brokers {
 		heard = append(heard, assign.Heard{ID: processID(i), Address: "10.123.123.123:7102", GrantedNs: int64(time.Hour), Known: 1})
 	}
-	next := func(r control.Record, c assign.Change) control.Record {
-		c.Self = heard[0].ID
-		return assign.Next("x", r, c)
+	return heard
+}
+
+// next returns the record after a write by the first process that was heard.
+func next(r control.Record, heard []assign.Heard) control.Record {
+	return nextWithout(r, heard, nil, nil)
+}
+
+// nextWithout is next, with members that were lost and epochs that others have
+// acknowledged.
+func nextWithout(r control.Record, heard, lost []assign.Heard, acked map[string]uint64) control.Record {
+	c := assign.Change{Self: heard[0].ID, Heard: heard, Acked: acked}
+	for _, h := range lost {
+		c.Lost = append(c.Lost, h.ID)
 	}
-	before := next(next(control.Record{}, assign.Change{Heard: heard}), assign.Change{Heard: heard})
+	return assign.Next("x", r, c)
+}
+
+func depart(t *slope.Table, lost int) {
+	heard := heardOf(domainMembers)
+	before := next(next(control.Record{}, heard), heard)
 	remaining, acked := heard[:domainMembers-lost], make(map[string]uint64)
-	var gone []string
-	for _, h := range heard[domainMembers-lost:] {
-		gone = append(gone, h.ID)
-	}
-	removed := next(before, assign.Change{Heard: remaining, Lost: gone})
+	removed := nextWithout(before, remaining, heard[domainMembers-lost:], nil)
 	for _, h := range remaining {
 		acked[h.ID] = removed.Epoch
 	}
-	after := next(removed, assign.Change{Heard: remaining, Acked: acked})
+	after := nextWithout(removed, remaining, nil, acked)
 	timing := member.DefaultTiming()
 	shares, moved := make(map[assign.Share]int), 0
 	for i := range domainSearchers {
