--- a/internal/capacity/departed.go
+++ b/internal/capacity/departed.go
@@ -30,13 +30,15 @@
 	}
 	replaced := &slope.Table{
 		Title: "All brokers of a domain replaced at once (the new ones join, then the old ones are removed)", Size: "broker",
-		Columns: []string{"record bytes"},
+		Columns: []string{"record bytes", "record bytes once the new brokers have acknowledged"},
 	}
 	for _, brokers := range []int{3, 25, domainMembers} {
 		all := heardOf(2 * brokers)
 		r := next(next(control.Record{}, all[:brokers]), all[:brokers])
 		r = next(r, all[brokers:])
-		replaced.Add(float64(brokers), float64(len(itemOf("record", 1, 1, nextWithout(r, all[brokers:], all[:brokers], nil)).Value)))
+		removed := nextWithout(r, all[brokers:], all[:brokers], nil)
+		acknowledged := nextWithout(removed, all[brokers:], nil, acknowledge(all[brokers:], removed.Epoch))
+		replaced.Add(float64(brokers), encodedBytes(removed), encodedBytes(acknowledged))
 	}
 	show(t, replaced)
 }
@@ -64,15 +66,23 @@
 	return assign.Next("x", r, c)
 }
 
+// acknowledge returns the acknowledgements of an epoch by all given processes.
+func acknowledge(by []assign.Heard, epoch uint64) map[string]uint64 {
+	acked := make(map[string]uint64)
+	for _, h := range by {
+		acked[h.ID] = epoch
+	}
+	return acked
+}
+
+func encodedBytes(r control.Record) float64 { return float64(len(itemOf("record", 1, 1, r).Value)) }
+
 func depart(t *slope.Table, lost int) {
 	heard := heardOf(domainMembers)
 	before := next(next(control.Record{}, heard), heard)
-	remaining, acked := heard[:domainMembers-lost], make(map[string]uint64)
+	remaining := heard[:domainMembers-lost]
 	removed := nextWithout(before, remaining, heard[domainMembers-lost:], nil)
-	for _, h := range remaining {
-		acked[h.ID] = removed.Epoch
-	}
-	after := nextWithout(removed, remaining, nil, acked)
+	after := nextWithout(removed, remaining, nil, acknowledge(remaining, removed.Epoch))
 	timing := member.DefaultTiming()
 	shares, moved := make(map[assign.Share]int), 0
 	for i := range domainSearchers {
@@ -88,7 +98,6 @@
 		takeover.Observe(&after, 0)
 		shares[takeover.Share(searcher, time.Hour)]++
 	}
-	size := len(itemOf("record", 1, 1, after).Value)
-	t.Add(float64(lost), float64(size), float64(moved), float64(shares[assign.ShareFull]),
+	t.Add(float64(lost), encodedBytes(after), float64(moved), float64(shares[assign.ShareFull]),
 		float64(shares[assign.ShareReserve]), float64(shares[assign.ShareNone]))
 }
