--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 capacity: build
 	$(GO) build -o $(BIN)/measure/ ./internal/capacity ./internal/measure
 	GOMAXPROCS=3 $(BIN)/measure/capacity
-	GOMAXPROCS=3 $(BIN)/measure/measure --out=out/capacity/cost cost --duration=6s
+	GOMAXPROCS=3 $(BIN)/measure/measure --out=out/capacity-cost cost --duration=6s
 
 clean:
 	rm -rf $(BIN) out
