--- a/internal/capacity/exchange.go
+++ b/internal/capacity/exchange.go
@@ -168,7 +168,6 @@
 	for i := range 5 {
 		r.Confirmers = append(r.Confirmers, processID(i))
 	}
-	r.Common = r.Confirmers
 	return r
 }
 
