Exchange digests with a few fixed partners

Cause: every exchange sent the whole summary, 79 + 88 bytes per failure domain (2,545 bytes at 28), and went to any process, so that every process ended up with a kept connection to every other. Both grow with the fleet beyond the 5 KB a second that control may take of a node.

Ruled out: longer intervals, which delay changes; partners in a ring, which need many steps.

State that differs costs one round trip more.

--- a/assign/owner.go
+++ b/assign/owner.go
@@ -3,6 +3,8 @@
 package assign
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,3 +79,27 @@
 	}
 	return Owner(r.Members, searcher)
 }
+
+// Top returns the n names with the highest rendezvous weights for key, or all if
+// there are fewer. It takes one pass, because callers ask among thousands.
+func Top(names []string, key string, n int) []string {
+	type weighed struct {
+		name   string
+		weight uint64
+	}
+	var top []weighed
+	for _, name := range names {
+		w := weighed{name, weight(name, key)}
+		if n <= 0 || len(top) == n && w.weight <= top[n-1].weight {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(top, w, func(a, b weighed) int { return cmp.Compare(b.weight, a.weight) })
+		top = slices.Insert(top, i, w)
+		top = top[:min(len(top), n)]
+	}
+	chosen := make([]string, len(top))
+	for i, w := range top {
+		chosen[i] = w.name
+	}
+	return chosen
+}
--- a/control/state.go
+++ b/control/state.go
@@ -2,11 +2,15 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/settings"
@@ -71,6 +75,8 @@
 	items   map[string]Item
 	view    atomic.Pointer[View]
 	changed []chan struct{}
+	// digest is that of the items, or zero after a change.
+	digest uint64
 }
 
 // NewState returns a state that knows nothing.
@@ -114,6 +120,7 @@
 		item.Change = next.Records[domain].Change
 	}
 	s.items[item.Name] = item
+	s.digest = 0
 	for name := range s.items {
 		if next.reconciled(name) {
 			delete(s.items, name)
@@ -142,6 +149,31 @@
 	return summary
 }
 
+// Digest returns the same number for states that hold the same, renewals of
+// leases apart.
+func (s *State) Digest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.digest == 0 {
+		s.digest = digestOf(s.items)
+	}
+	return s.digest
+}
+
+func digestOf(items map[string]Item) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, name := range slices.Sorted(maps.Keys(items)) {
+		item := items[name]
+		order := item.Minor
+		if item.Change > 0 {
+			order = item.Change
+		}
+		_, _ = fmt.Fprintf(&digest, "%s %d %d\n", name, item.Major, order)
+	}
+	return digest.Sum64()
+}
+
 // Compare returns the items that are newer here than in the summary of another
 // process, and the names of those that are newer there.
 func (s *State) Compare(summary []Item) (newer []Item, wanted []string) {
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -50,10 +50,12 @@
 	newer, wanted := here.Compare(there.Summary())
 	c.Assert(newer, qt.HasLen, 0)
 	c.Assert(wanted, qt.HasLen, 0)
+	c.Assert(here.Digest(), qt.Equals, there.Digest())
 
 	offer(there, 11, Record{Epoch: 1, Renewal: 4, Change: 2})
 	_, wanted = here.Compare(there.Summary())
 	c.Assert(wanted, qt.DeepEquals, []string{PrefixDomain + "split"})
 	newer, _ = there.Compare(here.Summary())
 	c.Assert(newer, qt.HasLen, 1)
+	c.Assert(here.Digest(), qt.Not(qt.Equals), there.Digest())
 }
--- a/internal/capacity/exchange.go
+++ b/internal/capacity/exchange.go
@@ -45,13 +45,20 @@
 	defer cancel()
 	s := must(p.nodes[1].Open(ctx, p.nodes[0].Address(), peer.KindExchange))
 	defer s.Cancel()
-	request := peer.Exchange{ID: processID(1)}
-	for _, item := range p.client.Summary() {
-		request.Summary = append(request.Summary, peer.Item(item))
-	}
-	check(s.Send(&request))
 	var reply peer.ExchangeReply
+	request := peer.Exchange{ID: processID(1), Digest: p.client.Digest()}
+	check(s.Send(&request))
 	check(s.Receive(&reply))
+	p.frames = 1 + frameBytes(&request) + frameBytes(&reply)
+	if !reply.Same {
+		request = peer.Exchange{ID: processID(1), Full: true}
+		for _, item := range p.client.Summary() {
+			request.Summary = append(request.Summary, peer.Item(item))
+		}
+		check(s.Send(&request))
+		check(s.Receive(&reply))
+		p.frames += frameBytes(&request) + frameBytes(&reply)
+	}
 	for _, item := range reply.Newer {
 		must(p.client.Offer(control.Item(item)))
 		p.last = len(item.Value)
@@ -60,7 +67,6 @@
 	if err := s.Receive(&peer.ExchangeReply{}); err != io.EOF {
 		panic(err)
 	}
-	p.frames = 1 + frameBytes(&request) + frameBytes(&reply)
 }
 
 // digests measures exchanges of equal states.
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/control"
@@ -16,11 +14,17 @@
 	// pushPeers is how many peers hear of a change at once. Each passes it on,
 	// so that few rounds reach all.
 	pushPeers = 3
+	// A process exchanges with a few others only, so that it keeps few
+	// connections: half of them in its own failure domain, where most changes
+	// begin, half elsewhere. Each process has others, and with eight of them
+	// every process is a few exchanges away from any other.
+	homePartners    = 4
+	foreignPartners = 4
 	// maxExchangeBytes keeps the items of one frame below the limit of frames.
 	maxExchangeBytes = 768 << 10
 )
 
-// exchangeWithOne compares control state with one random known process.
+// exchangeWithOne compares control state with one random partner.
 func (m *Member) exchangeWithOne(ctx context.Context) {
 	if peers := m.peers(); len(peers) > 0 {
 		m.exchange(ctx, peers[0])
@@ -30,7 +34,7 @@
 // pushChange exchanges with a few peers after a change that others wait for. A
 // renewal alone is none; it travels by the periodic exchange.
 func (m *Member) pushChange(ctx context.Context) {
-	sum := m.changeSum()
+	sum := m.config.State.Digest()
 	m.mu.Lock()
 	same := sum == m.pushed
 	m.pushed = sum
@@ -46,19 +50,6 @@
 	}
 }
 
-// changeSum is a digest of what differs after each change other than a renewal.
-func (m *Member) changeSum() uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, item := range m.config.State.Summary() {
-		if item.Change > 0 {
-			item.Minor = item.Change
-		}
-		_, _ = fmt.Fprintf(&digest, "%s %d %d\n", item.Name, item.Major, item.Minor)
-	}
-	return digest.Sum64()
-}
-
 func (m *Member) exchange(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Timing.Call)
 	defer cancel()
@@ -75,40 +66,66 @@
 		return err
 	}
 	defer s.Cancel()
-	summary := m.config.State.Summary()
-	m.noteSent("summary", summary)
-	if err := s.Send(&peer.Exchange{ID: m.config.Self.ID, Summary: frameItems(summary)}); err != nil {
-		return errors.Trace(err)
-	}
 	var reply peer.ExchangeReply
-	if err := s.Receive(&reply); err != nil {
+	if err := m.ask(s, &peer.Exchange{ID: m.config.Self.ID, Digest: m.config.State.Digest()}, &reply); err != nil {
 		m.node.Load().Retest(address)
 		return errors.Trace(err)
 	}
-	m.offer(stateItems(reply.Newer))
-	if len(reply.Wanted) > 0 {
-		items := bounded(m.config.State.Items(reply.Wanted))
-		m.noteSent("items", items)
-		push := peer.ExchangePush{Items: frameItems(items)}
-		if err := s.Send(&push); err != nil {
+	if !reply.Same {
+		if err := m.compare(s); err != nil {
 			return errors.Trace(err)
 		}
 	}
 	if err := s.CloseSend(); err != nil {
 		return errors.Trace(err)
 	}
-	// The end of the peer's side shows that the push was read.
+	// The end of the peer's side shows that a push was read.
 	if err := s.Receive(&peer.ExchangeReply{}); err != io.EOF {
 		return errors.Annotate(err, "end of exchange")
 	}
 	return nil
 }
 
+func (m *Member) ask(s *peer.Stream, request *peer.Exchange, reply *peer.ExchangeReply) error {
+	if err := s.Send(request); err != nil {
+		return err
+	}
+	return s.Receive(reply)
+}
+
+// compare offers the whole summary, takes what is newer at the peer and sends
+// what the peer wants.
+func (m *Member) compare(s *peer.Stream) error {
+	summary := m.config.State.Summary()
+	m.noteSent("summary", summary)
+	var reply peer.ExchangeReply
+	if err := m.ask(s, &peer.Exchange{ID: m.config.Self.ID, Full: true, Summary: frameItems(summary)}, &reply); err != nil {
+		return err
+	}
+	m.offer(stateItems(reply.Newer))
+	if len(reply.Wanted) > 0 {
+		items := bounded(m.config.State.Items(reply.Wanted))
+		m.noteSent("items", items)
+		push := peer.ExchangePush{Items: frameItems(items)}
+		return s.Send(&push)
+	}
+	return nil
+}
+
 func (m *Member) serveExchange(_ context.Context, s *peer.Stream) error {
 	var request peer.Exchange
 	if err := s.Receive(&request); err != nil {
 		return err
 	}
+	if !request.Full {
+		same := request.Digest == m.config.State.Digest()
+		if err := s.Send(&peer.ExchangeReply{Same: same}); err != nil || same {
+			return err
+		}
+		if err := s.Receive(&request); err != nil {
+			return err
+		}
+	}
 	newer, wanted := m.config.State.Compare(stateItems(request.Summary))
 	newer = bounded(newer)
 	m.noteSent("items", newer)
--- a/member/member.go
+++ b/member/member.go
@@ -1,8 +1,10 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -239,33 +241,51 @@
 	}
 }
 
-// peers returns the peer addresses of all other known processes, in random
-// order.
+// peers returns the peer addresses of the processes to exchange with, in random
+// order: fixed partners among the known processes, and the seeds while there
+// are fewer known.
 func (m *Member) peers() []string {
-	seen := map[string]bool{m.config.Self.PeerAddress: true}
-	var addresses []string
-	add := func(address string) {
-		if address != "" && !seen[address] {
-			seen[address] = true
-			addresses = append(addresses, address)
+	home, foreign := m.knownAddresses()
+	self := m.config.Self.PeerAddress
+	partners := append(assign.Top(home, self, homePartners), assign.Top(foreign, self, foreignPartners)...)
+	if len(partners) < homePartners+foreignPartners {
+		for _, seed := range m.config.Seeds {
+			if seed != self && !slices.Contains(partners, seed) {
+				partners = append(partners, seed)
+			}
+		}
+	}
+	rand.Shuffle(len(partners), func(i, j int) { partners[i], partners[j] = partners[j], partners[i] })
+	return partners
+}
+
+// knownAddresses returns the peer addresses of the other processes of the own
+// failure domain and of those elsewhere.
+func (m *Member) knownAddresses() (home, foreign []string) {
+	seen := map[string]bool{"": true, m.config.Self.PeerAddress: true}
+	add := func(domain, address string) {
+		if seen[address] {
+			return
+		}
+		seen[address] = true
+		if domain == m.config.Self.FailureDomain {
+			home = append(home, address)
+		} else {
+			foreign = append(foreign, address)
 		}
 	}
 	view := m.config.State.View()
 	for _, roster := range view.Rosters {
 		for _, instance := range roster.Instances {
-			add(instance.PeerAddress)
+			add(instance.FailureDomain, instance.PeerAddress)
 		}
 	}
-	for _, record := range view.Records {
+	for domain, record := range view.Records {
 		for _, member := range record.Members {
-			add(member.Address)
+			add(cmp.Or(member.Domain, domain), member.Address)
 		}
 	}
-	for _, seed := range m.config.Seeds {
-		add(seed)
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses
+	return home, foreign
 }
 
 // addressOf returns the peer address of a process by its incarnation.
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -217,16 +217,21 @@
 	Change uint64 `msg:"c"`
 }
 
-// Exchange offers the sender's control state by name and order, without
-// values, and asks for what is newer at the receiver.
+// Exchange compares control state. The first one of a stream carries only the
+// digest of the sender's state. If the receiver's is another, a second one with
+// Full set offers the state by name and order, without values.
 type Exchange struct {
 	ID      string `msg:"i"`
+	Digest  uint64 `msg:"d"`
+	Full    bool   `msg:"f"`
 	Summary []Item `msg:"s"`
 }
 
-// ExchangeReply carries items that are newer at the receiver and names those
-// that are newer at the sender, which then sends them as an ExchangePush.
+// ExchangeReply says whether the digests are the same. In answer to a full
+// Exchange it carries items that are newer at the receiver and names those that
+// are newer at the sender, which then sends them as an ExchangePush.
 type ExchangeReply struct {
+	Same   bool     `msg:"s"`
 	Newer  []Item   `msg:"n"`
 	Wanted []string `msg:"w"`
 }
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -1458,6 +1458,18 @@
 				err = msgp.WrapError(err, "ID")
 				return
 			}
+		case "d":
+			z.Digest, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "f":
+			z.Full, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Full")
+				return
+			}
 		case "s":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -1490,9 +1502,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Exchange) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 4
 	// write "i"
-	err = en.Append(0x82, 0xa1, 0x69)
+	err = en.Append(0x84, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -1501,6 +1513,26 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Full)
+	if err != nil {
+		err = msgp.WrapError(err, "Full")
+		return
+	}
 	// write "s"
 	err = en.Append(0xa1, 0x73)
 	if err != nil {
@@ -1524,10 +1556,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Exchange) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
 	// string "i"
-	o = append(o, 0x82, 0xa1, 0x69)
+	o = append(o, 0x84, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Digest)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Full)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Summary)))
@@ -1565,6 +1603,18 @@
 				err = msgp.WrapError(err, "ID")
 				return
 			}
+		case "d":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "f":
+			z.Full, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Full")
+				return
+			}
 		case "s":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1598,7 +1648,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Exchange) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Summary {
 		s += z.Summary[za0001].Msgsize()
 	}
@@ -1769,6 +1819,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Same, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Same")
+				return
+			}
 		case "n":
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
@@ -1820,9 +1876,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ExchangeReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+	// map header, size 3
+	// write "s"
+	err = en.Append(0x83, 0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Same)
+	if err != nil {
+		err = msgp.WrapError(err, "Same")
+		return
+	}
 	// write "n"
-	err = en.Append(0x82, 0xa1, 0x6e)
+	err = en.Append(0xa1, 0x6e)
 	if err != nil {
 		return
 	}
@@ -1861,9 +1927,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ExchangeReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
+	// string "s"
+	o = append(o, 0x83, 0xa1, 0x73)
+	o = msgp.AppendBool(o, z.Same)
 	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
+	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Newer)))
 	for za0001 := range z.Newer {
 		o, err = z.Newer[za0001].MarshalMsg(o)
@@ -1899,6 +1968,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Same, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Same")
+				return
+			}
 		case "n":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1951,7 +2026,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ExchangeReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Newer {
 		s += z.Newer[za0001].Msgsize()
 	}
