--- a/slot/latency.go
+++ b/slot/latency.go
@@ -16,13 +16,6 @@
 	// Learned values move by 1/adaptShare per window, so that an upstream whose
 	// latency changes for good leaves cold start in the end.
 	adaptShare = 4
-	// slowStreak pieces of work in a row that did not end in time are taken as
-	// a change of the upstream. With one piece in twelve slow by chance, five in
-	// a row happen once in 250,000.
-	slowStreak = 5
-	// A requester gives work up before the learned range ends when it hedges.
-	// Given up later than typical*givenUpNum/givenUpDen, it counts as slow.
-	givenUpNum, givenUpDen = 3, 2
 )
 
 // latency learns the service time of one searcher.
@@ -30,7 +23,6 @@
 	window  []time.Duration
 	typical time.Duration // median, learned over windows
 	mean    time.Duration // mean, including stragglers
-	slow    int           // slow pieces of work in a row
 }
 
 // within reports whether d is in the learned range; before anything is
@@ -46,43 +38,16 @@
 	return max(rangeFactor*l.typical, l.typical+rangeFloor)
 }
 
-// streak counts one piece of work as slow or not, and reports whether so many
-// in a row were slow that the upstream must have changed.
-func (l *latency) streak(slow bool) (left bool) {
-	if !slow {
-		l.slow = 0
-		return false
-	}
-	l.slow++
-	if l.slow < slowStreak {
-		return false
-	}
-	l.slow = 0
-	return true
-}
-
-// givenUp learns from work that ran for d when its requester gave it up, and
-// reports whether latency has left the learned range. Without it, hedging would
-// hide an upstream that turned cold: all slow work is given up there.
-func (l *latency) givenUp(d time.Duration) (left bool) {
-	if l.typical == 0 || d < l.typical*givenUpNum/givenUpDen {
-		return false
-	}
-	return l.streak(true)
-}
-
-// add learns from one success and reports whether latency has left the learned
-// range: by the median of the window that it completes, or by a row of slow
-// ones.
+// add learns from one success and reports whether the median of the window it
+// completes is above the learned range.
 func (l *latency) add(d time.Duration) (left bool) {
 	if l.mean == 0 {
 		l.mean = d
 	}
-	left = l.typical > 0 && l.streak(d > l.bound())
 	l.mean += (d - l.mean) / latencyWindow
 	l.window = append(l.window, d)
 	if len(l.window) < latencyWindow {
-		return left
+		return false
 	}
 	slices.Sort(l.window)
 	median := l.window[latencyWindow/2]
@@ -91,7 +56,7 @@
 		l.typical = median
 		return false
 	}
-	left = left || median > l.bound()
+	left = median > l.bound()
 	l.typical += (median - l.typical) / adaptShare
 	return left
 }
--- a/slot/searcher.go
+++ b/slot/searcher.go
@@ -205,9 +205,6 @@
 		}
 	}
 	if w := s.work(id); w != nil && !w.abandoned {
-		if s.latency.givenUp(now - w.dispatched) {
-			s.ramp.chill(s.config.Limits)
-		}
 		s.abandon(w, result.MayHaveRun(result.Cancelled, "after it was dispatched"))
 	}
 	return s.finish(now)
@@ -301,9 +298,6 @@
 func (s *Searcher) expireRunning(now time.Duration) {
 	for _, w := range s.works {
 		if !w.abandoned && now >= w.deadline {
-			if s.latency.givenUp(now - w.dispatched) {
-				s.ramp.chill(s.config.Limits)
-			}
 			s.abandon(w, result.MayHaveRun(result.DeadlineExceeded, "after it was dispatched"))
 		}
 	}
