--- a/broker/broker.go
+++ b/broker/broker.go
@@ -113,6 +113,7 @@
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
 	defer b.running.Wait()
+	b.running.Go(func() { b.compareSiblings(ctx) })
 	for {
 		b.reconcile(ctx, b.config.State.View())
 		select {
--- a/broker/owner.go
+++ b/broker/owner.go
@@ -55,6 +55,10 @@
 	lastWork   slot.WorkID
 	reply      outcome
 	snapshots  []peer.HeldSnapshot
+	// slowdown is that of the searcher, siblings that of the service, as bits of
+	// a float64.
+	slowdown   atomic.Uint64
+	siblings   atomic.Uint64
 	handedOver bool
 	retired    bool
 }
@@ -100,8 +104,10 @@
 		case <-o.events.Ready():
 		case <-timer.C:
 		}
+		o.searcher.SetSiblings(math.Float64frombits(o.siblings.Load()))
 		o.handle(o.events)
 		o.handle(o.inbox)
+		o.slowdown.Store(math.Float64bits(o.searcher.Slowdown()))
 		now := o.clock()
 		o.carryOut(o.searcher.SetGrant(now, o.broker.config.Ownership.Grant(o.id)))
 		o.carryOut(o.searcher.Tick(now))
--- a/slot/conns.go
+++ b/slot/conns.go
@@ -323,7 +323,7 @@
 	case Refused:
 		s.draining, s.drainingAt = true, now
 	case Succeeded:
-		if w == nil || w.abandoned {
+		if w == nil || w.deleteSent {
 			return
 		}
 		within := s.latency.within(o.Latency, s.config.Deadline)
--- a/slot/latency_test.go
+++ b/slot/latency_test.go
@@ -35,3 +35,24 @@
 	}
 	qt.Assert(t, d.State(d.now).Cold, qt.IsFalse)
 }
+
+// TestGivenUpWorkWarms guards against a cold upstream that never warms because
+// its work is given up after hedges and cancelled before it ends.
+func TestGivenUpWorkWarms(t *testing.T) {
+	d := newDriver(t)
+	for range 20 * testConfig.Limits.Slots * testConfig.Limits.Cold.StepSuccesses {
+		id, conn, err := d.submit(time.Second)
+		qt.Assert(t, err == nil, qt.IsTrue)
+		d.now += 5 * ms
+		cold := d.State(d.now).Cold
+		d.do(d.Cancel(d.now, id))
+		d.now += 300 * ms
+		d.do(d.Tick(d.now))
+		if !cold {
+			break
+		}
+		qt.Assert(t, d.work(id).deleteSent, qt.IsFalse)
+		d.do(d.Ended(d.now, conn, Outcome{Kind: Succeeded, Latency: 10 * ms}))
+	}
+	qt.Assert(t, d.State(d.now).Cold, qt.IsFalse)
+}
--- a/slot/searcher.go
+++ b/slot/searcher.go
@@ -205,11 +205,33 @@
 		}
 	}
 	if w := s.work(id); w != nil && !w.abandoned {
+		s.givenUp(now, w)
 		s.abandon(w, result.MayHaveRun(result.Cancelled, "after it was dispatched"))
+		if s.ramp.cold {
+			// A cold upstream warms on the work that it completes. It is slow, so
+			// that requesters hedge and give up nearly all of its work.
+			w.deleteAt = w.deadline
+		}
 	}
 	return s.finish(now)
 }
 
+// givenUp turns the searcher cold if the work that its requester gives up shows
+// that its latency left the learned range.
+func (s *Searcher) givenUp(now time.Duration, w *work) {
+	if s.latency.givenUp(now - w.dispatched) {
+		s.ramp.chill(s.config.Limits)
+	}
+}
+
+// Slowdown returns the recent latency as a multiple of the typical one, and zero
+// as long as nothing was learned.
+func (s *Searcher) Slowdown() float64 { return s.latency.slowdown }
+
+// SetSiblings sets the slowdown of the other searchers of the service. Single
+// slow pieces of work turn this one cold only beyond it.
+func (s *Searcher) SetSiblings(slowdown float64) { s.latency.siblings = slowdown }
+
 // SetGrant changes what may be dispatched. Running work above a grant that
 // shrank is left to end.
 func (s *Searcher) SetGrant(now time.Duration, grant assign.Grant) []Command {
@@ -298,6 +320,7 @@
 func (s *Searcher) expireRunning(now time.Duration) {
 	for _, w := range s.works {
 		if !w.abandoned && now >= w.deadline {
+			s.givenUp(now, w)
 			s.abandon(w, result.MayHaveRun(result.DeadlineExceeded, "after it was dispatched"))
 		}
 	}
