Take searchers over after all processes were lost at once

Cause: a departed member is fenced by acknowledgements of the processes that may confirm it an old epoch. When all processes end at once, as by a loss of power, none of them is left to acknowledge, so the started processes never owned a searcher.

Change: the record keeps the peer addresses of all that may have to acknowledge. A reply of another incarnation from such an address counts as the acknowledgement of the ended one, because one process at a time can listen there.

Ruled out: fencing by time alone (a confirmer may be paused or cut off for any time), and the platform's list of instances (it lags).

TestRestartOfAllEndsInModel fails without the addresses.

--- a/assign/coordinate.go
+++ b/assign/coordinate.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"cmp"
 	"reflect"
 	"slices"
 	"strings"
@@ -51,6 +52,8 @@
 	Fenced []string
 	// Others are brokers of other failure domains.
 	Others []string
+	// Addresses are the peer addresses of Others.
+	Addresses map[string]string
 }
 
 // Next returns the record that follows previous by one write. The zero Record
@@ -82,6 +85,7 @@
 	} else if allKnow(next.Members, next.Epoch) {
 		next.Former = nil
 	}
+	next.Addresses = addresses(next, previous, c)
 	if next.Epoch != previous.Epoch || next.Coordinator != previous.Coordinator ||
 		!reflect.DeepEqual(next.Departed, previous.Departed) || !reflect.DeepEqual(next.Former, previous.Former) {
 		next.Change++
@@ -213,6 +217,33 @@
 	return chosen
 }
 
+// addresses returns the known addresses of all processes that may have to
+// acknowledge.
+func addresses(next, previous control.Record, c Change) map[string]string {
+	known := make(map[string]string)
+	note := func(ids ...string) {
+		for _, id := range ids {
+			address := cmp.Or(previous.Addresses[id], c.Addresses[id])
+			for _, r := range []control.Record{previous, next} {
+				if m, ok := r.Member(id); ok {
+					address = m.Address
+				}
+			}
+			if address != "" {
+				known[id] = address
+			}
+		}
+	}
+	note(next.Confirmers...)
+	for _, set := range next.Former {
+		note(set...)
+	}
+	for _, d := range next.Departed {
+		note(d.Asked()...)
+	}
+	return known
+}
+
 func allKnow(members []control.Member, epoch uint64) bool {
 	return !slices.ContainsFunc(members, func(m control.Member) bool { return m.Known < epoch })
 }
--- a/assign/model_faults_test.go
+++ b/assign/model_faults_test.go
@@ -37,7 +37,7 @@
 		m.stale = !m.stale
 	case 11:
 		if len(m.processes) < modelBrokers+2 {
-			m.start(false)
+			m.start(false, "")
 		}
 	case 12:
 		if !p.foreign {
@@ -53,6 +53,10 @@
 		m.loseDomain()
 	case 16:
 		p.dead = true
+	case 17:
+		if p.dead && m.successor(p) == nil && len(m.processes) < modelBrokers+6 {
+			m.start(p.foreign, p.address)
+		}
 	}
 }
 
@@ -96,7 +100,7 @@
 func TestLimitsHoldInModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(rapid.Uint64().Draw(t, "seed"))
-		calm := rapid.IntRange(17, 120).Draw(t, "calm")
+		calm := rapid.IntRange(18, 120).Draw(t, "calm")
 		m.run(t, modelTicks, func() {
 			if m.tick > 10 {
 				m.disturb(rapid.IntRange(0, calm).Draw(t, "event"))
@@ -105,12 +109,13 @@
 	})
 }
 
-// full counts the searchers whose full limits are used by processes of one kind.
+// full counts the searchers whose full limits are used by living processes of one
+// kind.
 func (m *model) full(foreign bool) int {
 	n := 0
 	for _, p := range m.processes {
 		for _, s := range modelSearchers {
-			if p.foreign == foreign && p.used[s][m.tick-1] == m.limits.Slots {
+			if !p.dead && p.foreign == foreign && p.used[s][m.tick-1] == m.limits.Slots {
 				n++
 			}
 		}
@@ -128,16 +133,37 @@
 	seeds := rapid.OneOf(rapid.Just(uint64(0x34af)), rapid.Uint64())
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(seeds.Draw(t, "seed"))
-		reach := func(foreign bool) {
-			m.run(t, m.tick+modelTicks, func() {}, func() bool { return m.full(foreign) == len(modelSearchers) })
-			if n := m.full(foreign); n != len(modelSearchers) {
-				t.Fatalf("tick %d: %d of %d searchers in use, by adopters: %t", m.tick, n, len(modelSearchers), foreign)
-			}
-		}
-		reach(false)
+		m.reach(t, false)
 		m.loseDomain()
-		reach(true)
-		m.start(false)
-		reach(false)
+		m.reach(t, true)
+		m.start(false, "")
+		m.reach(t, false)
+	})
+}
+
+// reach runs the model until all searchers are fully used by processes of one
+// kind.
+func (m *model) reach(t *rapid.T, foreign bool) {
+	m.run(t, m.tick+modelTicks, func() {}, func() bool { return m.full(foreign) == len(modelSearchers) })
+	if n := m.full(foreign); n != len(modelSearchers) {
+		t.Fatalf("tick %d: %d of %d searchers in use, by adopters: %t", m.tick, n, len(modelSearchers), foreign)
+	}
+}
+
+// TestRestartOfAllEndsInModel guards against searchers that stay without an
+// owner because all processes ended at once, so that nobody is left that could
+// acknowledge for the former owners.
+func TestRestartOfAllEndsInModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(t, "seed"))
+		m.reach(t, false)
+		ended := m.processes
+		for _, p := range ended {
+			p.dead = true
+		}
+		for _, p := range ended {
+			m.start(p.foreign, p.address)
+		}
+		m.reach(t, false)
 	})
 }
--- a/assign/model_test.go
+++ b/assign/model_test.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -45,7 +46,9 @@
 // confirms, and adopts the record when that is not renewed. A process acts only
 // on what it has received.
 type process struct {
-	id      string
+	id string
+	// address is that of an ended process if this one took its place.
+	address string
 	foreign bool
 	// offset is the difference between its boot time and the model's ticks.
 	offset       int
@@ -84,19 +87,19 @@
 	m.adoption = 3 + m.random.IntN(modelLease+modelRemoval)
 	m.limits = settings.Limits{Slots: 3, Connections: 3, Cold: settings.Cold{Allowance: 1 + m.random.IntN(2)}}
 	for range 3 {
-		m.start(true)
+		m.start(true, "")
 	}
 	for range 3 {
-		m.start(false)
+		m.start(false, "")
 	}
 	return m
 }
 
-func (m *model) start(foreign bool) {
+func (m *model) start(foreign bool, address string) {
 	n := len(m.processes)
 	id := fmt.Sprintf("p%d-%d", n, m.random.IntN(1000))
 	m.processes = append(m.processes, &process{
-		id: id, foreign: foreign, offset: 1000 + m.random.IntN(1000),
+		id: id, address: cmp.Or(address, id), foreign: foreign, offset: 1000 + m.random.IntN(1000),
 		rights: NewRights(id, modelTerms), takeover: NewTakeover(id, modelTerms),
 		heard: make(map[string]Heard), heardAt: make(map[string]int), acked: make(map[string]uint64),
 		renewed: m.tick, used: make(map[string]map[int]int),
@@ -113,6 +116,15 @@
 	return m.processes[i]
 }
 
+// successor returns the living process at the address of an ended one.
+func (m *model) successor(p *process) *process {
+	i := slices.IndexFunc(m.processes, func(o *process) bool { return o.address == p.address && !o.dead })
+	if i < 0 {
+		return nil
+	}
+	return m.processes[i]
+}
+
 func link(a, b string) [2]string {
 	if a > b {
 		a, b = b, a
@@ -236,7 +248,7 @@
 }
 
 func (m *model) beat(p *process) Heard {
-	beat := Heard{ID: p.id, Address: p.id, GrantedNs: int64(m.now(p)), Known: p.takeover.Epoch()}
+	beat := Heard{ID: p.id, Address: p.address, GrantedNs: int64(m.now(p)), Known: p.takeover.Epoch()}
 	if p.foreign {
 		beat.Domain = "y"
 	}
@@ -263,20 +275,21 @@
 		for _, lost := range record.Members {
 			c.Lost = append(c.Lost, lost.ID)
 		}
-		c.Others = m.foreign()
+		m.others(&c)
 		m.write(p, c)
 	}
 	return false
 }
 
-func (m *model) foreign() []string {
-	var ids []string
+// others names the brokers of the other domain.
+func (m *model) others(c *Change) {
+	c.Addresses = make(map[string]string)
 	for _, p := range m.processes {
 		if p.foreign {
-			ids = append(ids, p.id)
+			c.Others = append(c.Others, p.id)
+			c.Addresses[p.id] = p.address
 		}
 	}
-	return ids
 }
 
 func (m *model) heartbeat(p *process) {
@@ -307,7 +320,7 @@
 func (m *model) coordinate(p *process) {
 	record := p.known.record
 	self := Change{Self: p.id, Heard: []Heard{m.beat(p)}, Acked: map[string]uint64{p.id: p.takeover.Epoch()}}
-	self.Others = m.foreign()
+	m.others(&self)
 	_, member := record.Member(p.id)
 	switch {
 	case p.foreign && !member && !p.coordinating:
@@ -371,10 +384,19 @@
 	for _, d := range known.record.Departed {
 		for _, id := range d.Asked() {
 			c := m.find(id)
+			if c.dead && known.record.Addresses[id] == c.address {
+				c = m.successor(c)
+			}
+			if c == p && id != p.id {
+				p.acked[id] = max(p.acked[id], known.record.Epoch)
+			}
 			m.send(p, c, func() {
 				m.learn(c, known)
 				epoch := c.known.record.Epoch
-				m.send(c, p, func() { p.acked[c.id] = max(p.acked[c.id], epoch) })
+				if c.id != id {
+					epoch = known.record.Epoch
+				}
+				m.send(c, p, func() { p.acked[id] = max(p.acked[id], epoch) })
 			})
 		}
 	}
--- a/control/types.go
+++ b/control/types.go
@@ -23,6 +23,10 @@
 	// Former are the sets of confirmers of earlier epochs that some member may
 	// still hold as its newest, and whose confirmations may therefore still count.
 	Former [][]string `json:"former,omitempty"`
+	// Addresses are the peer addresses of the confirmers of all epochs and of the
+	// departed members. A later process at the same address shows that the one
+	// named here has ended, although nobody is left that knew it.
+	Addresses map[string]string `json:"addresses,omitempty"`
 	// Renewal rises with each renewal, so that a renewal is a change.
 	Renewal uint64 `json:"renewal"`
 	// Change rises with each write that does more than renew leases. Renewals
--- a/member/confirm.go
+++ b/member/confirm.go
@@ -109,26 +109,44 @@
 			m.mu.Unlock()
 			if !done && !asked[id] && id != m.config.Self.ID {
 				asked[id] = true
-				calls.Go(func() { m.acknowledgeAt(ctx, id, item) })
+				calls.Go(func() { m.acknowledgeAt(ctx, id, record.Addresses[id], item) })
 			}
 		}
 	}
 	calls.Wait()
 }
 
-func (m *membership) acknowledgeAt(ctx context.Context, id string, item control.Item) {
+// acknowledgeAt asks the process with the identifier, or the one that has taken
+// its address. The system lets one process listen at an address, so a later one
+// shows that the former has ended and neither dispatches nor confirms.
+func (m *membership) acknowledgeAt(ctx context.Context, id, recorded string, item control.Item) {
 	address, ok := m.addressOf(id)
 	if !ok {
+		address = recorded
+	}
+	if address == "" {
+		return
+	}
+	if address == m.config.Self.PeerAddress {
+		m.acknowledged(id, item.Major)
 		return
 	}
 	request := peer.Acknowledge{Domain: m.domain, Epoch: item.Major, Version: item.Minor, Record: item.Value}
 	var reply peer.AcknowledgeReply
-	if err := m.call(ctx, address, peer.KindAcknowledge, &request, &reply); err != nil || reply.ID != id {
+	if err := m.call(ctx, address, peer.KindAcknowledge, &request, &reply); err != nil {
 		return
 	}
+	if reply.ID != id {
+		m.config.Log.Info("process has ended, its address belongs to another", "id", id, "address", address, "successor", reply.ID)
+		reply.Epoch = item.Major
+	}
+	m.acknowledged(id, reply.Epoch)
+}
+
+func (m *membership) acknowledged(id string, epoch uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.acked[id] = max(m.acked[id], reply.Epoch)
+	m.acked[id] = max(m.acked[id], epoch)
 }
 
 // serveAcknowledge takes the record and brings the own rights up to it before
--- a/member/coordinator.go
+++ b/member/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -236,15 +237,16 @@
 func (m *membership) change(record *control.Record) assign.Change {
 	self := m.config.Self
 	beat := m.heartbeat()
-	others := m.otherBrokers()
+	addresses := m.otherBrokers()
 	now := m.config.Clock.Boottime()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := assign.Change{
-		Self:   self.ID,
-		Acked:  map[string]uint64{self.ID: beat.Epoch},
-		Others: others,
-		Heard:  []assign.Heard{{ID: self.ID, Address: self.PeerAddress, GrantedNs: beat.BoottimeNs, Known: beat.Epoch, Domain: m.foreign(self.FailureDomain)}},
+		Self:      self.ID,
+		Acked:     map[string]uint64{self.ID: beat.Epoch},
+		Others:    slices.Sorted(maps.Keys(addresses)),
+		Addresses: addresses,
+		Heard:     []assign.Heard{{ID: self.ID, Address: self.PeerAddress, GrantedNs: beat.BoottimeNs, Known: beat.Epoch, Domain: m.foreign(self.FailureDomain)}},
 	}
 	if record.Coordinator != self.ID || !m.coordinating {
 		return c
@@ -266,10 +268,10 @@
 	return c
 }
 
-// otherBrokers returns the brokers of failure domains of which no broker is a
-// member. Those of an adopting domain would be lost together with the adopters.
-func (m *membership) otherBrokers() []string {
-	var ids []string
+// otherBrokers returns the addresses, by identifier, of the brokers of failure
+// domains of which no broker is a member. Those of an adopting domain would be lost together with the adopters.
+func (m *membership) otherBrokers() map[string]string {
+	others := make(map[string]string)
 	records := m.config.State.View().Records
 	inside := map[string]bool{m.domain: true, m.config.Self.FailureDomain: true}
 	if own := records[m.domain]; own != nil {
@@ -282,11 +284,10 @@
 			continue
 		}
 		for _, member := range record.Home() {
-			ids = append(ids, member.ID)
+			others[member.ID] = member.Address
 		}
 	}
-	slices.Sort(ids)
-	return ids
+	return others
 }
 
 // write replaces the record if it still has the given version, and takes the
