Let operators state that lost processes have ended

Cause: with two failure domains of three lost for good, most confirmers of their brokers are gone and nobody starts at their addresses, so nothing proves that the former owners hold no right. Their searchers stay without an owner for ever.

The statement is an order of the kind "process", so it is recorded with its author and reason and works with the platform away; coordinators take it as the acknowledgement.

Ruled out: the platform's list of instances as a proof (it lags), a time limit (a process may be cut off for any time).

--- a/cmd/wharfctl/orders.go
+++ b/cmd/wharfctl/orders.go
@@ -20,7 +20,7 @@
 	Reason   string `long:"reason" required:"yes" value-name:"TEXT" description:"why; kept in the audit trail"`
 	ChangeID string `long:"change-id" value-name:"UUID" description:"identifier of an earlier attempt whose outcome is unknown"`
 	Args     struct {
-		Name string `positional-arg-name:"NAME" description:"name of the failure domain or searcher"`
+		Name string `positional-arg-name:"NAME" description:"name of the failure domain or searcher, or identifier of the process"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -47,6 +47,11 @@
 	if err := checkName(ctx, store, order); err != nil {
 		return err
 	}
+	if order.Kind == control.OrderProcess {
+		if err := operator.CheckEnded(fleet.Reports(ctx), order); err != nil {
+			return err
+		}
+	}
 	given, err := fleet.Give(ctx, store, order)
 	if err != nil {
 		return unsettled(err, order.ChangeID)
@@ -112,7 +117,10 @@
 
 func printGiven(w io.Writer, g operator.Given) {
 	verb := "back in service"
-	if g.Order.Out {
+	switch {
+	case g.Order.Kind == control.OrderProcess:
+		verb = "has ended"
+	case g.Order.Out:
 		verb = "out of service"
 	}
 	subject := fmt.Sprintf("%s %s %s, change %s", g.Order.Kind, g.Order.Name, verb, g.Order.ChangeID)
--- a/cmd/wharfctl/status.go
+++ b/cmd/wharfctl/status.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -43,26 +45,34 @@
 
 // Execute shows all instances. It fails if none answers.
 func (c *statusCommand) Execute([]string) error {
-	fleet, done, err := c.app.instances()
-	if err != nil {
+	reports, err := c.app.reports()
+	if len(reports) == 0 {
 		return err
 	}
+	if shown := c.app.show(reports, func(w io.Writer) { printReports(w, reports) }); shown != nil {
+		return shown
+	}
+	return err
+}
+
+// reports returns the status of all known instances, with an error if none
+// answered.
+func (a *app) reports() ([]operator.Report, error) {
+	fleet, done, err := a.instances()
+	if err != nil {
+		return nil, err
+	}
 	defer done()
-	ctx, cancel, err := c.app.context()
+	ctx, cancel, err := a.context()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer cancel()
 	reports := fleet.Reports(ctx)
-	if err := c.app.show(reports, func(w io.Writer) { printReports(w, reports) }); err != nil {
-		return err
+	if !slices.ContainsFunc(reports, func(r operator.Report) bool { return r.Status != nil }) {
+		return reports, errors.New("no instance was reached")
 	}
-	for _, r := range reports {
-		if r.Status != nil {
-			return nil
-		}
-	}
-	return errors.New("no instance was reached")
+	return reports, nil
 }
 
 func printReports(w io.Writer, reports []operator.Report) {
@@ -102,6 +112,35 @@
 	return yesNo(*b)
 }
 
+type awaitedCommand struct {
+	app *app
+}
+
+// Execute shows what takeovers wait for, as any reached instance knows it.
+func (c *awaitedCommand) Execute([]string) error {
+	reports, err := c.app.reports()
+	if err != nil {
+		return err
+	}
+	var awaited []operator.AwaitedProcess
+	for _, r := range reports {
+		if r.Status != nil {
+			awaited = append(awaited, r.Status.Awaited...)
+		}
+	}
+	slices.SortFunc(awaited, func(a, b operator.AwaitedProcess) int {
+		return cmp.Or(cmp.Compare(a.FailureDomain, b.FailureDomain), cmp.Compare(a.ID, b.ID))
+	})
+	awaited = slices.Compact(awaited)
+	return c.app.show(awaited, func(w io.Writer) {
+		rows := make([][]string, 0, len(awaited))
+		for _, p := range awaited {
+			rows = append(rows, []string{p.FailureDomain, p.ID, p.Address})
+		}
+		writeTable(w, []string{"DOMAIN", "PROCESS", "ADDRESS"}, rows)
+	})
+}
+
 type explainCommand struct {
 	app  *app
 	Args struct {
--- a/control/state.go
+++ b/control/state.go
@@ -332,7 +332,7 @@
 }
 
 // Out reports whether an order takes the named failure domain or upstream out
-// of service. A recorded "out" holds until a recorded "back" replaces it; a
+// of service, or states that the process has ended. A recorded "out" holds until a recorded "back" replaces it; a
 // direct "out" holds until it is recorded or a direct "back" that knew it
 // supersedes it. So "out" wins wherever the two kinds of order disagree.
 func (v *View) Out(kind OrderKind, name string) bool {
--- a/control/types.go
+++ b/control/types.go
@@ -79,6 +79,21 @@
 	return slices.Compact(ids)
 }
 
+// Awaited returns the identifiers of the processes that have not acknowledged
+// the removal of a departed member, sorted.
+func (r *Record) Awaited() []string {
+	var ids []string
+	for _, d := range r.Departed {
+		for _, id := range d.Asked() {
+			if !slices.Contains(d.Acked, id) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // Home returns the members that are brokers of the record's own domain. Over all
 // records each broker is named once, also if it adopted searchers.
 func (r *Record) Home() []Member {
@@ -141,10 +156,12 @@
 // OrderKind is what an order is about.
 type OrderKind string
 
-// Orders take a failure domain or one upstream out of service or back.
+// Orders take a failure domain or one upstream out of service or back. One about
+// a process states that it has ended, which nothing takes back.
 const (
 	OrderDomain   OrderKind = "domain"
 	OrderUpstream OrderKind = "upstream"
+	OrderProcess  OrderKind = "process"
 )
 
 // Order is an operator's order. It is recorded on the platform, or, while that
--- a/member/coordinator.go
+++ b/member/coordinator.go
@@ -238,6 +238,7 @@
 	self := m.config.Self
 	beat := m.heartbeat()
 	addresses := m.otherBrokers()
+	view := m.config.State.View()
 	now := m.config.Clock.Boottime()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -256,6 +257,11 @@
 	for id, epoch := range m.acked {
 		c.Acked[id] = max(c.Acked[id], epoch)
 	}
+	for _, id := range record.Awaited() {
+		if view.Out(control.OrderProcess, id) {
+			c.Acked[id] = record.Epoch
+		}
+	}
 	for id, h := range m.heard {
 		_, member := record.Member(id)
 		fresh := now < h.at+m.config.Timing.Removal
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -309,3 +309,23 @@
 	_, err = Fleet{Port: c, Addresses: []string{gone.Address()}}.Give(ctx, nil, order("split", true))
 	qt.Assert(t, errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
 }
+
+// TestProcessEnded guards against the statement that a process has ended while
+// it answers, and against one that is taken back.
+func TestProcessEnded(t *testing.T) {
+	ctx, ca := context.Background(), newCA(t)
+	s, state := serve(t, ca, "one")
+	c := client(t, load(t, ca, "ana", identity.RoleOperator))
+	ended := order("broker-split-0-1a2b3c4d", true)
+	ended.Kind = control.OrderProcess
+	_, err := c.Order(ctx, s.Address(), ended)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, state.View().Out(control.OrderProcess, ended.Name), qt.IsTrue)
+	back := order(ended.Name, false)
+	back.Kind = control.OrderProcess
+	_, err = c.Order(ctx, s.Address(), back)
+	qt.Assert(t, err, qt.ErrorMatches, ".*cannot come back.*")
+	reports := []Report{{Address: "10.0.0.1:7202", Status: &Status{ID: ended.Name}}}
+	qt.Assert(t, CheckEnded(reports, ended), qt.ErrorMatches, ".*answers at 10.0.0.1:7202.*")
+	qt.Assert(t, CheckEnded(reports, order("split", true)), qt.IsNil)
+}
--- a/operator/order.go
+++ b/operator/order.go
@@ -28,8 +28,10 @@
 // CheckOrder returns an error that names the first fault of an order.
 func CheckOrder(o control.Order) error {
 	switch {
-	case o.Kind != control.OrderDomain && o.Kind != control.OrderUpstream:
-		return result.NotRun(result.Malformed, "kind %q is neither domain nor upstream", o.Kind)
+	case o.Kind != control.OrderDomain && o.Kind != control.OrderUpstream && o.Kind != control.OrderProcess:
+		return result.NotRun(result.Malformed, "kind %q is none of domain, upstream and process", o.Kind)
+	case o.Kind == control.OrderProcess && !o.Out:
+		return result.NotRun(result.Malformed, "a process that has ended cannot come back; it starts under another identifier")
 	case o.Name == "" || strings.ContainsAny(o.Name, "/ \t\n"):
 		return result.NotRun(result.Malformed, "name %q is not a name", o.Name)
 	case strings.TrimSpace(o.Reason) == "":
@@ -42,8 +44,11 @@
 }
 
 // CheckName refuses an order about a failure domain or upstream that the
-// settings do not name, and lists those that they do.
+// settings do not name, and lists those that they do. Settings name no process.
 func CheckName(set *settings.Set, o control.Order) error {
+	if o.Kind == control.OrderProcess {
+		return nil
+	}
 	var known []string
 	if o.Kind == control.OrderDomain {
 		known = set.FailureDomains()
@@ -69,6 +74,16 @@
 	return strings.Join(names[:maxListed], ", ") + ", ..."
 }
 
+// CheckEnded refuses the statement that a process has ended while it answers.
+func CheckEnded(reports []Report, o control.Order) error {
+	for _, r := range reports {
+		if o.Kind == control.OrderProcess && r.Status != nil && r.Status.ID == o.Name {
+			return result.NotRun(result.Malformed, "process %q has not ended, it answers at %s", o.Name, r.Address)
+		}
+	}
+	return nil
+}
+
 // hold offers a direct order to the control state. A repeat of an order that is
 // held or recorded changes nothing.
 func hold(state *control.State, o control.Order, now time.Time) (Held, error) {
--- a/operator/status.go
+++ b/operator/status.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 
@@ -23,6 +25,17 @@
 	OutUpstreams      []string         `json:"out_upstreams"`
 	// DirectOrders are orders that the platform does not hold yet.
 	DirectOrders []control.Order `json:"direct_orders"`
+	// Awaited are processes that have not acknowledged the removal of a member, so
+	// that its searchers may stay without an owner or with their cold allowance.
+	Awaited []AwaitedProcess `json:"awaited,omitempty"`
+}
+
+// AwaitedProcess is a process whose acknowledgement the record of a failure
+// domain waits for. Address is empty if it is not known.
+type AwaitedProcess struct {
+	FailureDomain string `json:"failure_domain"`
+	ID            string `json:"id"`
+	Address       string `json:"address,omitempty"`
 }
 
 // SearcherStatus is one searcher that a broker holds.
@@ -48,6 +61,12 @@
 	s.DirectOrders = append([]control.Order{}, v.Direct...)
 	s.OutDomains = outNames(v, control.OrderDomain)
 	s.OutUpstreams = outNames(v, control.OrderUpstream)
+	for _, domain := range slices.Sorted(maps.Keys(v.Records)) {
+		record := v.Records[domain]
+		for _, id := range record.Awaited() {
+			s.Awaited = append(s.Awaited, AwaitedProcess{FailureDomain: domain, ID: id, Address: record.Addresses[id]})
+		}
+	}
 }
 
 // outNames returns the names of a kind that are out of service, sorted.
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/internal/deployment"
 	"github.com/wisteriawharf/wisteriawharf/internal/relay"
+	"github.com/wisteriawharf/wisteriawharf/operator"
 )
 
 // command is one command of the language of scenarios.
@@ -31,6 +32,7 @@
 //	deploy EXAMPLE [FLAG...]          start a deployment; flags of the upstream stand-in
 //	warm-up                           load until the brokers know the searchers
 //	operator NAME ARGS...             run wharfctl; "!" expects a failure
+//	ended NAME                        state the end of all processes that takeovers wait for
 //	race NAME NAME                    both publish at once; one is to win
 //	set-service NAME OLD NEW          change a file of the service settings
 //	broker|entry kill|pause|resume|stop|start INSTANCE
@@ -54,7 +56,7 @@
 //	quiet DOMAIN from MARK DURATION   no work started there since
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]command{
-		"deploy": deploy, "warm-up": warmUp, "race": race, "set-service": setService,
+		"deploy": deploy, "warm-up": warmUp, "race": race, "ended": ended, "set-service": setService,
 		"broker": processAction("broker"), "entry": processAction("entry"),
 		"replace": replaceInstance, "platform": platformFault, "upstream": upstreamControl, "load": startLoad, "finish": finishLoad,
 		"read": read, "mark": mark, "elapse": elapse, "wait-for": waitFor, "expect": expect,
@@ -161,6 +163,36 @@
 	return errors.Trace(err)
 }
 
+// ended lets an operator state the end of every process that a takeover waits
+// for. Those that are alive are refused.
+func ended(s *scenario, _ *testscript.TestScript, args []string) error {
+	if len(args) != 1 {
+		return errors.New("usage: ended NAME")
+	}
+	out, err := s.deployment.Operate(args[0], "process", "awaited", "--output=json")
+	if err != nil {
+		return err
+	}
+	var awaited []operator.AwaitedProcess
+	if err := decode(out.Stdout, &awaited); err != nil {
+		return err
+	}
+	stated := 0
+	for _, p := range awaited {
+		out, err := s.deployment.Operate(args[0], "process", "ended", p.ID, "--reason", "lost for good")
+		if err != nil {
+			return err
+		}
+		if out.ExitCode == 0 {
+			stated++
+		}
+	}
+	if stated == 0 {
+		return errors.Errorf("no end of %d processes was taken", len(awaited))
+	}
+	return nil
+}
+
 // startRelay puts a relay before a searcher. A publish is needed after it.
 func startRelay(s *scenario, _ *testscript.TestScript, args []string) error {
 	if len(args) != 1 {
