--- a/clock/clock.go
+++ b/clock/clock.go
@@ -2,6 +2,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -18,6 +19,19 @@
 	Now() time.Time
 }
 
+// Pause waits for d of the machine's time. The error is that of ctx if it ends
+// before.
+func Pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
 // System is the Clock of the machine.
 type System struct{}
 
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -64,7 +64,7 @@
 				return err
 			}
 		}
-		wait(ctx, 50*time.Millisecond)
+		_ = clock.Pause(ctx, 50*time.Millisecond)
 	}
 	return nil
 }
--- a/entry/subscribe.go
+++ b/entry/subscribe.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/peer"
 )
@@ -81,16 +82,7 @@
 		e.metrics.brokersLost.Inc()
 		e.config.Log.Debug("broker is avoided, its status stream is lost", "broker", member.ID, "error", err)
 		e.config.Node.Retest(member.Address)
-		wait(ctx, retryMin+rand.N(retryMax-retryMin))
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		_ = clock.Pause(ctx, retryMin+rand.N(retryMax-retryMin))
 	}
 }
 
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
@@ -120,7 +121,7 @@
 	addresses := f.Discover(ctx)
 	for end := time.Now().Add(patience); ; {
 		lagging := Lag(f.reports(ctx, addresses), revision)
-		if len(lagging) == 0 || time.Until(end) < interval || pause(ctx, interval) != nil {
+		if len(lagging) == 0 || time.Until(end) < interval || clock.Pause(ctx, interval) != nil {
 			return lagging
 		}
 	}
--- a/operator/record.go
+++ b/operator/record.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/result"
@@ -61,7 +62,7 @@
 	var cause error
 	for try := 0; try < recordTries; try++ {
 		if try > 0 {
-			if err := pause(ctx, recordPause); err != nil {
+			if err := clock.Pause(ctx, recordPause); err != nil {
 				break
 			}
 		}
@@ -95,17 +96,6 @@
 	return nil, errors.WithType(cause, ErrUnknown)
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // readRecord returns the record and its version, both zero if there is none.
 func readRecord(ctx context.Context, store platform.Store, name string) (*control.RecordedOrder, uint64, error) {
 	object, err := store.Get(ctx, name)
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -213,7 +213,7 @@
 	number := outcome.Revision.Number
 	for try := 0; try < readBackTries; try++ {
 		if try > 0 {
-			if err := pause(ctx, readBackPause); err != nil {
+			if err := clock.Pause(ctx, readBackPause); err != nil {
 				break
 			}
 		}
@@ -234,17 +234,6 @@
 	return Outcome{}, errors.WithType(errors.Annotatef(cause, "publish revision %d", number), ErrUnknown)
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // lost reports that the reviewed revision is not the newest one.
 func (p *Publisher) lost(ctx context.Context, base uint64, head *settings.Revision) error {
 	reviewed, err := p.history.Get(ctx, base)
