--- a/cmd/wharfctl/orders.go
+++ b/cmd/wharfctl/orders.go
@@ -30,16 +30,10 @@
 	if err != nil {
 		return err
 	}
-	fleet, done, err := c.app.fleet()
-	if err != nil {
-		return err
-	}
-	defer done()
-	ctx, cancel, err := c.app.context()
-	if err != nil {
-		return err
-	}
-	defer cancel()
+	return c.app.withFleet(func(ctx context.Context, fleet operator.Fleet) error { return c.give(ctx, fleet, order) })
+}
+
+func (c *orderCommand) give(ctx context.Context, fleet operator.Fleet, order control.Order) error {
 	store, err := c.app.optionalStore()
 	if err != nil {
 		return err
--- a/cmd/wharfctl/publish.go
+++ b/cmd/wharfctl/publish.go
@@ -36,11 +36,9 @@
 	}
 	if c.Wait {
 		// Without instances to ask, a wait would succeed at once.
-		_, done, err := a.instances()
-		if err != nil {
+		if err := a.withInstances(func(context.Context, operator.Fleet) error { return nil }); err != nil {
 			return err
 		}
-		done()
 	}
 	q := publish.Request{Author: author, Reason: c.Reason, ChangeID: c.ChangeID, Base: c.Base}
 	if q.ChangeID == "" {
@@ -75,13 +73,15 @@
 func (a *app) finish(c change, o publish.Outcome) error {
 	out := published{Outcome: o}
 	if c.Wait {
-		fleet, done, err := a.instances()
+		// --wait-timeout bounds the wait, in place of the bound of one command.
+		err := a.withInstances(func(_ context.Context, fleet operator.Fleet) error {
+			lagging := fleet.Wait(context.Background(), o.Revision.Number, waitInterval, c.WaitTimeout)
+			out.Lagging = &lagging
+			return nil
+		})
 		if err != nil {
 			return err
 		}
-		defer done()
-		lagging := fleet.Wait(context.Background(), o.Revision.Number, waitInterval, c.WaitTimeout)
-		out.Lagging = &lagging
 	}
 	if err := a.show(out, func(w io.Writer) { a.printPublished(w, out) }); err != nil {
 		return err
--- a/cmd/wharfctl/status.go
+++ b/cmd/wharfctl/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"io"
 	"slices"
@@ -27,16 +28,31 @@
 	return operator.Fleet{Port: client, Addresses: s.OperatorAddresses}, client.Close, nil
 }
 
-// instances is like fleet, for commands that do nothing without instances.
-func (a *app) instances() (operator.Fleet, func(), error) {
+// withFleet calls use with the instances of the operator settings and a context
+// that bounds the command.
+func (a *app) withFleet(use func(context.Context, operator.Fleet) error) error {
 	fleet, done, err := a.fleet()
 	if err != nil {
-		return fleet, done, err
+		return err
 	}
-	if len(fleet.Addresses) == 0 {
-		return fleet, done, errors.New("operator addresses are missing: give --operator-address or operator_addresses in the settings file")
+	defer done()
+	ctx, cancel, err := a.context()
+	if err != nil {
+		return err
 	}
-	return fleet, done, nil
+	defer cancel()
+	return use(ctx, fleet)
+}
+
+// withInstances is like withFleet, for commands that do nothing without
+// instances.
+func (a *app) withInstances(use func(context.Context, operator.Fleet) error) error {
+	return a.withFleet(func(ctx context.Context, fleet operator.Fleet) error {
+		if len(fleet.Addresses) == 0 {
+			return errors.New("operator addresses are missing: give --operator-address or operator_addresses in the settings file")
+		}
+		return use(ctx, fleet)
+	})
 }
 
 type statusCommand struct {
@@ -57,22 +73,15 @@
 
 // reports returns the status of all known instances, with an error if none
 // answered.
-func (a *app) reports() ([]operator.Report, error) {
-	fleet, done, err := a.instances()
-	if err != nil {
-		return nil, err
-	}
-	defer done()
-	ctx, cancel, err := a.context()
-	if err != nil {
-		return nil, err
-	}
-	defer cancel()
-	reports := fleet.Reports(ctx)
-	if !slices.ContainsFunc(reports, func(r operator.Report) bool { return r.Status != nil }) {
-		return reports, errors.New("no instance was reached")
-	}
-	return reports, nil
+func (a *app) reports() (reports []operator.Report, err error) {
+	err = a.withInstances(func(ctx context.Context, fleet operator.Fleet) error {
+		reports = fleet.Reports(ctx)
+		if !slices.ContainsFunc(reports, func(r operator.Report) bool { return r.Status != nil }) {
+			return errors.New("no instance was reached")
+		}
+		return nil
+	})
+	return reports, err
 }
 
 func printReports(w io.Writer, reports []operator.Report) {
@@ -150,24 +159,16 @@
 
 // Execute asks all instances about the request.
 func (c *explainCommand) Execute([]string) error {
-	fleet, done, err := c.app.instances()
-	if err != nil {
-		return err
-	}
-	defer done()
-	ctx, cancel, err := c.app.context()
-	if err != nil {
-		return err
-	}
-	defer cancel()
-	all, err := fleet.Explain(ctx, c.Args.RequestID)
-	if err != nil {
-		return err
-	}
-	return c.app.show(all, func(w io.Writer) {
-		for _, e := range all {
-			_, _ = fmt.Fprintf(w, "%s:\n%s\n", e.Address, e.Explanation)
+	return c.app.withInstances(func(ctx context.Context, fleet operator.Fleet) error {
+		all, err := fleet.Explain(ctx, c.Args.RequestID)
+		if err != nil {
+			return err
 		}
+		return c.app.show(all, func(w io.Writer) {
+			for _, e := range all {
+				_, _ = fmt.Fprintf(w, "%s:\n%s\n", e.Address, e.Explanation)
+			}
+		})
 	})
 }
 
