Share the writes of claims by partition, not by broker

Cause: each broker could make 25 writes of claims a second, which is 52,500 at 2,100 brokers, where the platform takes several hundred (131 times).

Change: 225 writes a second for all, as with nine brokers before. Each partition has an equal share, and a broker may use those of the partitions that it owns.

Ruled out: dividing by the number of brokers. At 2,100 a partition's owner would get one write in ten seconds, while most brokers own no partition.

TestWriteShare: the shares of all owners are 225 together with 1, 9 and 2,100 brokers (tested with 200).

--- a/booking/booking.go
+++ b/booking/booking.go
@@ -47,8 +47,9 @@
 	Clock    clock.Clock
 	Log      *slog.Logger
 	Registry prometheus.Registerer
-	// WritesPerSecond bounds the writes of claims that this process makes on the
-	// platform. Beyond it more claims share a write.
+	// WritesPerSecond bounds the writes of claims that all processes together make
+	// on the platform. Each partition has an equal share, which its owner may use.
+	// Beyond it more claims share a write.
 	WritesPerSecond float64
 }
 
@@ -98,7 +99,7 @@
 	}
 	return &Service{
 		config:  config,
-		limiter: rate.NewLimiter(rate.Limit(config.WritesPerSecond), 8),
+		limiter: rate.NewLimiter(rate.Limit(config.WritesPerSecond/claim.Partitions), writeBurst),
 		metrics: newMetrics(config.Registry),
 		load:    newLoad(),
 		buckets: make(map[string]*bucket),
@@ -120,6 +121,7 @@
 	s.mu.Lock()
 	s.ctx, s.caller = work, caller
 	s.mu.Unlock()
+	s.running.Go(func() { s.followWriteShare(ctx) })
 	s.clean(ctx)
 	s.mu.Lock()
 	s.draining = true
--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +15,8 @@
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wisteriawharf/wisteriawharf/assign"
+	"github.com/wisteriawharf/wisteriawharf/claim"
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/peer"
@@ -220,6 +223,30 @@
 	c.Assert(f.ups.runs[key], qt.Equals, 1)
 }
 
+// TestWriteShare guards against writes of claims that grow with the number of
+// brokers beyond what the platform takes.
+func TestWriteShare(t *testing.T) {
+	c := qt.New(t)
+	view := *newFixture(c).state.View()
+	for _, brokers := range []int{1, 9, 2100} {
+		record := &control.Record{}
+		for i := range brokers {
+			record.Members = append(record.Members, control.Member{ID: strconv.Itoa(i)})
+		}
+		view.Records = map[string]*control.Record{"suva": record}
+		owners := make(map[string]float64)
+		for p := range claim.Partitions {
+			owner, _ := assign.Owner(record.Members, claim.OwnerKey("lane-booking", p))
+			owners[owner.ID] = writeShare(&view, owner.ID, 200)
+		}
+		sum := 0.0
+		for _, share := range owners {
+			sum += share
+		}
+		c.Check(int(sum+0.5), qt.Equals, 200, qt.Commentf("%d brokers", brokers))
+	}
+}
+
 // TestRace guards against two processes that both dispatch one key.
 func TestRace(t *testing.T) {
 	c := qt.New(t)
--- a/cmd/wharf-broker/service.go
+++ b/cmd/wharf-broker/service.go
@@ -19,9 +19,10 @@
 	"github.com/wisteriawharf/wisteriawharf/peer"
 )
 
-// claimWritesPerSecond keeps nine brokers together below the several hundred
-// writes a second that the platform takes, with room for leases and revisions.
-const claimWritesPerSecond = 25
+// claimWritesPerSecond keeps the claims of all brokers together below the several
+// hundred writes a second that the platform takes, with room for leases,
+// revisions and orders.
+const claimWritesPerSecond = 225
 
 // grants passes on the grants of a membership that is made after the broker.
 // Until then it grants nothing.
