Bound the attempt to reach the owner of a booking's searcher

Cause: the claim owner offered a booking to the owner of a searcher and waited for the connection as long as a dial may take, 1 s. When all instances of a failure domain are lost, a booking can meet two lost owners in a row and is then at its deadline of 2 s: it ended 2303, outcome unknown, although it was never run. Ruled out: the claim owner itself being lost, because entries pass over brokers without a status stream; suspicion, because nobody is left in a lost domain to report it.

The opening of the stream is now bounded by 250 ms, as it is at entries. A process that is not reached in that time did not get the request.

TestCallWithin fails with the opening unbounded, and with its bound left on the reply.

--- a/booking/booking.go
+++ b/booking/booking.go
@@ -30,12 +30,15 @@
 	// replyGrace is how long after its deadline a booking is still answered with
 	// its true outcome in place of none.
 	replyGrace = 250 * time.Millisecond
+	// openTimeout bounds the attempt to reach an owner. When a failure domain is
+	// lost, a booking can meet all its owners before it is offered elsewhere.
+	openTimeout = 250 * time.Millisecond
 )
 
 // Caller sends a frame to another process and receives the reply; a peer.Node
-// does.
+// does. A process that is not reached within opening did not get the frame.
 type Caller interface {
-	Call(ctx context.Context, address string, kind peer.Kind, request, response peer.Message) error
+	CallWithin(ctx context.Context, opening time.Duration, address string, kind peer.Kind, request, response peer.Message) error
 }
 
 // Config describes a Service.
--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -86,7 +86,7 @@
 	hold   chan struct{}
 }
 
-func (u *upstreams) Call(_ context.Context, _ string, _ peer.Kind, request, response peer.Message) error {
+func (u *upstreams) CallWithin(_ context.Context, _ time.Duration, _ string, _ peer.Kind, request, response peer.Message) error {
 	run, reply := request.(*peer.Run), response.(*peer.RunReply)
 	if u.hold != nil {
 		<-u.hold
--- a/booking/dispatch.go
+++ b/booking/dispatch.go
@@ -134,7 +134,7 @@
 		RemainingMs:    remaining.Milliseconds(),
 	}
 	var reply peer.RunReply
-	if err := s.caller.Call(ctx, owner.Address, peer.KindRun, &request, &reply); err != nil {
+	if err := s.caller.CallWithin(ctx, openTimeout, owner.Address, peer.KindRun, &request, &reply); err != nil {
 		return refusal(result.From(err))
 	}
 	if reply.Code == uint16(result.OK) && reply.Run != uint8(result.RunYes) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -253,6 +253,24 @@
 	if err != nil {
 		return err
 	}
+	return n.converse(s, address, request, response)
+}
+
+// CallWithin is Call with a bound of its own on the opening of the stream, after
+// which the request was not run and can be sent to another peer in time.
+func (n *Node) CallWithin(ctx context.Context, opening time.Duration, address string, kind Kind, request, response Message) error {
+	bounded, cancel := context.WithTimeout(ctx, opening)
+	defer cancel()
+	s, err := n.Open(bounded, address, kind)
+	if err != nil {
+		return err
+	}
+	deadline, _ := ctx.Deadline()
+	_ = s.SetDeadline(deadline)
+	return n.converse(s, address, request, response)
+}
+
+func (n *Node) converse(s *Stream, address string, request, response Message) error {
 	defer s.Cancel()
 	if err := s.Send(request); err != nil {
 		return n.callError(address, err)
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -110,6 +110,33 @@
 	qt.Assert(t, result.From(err).Run, qt.Equals, result.RunNo)
 }
 
+// TestCallWithin guards against a lost peer that takes a request's whole time,
+// and against a reply that is cut off by the bound on the opening.
+func TestCallWithin(t *testing.T) {
+	ca := newCA(t)
+	slow := func(ctx context.Context, s *Stream) error {
+		time.Sleep(100 * time.Millisecond) // longer than the opening below
+		return echoProbe(ctx, s)
+	}
+	server := listen(t, issue(t, ca, "a", identity.RoleInstance), map[Kind]Handler{KindProbe: slow})
+	client := listen(t, issue(t, ca, "b", identity.RoleInstance), nil)
+	// A dial that does not end stands for a peer that does not answer.
+	lost := "127.0.0.1:9"
+	dial := &link{dialing: make(chan struct{})}
+	defer close(dial.dialing)
+	client.links[lost] = dial
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+
+	err := client.CallWithin(ctx, 50*time.Millisecond, lost, KindProbe, &Probe{}, &ProbeReply{})
+	qt.Assert(t, result.From(err).Run, qt.Equals, result.RunNo)
+	qt.Assert(t, ctx.Err(), qt.IsNil)
+	qt.Assert(t, client.Call(ctx, server.Address(), KindProbe, &Probe{}, &ProbeReply{}), qt.IsNil)
+	var reply ProbeReply
+	qt.Assert(t, client.CallWithin(ctx, 50*time.Millisecond, server.Address(), KindProbe, &Probe{Address: "yes"}, &reply), qt.IsNil)
+	qt.Assert(t, reply.Reached, qt.IsTrue)
+}
+
 // TestCancelledOpenKeepsConnection guards against a working connection being
 // replaced, and left open, whenever a caller gives up before its stream opens.
 func TestCancelledOpenKeepsConnection(t *testing.T) {
