Show the adoption of a lost failure domain in a whole deployment

Cause: adoption was shown by member tests only, with their own platform and short times.

All processes of one domain are killed under 50 requests a second of searches and bookings. Within 30 s its searchers have owners in other domains and complete work; when its instances start again, they get all 40 searchers back; no limit is exceeded and each second from 2 s on has at least 0.99 good answers.

--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -63,6 +64,7 @@
 		"relay":     startRelay, "silence": silence, "sound": sound, "clean": clean, "refused": refused,
 		"each-second": eachSecond, "quiet": quiet,
 	}
+	maps.Copy(all, memberCommands())
 	result := map[string]func(*testscript.TestScript, bool, []string){"operator": operate}
 	for name, run := range all {
 		result[name] = func(ts *testscript.TestScript, neg bool, args []string) {
--- a/scenarios/expect_test.go
+++ b/scenarios/expect_test.go
@@ -59,6 +59,8 @@
 	// Held and Warm count searchers over all brokers.
 	Held int `json:"held"`
 	Warm int `json:"warm"`
+	// HeldBy counts searchers by the failure domain of the broker.
+	HeldBy map[string]int `json:"held_by"`
 	// Platform counts processes that reach the platform, Away those that do not,
 	// Unrecorded those that hold orders which the platform does not.
 	Platform   int `json:"platform"`
@@ -78,7 +80,7 @@
 	if err := decode(text, &reports); err != nil {
 		return nil, err
 	}
-	sum := &summary{Revisions: make(map[string]int), Out: make(map[string]int)}
+	sum := &summary{HeldBy: make(map[string]int), Revisions: make(map[string]int), Out: make(map[string]int)}
 	for _, r := range reports {
 		if r.Status != nil {
 			sum.add(r.Status)
@@ -96,6 +98,7 @@
 	}
 	s.Held += len(p.Searchers)
 	s.Warm += p.Warm()
+	s.HeldBy[p.FailureDomain] += len(p.Searchers)
 	switch {
 	case p.PlatformReachable == nil:
 	case *p.PlatformReachable:
