Compare refused and partial searches with what the searchers ran

The facts of the stand-in searchers named bookings only, so a search refused as "not run" and the coverage of a partial answer were checked for their form alone.

The load generator asks about its refused and partial searches only, which bounds the reading. It reports as false: "not run" although work was started, "run" although no searcher answered, a shard counted as answered that none answered, and "no usable replica" for a shard on which work was started. If queries of the run may have been forgotten, the facts count as not checked. Queries identify the searches, as the upstream protocol carries no identifier of the caller's request and the generator never uses a query twice.

--- a/internal/deployment/control.go
+++ b/internal/deployment/control.go
@@ -85,6 +85,16 @@
 	return &facts, decode(answer, &facts)
 }
 
+// Searches returns what the searchers ran for queries.
+func (d *Deployment) Searches(queries ...string) (*standin.SearchFacts, error) {
+	answer, err := call(http.MethodPost, "http://"+d.upstreamControl+"/facts/searches", standin.SearchQuestion{Queries: queries})
+	if err != nil {
+		return nil, err
+	}
+	var facts standin.SearchFacts
+	return &facts, decode(answer, &facts)
+}
+
 func (d *Deployment) get(url string) (map[string]any, error) {
 	answer, err := call(http.MethodGet, url, nil)
 	if err != nil {
--- a/load/check.go
+++ b/load/check.go
@@ -88,18 +88,21 @@
 	return verdict{class: classRefused, code: refusal.Code, run: refusal.Run}
 }
 
+// coverage is what an answer says about the shards.
+type coverage struct {
+	Asked    int `json:"asked"`
+	Answered int `json:"answered"`
+	Missing  []struct {
+		Shard uint32      `json:"shard"`
+		Code  result.Code `json:"code"`
+	} `json:"missing"`
+}
+
 type searchAnswer struct {
-	RequestID string `json:"request_id"`
-	Snapshot  string `json:"snapshot"`
-	Coverage  struct {
-		Asked    int `json:"asked"`
-		Answered int `json:"answered"`
-		Missing  []struct {
-			Shard uint32      `json:"shard"`
-			Code  result.Code `json:"code"`
-		} `json:"missing"`
-	} `json:"coverage"`
-	Results []struct {
+	RequestID string   `json:"request_id"`
+	Snapshot  string   `json:"snapshot"`
+	Coverage  coverage `json:"coverage"`
+	Results   []struct {
 		Shard uint32          `json:"shard"`
 		Body  json.RawMessage `json:"body"`
 	} `json:"results"`
--- a/load/config.go
+++ b/load/config.go
@@ -43,7 +43,7 @@
 	RepeatShare     float64
 	ConcurrentShare float64
 	// Facts are control addresses of upstream stand-ins, which say what ran.
-	// Without any, refusals of bookings are not checked.
+	// Without any, refusals and partial answers are not compared with them.
 	Facts []string
 	// MaxOutstanding bounds the requests in flight; arrivals beyond it are
 	// counted as errors.
--- a/load/ledger.go
+++ b/load/ledger.go
@@ -45,12 +45,13 @@
 	}
 }
 
-// findings are what the facts reveal about bookings.
+// findings are what the facts reveal about bookings and searches.
 type findings struct {
 	falseRefusals   int
 	doubledBookings int
 	unrunBookings   int
 	otherOutcomes   int
+	searchesChecked int
 }
 
 func (f *findings) add(o findings) {
@@ -58,6 +59,7 @@
 	f.doubledBookings += o.doubledBookings
 	f.unrunBookings += o.unrunBookings
 	f.otherOutcomes += o.otherOutcomes
+	f.searchesChecked += o.searchesChecked
 }
 
 // compare judges the attempts with one key. A run is explained by an attempt
--- a/load/record.go
+++ b/load/record.go
@@ -49,6 +49,7 @@
 	foreign      int
 	cut          int
 	found        findings
+	missing      map[string]map[uint32]int
 	factsChecked bool
 }
 
@@ -66,6 +67,7 @@
 		services: make(map[string]*second),
 		codes:    make(map[string]int),
 		kinds:    make(map[string]int),
+		missing:  make(map[string]map[uint32]int),
 	}
 }
 
@@ -99,12 +101,14 @@
 	r.cut += count(v.class == classError && v.kind == kindCut)
 }
 
-// demote turns a good answer into an error, after the facts refuted it.
+// demote turns a good or partial answer into an error, after the facts refuted
+// it.
 func (r *recorder) demote(s sample) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, counts := range r.counts(s) {
-		counts.good--
+		counts.good -= count(s.verdict.class == classGood)
+		counts.partial -= count(s.verdict.class == classPartial)
 		counts.errors++
 	}
 	r.coverage -= s.verdict.coverage
@@ -140,6 +144,14 @@
 	}
 }
 
+// lacks counts an answer or refusal that lists a shard as missing.
+func (r *recorder) lacks(service string, shard uint32) {
+	if r.missing[service] == nil {
+		r.missing[service] = make(map[uint32]int)
+	}
+	r.missing[service][shard]++
+}
+
 func record(h *hdrhistogram.Histogram, latency time.Duration) {
 	// Both bounds of the histogram are kept, so that recording cannot fail.
 	_ = h.RecordValue(min(max(latency.Microseconds(), 1), longestLatency.Microseconds()))
--- a/load/report.go
+++ b/load/report.go
@@ -34,13 +34,15 @@
 	MixedSnapshots  int            `json:"mixed_snapshots"`
 	FalseCoverage   int            `json:"false_coverage"`
 	ForeignAnswers  int            `json:"foreign_answers"`
-	// FactsChecked tells whether the next four counts were compared with the
-	// facts of the upstream stand-ins.
-	FactsChecked    bool                     `json:"facts_checked"`
-	FalseRefusals   int                      `json:"false_refusals"`
-	DoubledBookings int                      `json:"doubled_bookings"`
-	UnrunBookings   int                      `json:"unrun_bookings"`
-	OtherOutcomes   int                      `json:"other_outcomes"`
+	// FactsChecked tells whether the next five counts were compared with the
+	// facts of the upstream stand-ins, and FalseCoverage for partial answers too.
+	FactsChecked    bool `json:"facts_checked"`
+	FalseRefusals   int  `json:"false_refusals"`
+	DoubledBookings int  `json:"doubled_bookings"`
+	UnrunBookings   int  `json:"unrun_bookings"`
+	OtherOutcomes   int  `json:"other_outcomes"`
+	// SearchesChecked counts refused and partial searches that were compared.
+	SearchesChecked int                      `json:"searches_checked"`
 	RequestsCut     int                      `json:"requests_cut"`
 	Services        map[string]ServiceReport `json:"services"`
 	Series          []SecondReport           `json:"series"`
@@ -55,6 +57,8 @@
 	Errors         int     `json:"errors"`
 	P50Ms          float64 `json:"p50_ms"`
 	P99Ms          float64 `json:"p99_ms"`
+	// Missing counts answers and refusals by each shard that they list as missing.
+	Missing map[uint32]int `json:"missing,omitempty"`
 }
 
 // SecondReport is one second of the run, by the intended time of sending.
@@ -90,7 +94,8 @@
 		MixedSnapshots: r.mixed, FalseCoverage: r.coverageBad, ForeignAnswers: r.foreign, RequestsCut: r.cut,
 		FactsChecked: r.factsChecked, FalseRefusals: r.found.falseRefusals, DoubledBookings: r.found.doubledBookings,
 		UnrunBookings: r.found.unrunBookings, OtherOutcomes: r.found.otherOutcomes,
-		Services: make(map[string]ServiceReport, len(r.services)),
+		SearchesChecked: r.found.searchesChecked,
+		Services:        make(map[string]ServiceReport, len(r.services)),
 	}
 	if served := r.totals.good + r.totals.partial; served > 0 {
 		report.CoverageMean = r.coverage / float64(served)
@@ -99,6 +104,7 @@
 		report.Services[name] = ServiceReport{
 			Requests: s.offered, Good: s.good, PartialAnswers: s.partial, Refused: s.refused, Errors: s.errors,
 			P50Ms: quantile(s.served, 50), P99Ms: quantile(s.served, 99),
+			Missing: r.missing[name],
 		}
 	}
 	for i, s := range r.seconds {
--- a/load/run.go
+++ b/load/run.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/settings"
+	"github.com/wisteriawharf/wisteriawharf/standin"
 )
 
 // repeatPause is the longest pause before a booking is sent again after its
@@ -32,6 +33,7 @@
 		addresses:   newAddresses(config, connections),
 		recorder:    newRecorder(config),
 		bookings:    newLedger(),
+		searches:    newSearchLedger(),
 		outstanding: make(chan struct{}, config.MaxOutstanding),
 		name:        uuid.NewString()[:8],
 	}
@@ -54,6 +56,7 @@
 	addresses   *addresses
 	recorder    *recorder
 	bookings    *ledger
+	searches    *searchLedger
 	outstanding chan struct{}
 	running     sync.WaitGroup
 	// name makes query strings unique among runs.
@@ -174,6 +177,10 @@
 
 func (g *generator) report() *Report {
 	runs, err := fetchRuns(g.config.Facts)
+	var ran map[string][]standin.SearchRun
+	if err == nil {
+		ran, err = fetchSearches(g.config.Facts, g.searches.queries(), g.recorder.start)
+	}
 	if err != nil {
 		g.config.Log.Error("facts not read, refusals are not checked", "error", err.Error())
 	}
@@ -181,6 +188,7 @@
 	report.factsChecked = err == nil && len(g.config.Facts) > 0
 	if report.factsChecked {
 		g.bookings.check(runs, report)
+		g.searches.check(ran, report)
 	}
 	return report.report()
 }
--- a/load/send.go
+++ b/load/send.go
@@ -25,13 +25,19 @@
 func (g *generator) search(a arrival, intended time.Time) {
 	query := fmt.Sprintf("query-%s-%d", g.name, a.number)
 	body := searchRequest{Query: query, DeadlineMs: g.config.SearchDeadline.Milliseconds()}
+	var got answer
 	g.launch(a, intended, func() verdict {
-		got, err := g.post("/v1/search/"+a.service.Service, a, body, "", g.config.SearchDeadline)
+		var err error
+		got, err = g.post("/v1/search/"+a.service.Service, a, body, "", g.config.SearchDeadline)
 		if err != nil {
 			return failedSend(err)
 		}
 		return checkSearch(got, query)
-	}, func(sample) {})
+	}, func(s sample) {
+		if s.verdict.class == classPartial || s.verdict.class == classRefused {
+			g.searches.add(query, s, claimOf(got))
+		}
+	})
 }
 
 // book sends a booking and, if the arrival says so, sends it again with the
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -69,8 +69,10 @@
 			return &refusal{http.StatusGone, "snapshot is not held"}
 		}
 		snapshot = held
+		s.host.searches.started(request, time.Now())
 		return nil
 	}, func(id string) any {
+		s.host.searches.answered(request, time.Now())
 		return searchAnswer{
 			WorkID: id, Index: request.Index, Shard: request.Shard, Snapshot: request.Snapshot,
 			Body: SearchBody{
--- a/standin/controls.go
+++ b/standin/controls.go
@@ -87,6 +87,7 @@
 	if c.Set.ResetFacts && matched == len(u.searchers) {
 		u.starts.reset()
 		u.bookings.reset()
+		u.searches.reset()
 	}
 	return matched, nil
 }
@@ -176,6 +177,7 @@
 	mux.HandleFunc("GET /facts", func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, http.StatusOK, u.Facts(r.URL.Query().Get("keys") == "1"))
 	})
+	mux.HandleFunc("POST /facts/searches", u.serveSearches)
 	mux.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
 		var control Control
 		if !readJSON(w, r, &control) {
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -92,6 +92,7 @@
 	control   *server
 	starts    *startLog
 	bookings  *bookingLog
+	searches  *searchLog
 }
 
 // ReadServices reads all service files (*.yaml) of a directory.
@@ -125,7 +126,7 @@
 	if err := config.Validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	u := &Upstream{config: config, starts: newStartLog(), bookings: newBookingLog()}
+	u := &Upstream{config: config, starts: newStartLog(), bookings: newBookingLog(), searches: newSearchLog(rememberedQueries)}
 	u.place()
 	if len(u.searchers) == 0 {
 		return nil, errors.New("no searchers are selected")
