Prove partial answers on real processes, and explain missing shards

No scenario left a shard without replicas. In s/partial the replicas of one shard of each search service are slow, drain or fail, then those of a second one are down or drain. Every answer must list exactly the lost shards, agree with what the searchers ran, and be refused with 2202 below the minimum.

The explanation of a request did not name the missing shards: one without a usable replica was sent nowhere and left no step. It now lists them with their codes, and the scenario compares the explanations of a partial answer with hedges and of a refusal with the answer and with the searchers' facts.

--- a/entry/search.go
+++ b/entry/search.go
@@ -94,6 +94,7 @@
 	q.trace.Took = took
 	if answer != nil {
 		q.trace.Answered, q.trace.Asked = answer.Coverage.Answered, answer.Coverage.Asked
+		q.trace.Missing = answer.Coverage.Missing
 	}
 	e.traces.add(q.trace)
 }
--- a/entry/trace.go
+++ b/entry/trace.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/wisteriawharf/wisteriawharf/caller"
 	"github.com/wisteriawharf/wisteriawharf/result"
 )
 
@@ -27,6 +28,8 @@
 	Asked     int      `json:"asked"`
 	Answered  int      `json:"answered"`
 	Steps     []Step   `json:"steps"`
+	// Missing lists the shards without a result, and why.
+	Missing []caller.Missing `json:"missing,omitempty"`
 	// PartialReason says why shards are missing; empty for a whole answer.
 	PartialReason string `json:"partial_reason,omitempty"`
 }
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -52,6 +52,10 @@
 //	refused REPORT CODE               every request was refused with the code
 //	each-second REPORT RATIO from MARK DURATION
 //	quiet DOMAIN from MARK DURATION   no work started there since
+//	ask SERVICE REPORT                one search, with what ran and its explanation
+//	explained REPORT STATUS SHARD[=CODE]...  status and missing shards, told alike by explain
+//	hedged REPORT SHARD               its explanation tells of hedges that were started
+//	lacks REPORT SERVICE SHARD...     every answer and refusal lists these as missing
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]command{
 		"deploy": deploy, "warm-up": warmUp, "race": race, "set-service": setService,
@@ -62,6 +66,7 @@
 		"grown":     change("grown", func(before, after float64) bool { return after > before }),
 		"relay":     startRelay, "silence": silence, "sound": sound, "clean": clean, "refused": refused,
 		"each-second": eachSecond, "quiet": quiet,
+		"ask": ask, "explained": explained, "hedged": hedged, "lacks": lacks,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){"operator": operate}
 	for name, run := range all {
