Prove "not run" of refused searches under overload and loss of a broker

s/overload offers 240 searches a second, about twice what the searchers can run, and kills a broker meanwhile; then all searchers of one service shed everything. Every refusal must agree with what the searchers ran. The report of the load now counts refusals that say "not run" (refused_not_run), so that the scenario shows that there were some.

--- a/load/record.go
+++ b/load/record.go
@@ -44,6 +44,7 @@
 	codes        map[string]int
 	kinds        map[string]int
 	coverage     float64
+	notRun       int
 	mixed        int
 	coverageBad  int
 	foreign      int
@@ -91,6 +92,7 @@
 		r.coverage += v.coverage
 	case classRefused:
 		r.codes[codeName(v.code)]++
+		r.notRun += count(v.run == "no")
 		record(r.refusals, s.latency)
 	default:
 		r.kinds[v.kind]++
--- a/load/report.go
+++ b/load/report.go
@@ -24,16 +24,18 @@
 	PartialAnswers  int            `json:"partial_answers"`
 	RefusedTotal    int            `json:"refused_total"`
 	Refused         map[string]int `json:"refused"`
-	Errors          int            `json:"errors"`
-	ErrorKinds      map[string]int `json:"error_kinds"`
-	CoverageMean    float64        `json:"coverage_mean"`
-	P50Ms           float64        `json:"p50_ms"`
-	P99Ms           float64        `json:"p99_ms"`
-	P999Ms          float64        `json:"p999_ms"`
-	RefusedP99Ms    float64        `json:"refused_p99_ms"`
-	MixedSnapshots  int            `json:"mixed_snapshots"`
-	FalseCoverage   int            `json:"false_coverage"`
-	ForeignAnswers  int            `json:"foreign_answers"`
+	// RefusedNotRun counts refusals that say that the request was not run.
+	RefusedNotRun  int            `json:"refused_not_run"`
+	Errors         int            `json:"errors"`
+	ErrorKinds     map[string]int `json:"error_kinds"`
+	CoverageMean   float64        `json:"coverage_mean"`
+	P50Ms          float64        `json:"p50_ms"`
+	P99Ms          float64        `json:"p99_ms"`
+	P999Ms         float64        `json:"p999_ms"`
+	RefusedP99Ms   float64        `json:"refused_p99_ms"`
+	MixedSnapshots int            `json:"mixed_snapshots"`
+	FalseCoverage  int            `json:"false_coverage"`
+	ForeignAnswers int            `json:"foreign_answers"`
 	// FactsChecked tells whether the next five counts were compared with the
 	// facts of the upstream stand-ins, and FalseCoverage for partial answers too.
 	FactsChecked    bool `json:"facts_checked"`
@@ -88,7 +90,7 @@
 	report := &Report{
 		Seed: r.config.Seed, StartUnixMs: r.start.UnixMilli(), RatePerSecond: r.config.Rate, DurationSeconds: r.config.Duration.Seconds(),
 		Requests: r.totals.offered, Good: r.totals.good, PartialAnswers: r.totals.partial,
-		RefusedTotal: r.totals.refused, Refused: r.codes, Errors: r.totals.errors, ErrorKinds: r.kinds,
+		RefusedTotal: r.totals.refused, Refused: r.codes, RefusedNotRun: r.notRun, Errors: r.totals.errors, ErrorKinds: r.kinds,
 		P50Ms: quantile(r.totals.served, 50), P99Ms: quantile(r.totals.served, 99), P999Ms: quantile(r.totals.served, 99.9),
 		RefusedP99Ms:   quantile(r.refusals, 99),
 		MixedSnapshots: r.mixed, FalseCoverage: r.coverageBad, ForeignAnswers: r.foreign, RequestsCut: r.cut,
