Prove hedging on real processes with a straggler share

No scenario set a straggler share. Every answer must be complete and sound; hedges must answer first, by the searcher that a result names and the explanation of the request; and all work that the searchers started since the deployment began must stay within one part for each shard of each request and the hedges of the declared budget.

--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -55,6 +55,8 @@
 //	ask SERVICE REPORT                one search, with what ran and its explanation
 //	explained REPORT STATUS SHARD[=CODE]...  status and missing shards, told alike by explain
 //	hedged REPORT SHARD               its explanation tells of hedges that were started
+//	hedges-won SERVICE WINS SEARCHES  so many hedges answer first within so many searches
+//	within-budget REPORT...           work started since the beginning, for these loads alone
 //	lacks REPORT SERVICE SHARD...     every answer and refusal lists these as missing
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]command{
@@ -67,6 +69,7 @@
 		"relay":     startRelay, "silence": silence, "sound": sound, "clean": clean, "refused": refused,
 		"each-second": eachSecond, "quiet": quiet,
 		"ask": ask, "explained": explained, "hedged": hedged, "lacks": lacks,
+		"hedges-won": hedgesWon, "within-budget": withinBudget,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){"operator": operate}
 	for name, run := range all {
--- a/scenarios/searches_test.go
+++ b/scenarios/searches_test.go
@@ -34,35 +34,40 @@
 	if len(args) != 2 {
 		return errors.New("usage: ask SERVICE REPORT")
 	}
-	query := "asked by a scenario: " + args[1]
+	a, err := s.search(args[0], "asked by a scenario: "+args[1])
+	s.reports[args[1]] = a
+	return err
+}
+
+// search sends a query that was not sent before.
+func (s *scenario) search(service, query string) (*asked, error) {
 	body, _ := json.Marshal(map[string]any{"query": query, "deadline_ms": 2000})
-	url := "http://" + s.deployment.Instances[0].EntryAddress() + "/v1/search/" + args[0]
+	url := "http://" + s.deployment.Instances[0].EntryAddress() + "/v1/search/" + service
 	client := http.Client{Timeout: 10 * time.Second}
 	response, err := client.Post(url, "application/json", bytes.NewReader(body))
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(response.Body)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	a := &asked{Status: response.StatusCode}
 	if err := decode(string(answer), &a.Answer); err != nil {
-		return errors.Annotate(err, string(answer))
+		return nil, errors.Annotate(err, string(answer))
 	}
 	facts, err := s.deployment.Searches(query)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	a.Ran = facts.Runs[query]
-	s.reports[args[1]] = a
 	out, err := s.deployment.Wharfctl("explain", a.Answer.RequestID)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	_, explanation, _ := strings.Cut(out, "\n")
-	return decode(explanation, &a.Explain)
+	return a, decode(explanation, &a.Explain)
 }
 
 // explained checks the status of an asked search and the shards that it lacks,
