--- a/load/report.go
+++ b/load/report.go
@@ -24,23 +24,27 @@
 	PartialAnswers  int            `json:"partial_answers"`
 	RefusedTotal    int            `json:"refused_total"`
 	Refused         map[string]int `json:"refused"`
-	Errors          int            `json:"errors"`
-	ErrorKinds      map[string]int `json:"error_kinds"`
-	CoverageMean    float64        `json:"coverage_mean"`
-	P50Ms           float64        `json:"p50_ms"`
-	P99Ms           float64        `json:"p99_ms"`
-	P999Ms          float64        `json:"p999_ms"`
-	RefusedP99Ms    float64        `json:"refused_p99_ms"`
-	MixedSnapshots  int            `json:"mixed_snapshots"`
-	FalseCoverage   int            `json:"false_coverage"`
-	ForeignAnswers  int            `json:"foreign_answers"`
-	// FactsChecked tells whether the next four counts were compared with the
-	// facts of the upstream stand-ins.
-	FactsChecked    bool                     `json:"facts_checked"`
-	FalseRefusals   int                      `json:"false_refusals"`
-	DoubledBookings int                      `json:"doubled_bookings"`
-	UnrunBookings   int                      `json:"unrun_bookings"`
-	OtherOutcomes   int                      `json:"other_outcomes"`
+	// RefusedNotRun counts refusals that say that the request was not run.
+	RefusedNotRun  int            `json:"refused_not_run"`
+	Errors         int            `json:"errors"`
+	ErrorKinds     map[string]int `json:"error_kinds"`
+	CoverageMean   float64        `json:"coverage_mean"`
+	P50Ms          float64        `json:"p50_ms"`
+	P99Ms          float64        `json:"p99_ms"`
+	P999Ms         float64        `json:"p999_ms"`
+	RefusedP99Ms   float64        `json:"refused_p99_ms"`
+	MixedSnapshots int            `json:"mixed_snapshots"`
+	FalseCoverage  int            `json:"false_coverage"`
+	ForeignAnswers int            `json:"foreign_answers"`
+	// FactsChecked tells whether the next five counts were compared with the
+	// facts of the upstream stand-ins, and FalseCoverage for partial answers too.
+	FactsChecked    bool `json:"facts_checked"`
+	FalseRefusals   int  `json:"false_refusals"`
+	DoubledBookings int  `json:"doubled_bookings"`
+	UnrunBookings   int  `json:"unrun_bookings"`
+	OtherOutcomes   int  `json:"other_outcomes"`
+	// SearchesChecked counts refused and partial searches that were compared.
+	SearchesChecked int                      `json:"searches_checked"`
 	RequestsCut     int                      `json:"requests_cut"`
 	Services        map[string]ServiceReport `json:"services"`
 	Series          []SecondReport           `json:"series"`
@@ -55,6 +59,8 @@
 	Errors         int     `json:"errors"`
 	P50Ms          float64 `json:"p50_ms"`
 	P99Ms          float64 `json:"p99_ms"`
+	// Missing counts answers and refusals by each shard that they list as missing.
+	Missing map[uint32]int `json:"missing,omitempty"`
 }
 
 // SecondReport is one second of the run, by the intended time of sending.
@@ -84,13 +90,14 @@
 	report := &Report{
 		Seed: r.config.Seed, StartUnixMs: r.start.UnixMilli(), RatePerSecond: r.config.Rate, DurationSeconds: r.config.Duration.Seconds(),
 		Requests: r.totals.offered, Good: r.totals.good, PartialAnswers: r.totals.partial,
-		RefusedTotal: r.totals.refused, Refused: r.codes, Errors: r.totals.errors, ErrorKinds: r.kinds,
+		RefusedTotal: r.totals.refused, Refused: r.codes, RefusedNotRun: r.notRun, Errors: r.totals.errors, ErrorKinds: r.kinds,
 		P50Ms: quantile(r.totals.served, 50), P99Ms: quantile(r.totals.served, 99), P999Ms: quantile(r.totals.served, 99.9),
 		RefusedP99Ms:   quantile(r.refusals, 99),
 		MixedSnapshots: r.mixed, FalseCoverage: r.coverageBad, ForeignAnswers: r.foreign, RequestsCut: r.cut,
 		FactsChecked: r.factsChecked, FalseRefusals: r.found.falseRefusals, DoubledBookings: r.found.doubledBookings,
 		UnrunBookings: r.found.unrunBookings, OtherOutcomes: r.found.otherOutcomes,
-		Services: make(map[string]ServiceReport, len(r.services)),
+		SearchesChecked: r.found.searchesChecked,
+		Services:        make(map[string]ServiceReport, len(r.services)),
 	}
 	if served := r.totals.good + r.totals.partial; served > 0 {
 		report.CoverageMean = r.coverage / float64(served)
@@ -99,6 +106,7 @@
 		report.Services[name] = ServiceReport{
 			Requests: s.offered, Good: s.good, PartialAnswers: s.partial, Refused: s.refused, Errors: s.errors,
 			P50Ms: quantile(s.served, 50), P99Ms: quantile(s.served, 99),
+			Missing: r.missing[name],
 		}
 	}
 	for i, s := range r.seconds {
--- a/standin/answer.go
+++ b/standin/answer.go
@@ -63,14 +63,19 @@
 	var request SearchRequest
 	var snapshot Snapshot
 	s.serveWork(w, r, &request, false, func() *refusal {
+		if s.otherSnapshot {
+			request.Snapshot = s.layouts.newest(request.Index, request.Snapshot)
+		}
 		held, ok := s.layouts.find(request.Index, request.Snapshot, request.Shard)
 		if !ok {
 			s.facts.RefusedSnapshot++
 			return &refusal{http.StatusGone, "snapshot is not held"}
 		}
 		snapshot = held
+		s.host.searches.started(request, time.Now())
 		return nil
 	}, func(id string) any {
+		s.host.searches.answered(request, time.Now())
 		return searchAnswer{
 			WorkID: id, Index: request.Index, Shard: request.Shard, Snapshot: request.Snapshot,
 			Body: SearchBody{
--- a/standin/controls.go
+++ b/standin/controls.go
@@ -34,7 +34,10 @@
 	StateLagMs      *int64       `json:"state_lag_ms,omitempty"`
 	AddSnapshot     *NewSnapshot `json:"add_snapshot,omitempty"`
 	DropSnapshot    string       `json:"drop_snapshot,omitempty"`
-	ResetFacts      bool         `json:"reset_facts,omitempty"`
+	// OtherSnapshot makes searchers run searches in the newest snapshot they hold,
+	// whichever was asked for. Their answers name the snapshot truly.
+	OtherSnapshot *bool `json:"other_snapshot,omitempty"`
+	ResetFacts    bool  `json:"reset_facts,omitempty"`
 }
 
 func (c Control) validate() error {
@@ -87,6 +90,7 @@
 	if c.Set.ResetFacts && matched == len(u.searchers) {
 		u.starts.reset()
 		u.bookings.reset()
+		u.searches.reset()
 	}
 	return matched, nil
 }
@@ -120,6 +124,7 @@
 	set(&s.behaviour.Sigma, c.Sigma)
 	set(&s.shedShare, c.ShedShare)
 	set(&s.mislead, c.Mislead)
+	set(&s.otherSnapshot, c.OtherSnapshot)
 	if c.ServiceTimeMs != nil {
 		took := time.Duration(*c.ServiceTimeMs * float64(time.Millisecond))
 		s.behaviour.ServiceTime, s.behaviour.BookingTime = took, took
@@ -176,6 +181,7 @@
 	mux.HandleFunc("GET /facts", func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, http.StatusOK, u.Facts(r.URL.Query().Get("keys") == "1"))
 	})
+	mux.HandleFunc("POST /facts/searches", u.serveSearches)
 	mux.HandleFunc("POST /control", func(w http.ResponseWriter, r *http.Request) {
 		var control Control
 		if !readJSON(w, r, &control) {
