Make an entry's plans by service, outside the lock of the table

Cause: each plan was made again after every change of the view, a renewal included, and after a change of any searcher's report, and all queries waited for the one lock under which owners and layouts were computed.

Change: a plan holds until the settings of its service, the members of a record of its searchers, an order or a suspicion change, or a report alters one of its searchers. It is made under a lock of its service; the table is locked only while the reports are read. Owners are kept by service and computed again for the records whose members changed. Plans follow the newest view at each use, so a query no longer plans by the view of its begin.

Ruled out: using the former plan while a new one is made. Queries of the same service wait for it, so that orders and suspicions act as fast as before.

--- a/assign/owner.go
+++ b/assign/owner.go
@@ -26,6 +26,12 @@
 	return best, len(members) > 0
 }
 
+// SameOwners reports whether each key has the same owner among both lists of
+// members, as nothing that decides ownership differs.
+func SameOwners(a, b []control.Member) bool {
+	return slices.EqualFunc(a, b, func(a, b control.Member) bool { return a.ID == b.ID && a.Domain == b.Domain })
+}
+
 // precedence orders the possible owners of a key. It never changes during a
 // membership, so that earlier owners follow from who was a member when. A
 // broker of the record's own domain precedes all adopters: one that comes back
--- a/broker/owned.go
+++ b/broker/owned.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 
 	"github.com/wisteriawharf/wisteriawharf/assign"
 	"github.com/wisteriawharf/wisteriawharf/control"
@@ -49,7 +48,7 @@
 		if known.record == record {
 			continue
 		}
-		if !ok || !slices.EqualFunc(known.record.Members, record.Members, sameOwners) {
+		if !ok || !assign.SameOwners(known.record.Members, record.Members) {
 			known.searchers = o.searchersIn(domain, record)
 			altered = true
 		}
@@ -62,10 +61,6 @@
 	return o.searchers
 }
 
-// sameOwners reports whether two members own the same searchers among equal
-// others.
-func sameOwners(a, b control.Member) bool { return a.ID == b.ID && a.Domain == b.Domain }
-
 func (o *owned) searchersIn(domain string, record *control.Record) []string {
 	if _, member := record.Member(o.broker); !member {
 		return nil
--- a/entry/config.go
+++ b/entry/config.go
@@ -111,7 +111,7 @@
 	}
 	return &Entry{
 		config:   config,
-		table:    newTable(rand.New(rand.NewSource(config.Seed))),
+		table:    newTable(rand.New(rand.NewSource(config.Seed)), config.State.View),
 		metrics:  m,
 		traces:   newTraces(traceCount),
 		limiter:  admission.New(admission.Config{Total: config.Limit, PerService: config.ServiceLimit}),
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -225,7 +225,7 @@
 func (w *world) usable(number uint64) int {
 	view := w.state.View()
 	count := 0
-	for _, l := range w.entry.table.plan(view, view.Settings.Services["desk"]).layouts {
+	for _, l := range w.entry.table.plan(view.Settings.Services["desk"]).layouts {
 		if l.Number == number {
 			for _, r := range l.Replicas {
 				count += len(r)
--- a/entry/query.go
+++ b/entry/query.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/caller"
-	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/peer"
 	"github.com/wisteriawharf/wisteriawharf/result"
 	"github.com/wisteriawharf/wisteriawharf/route"
@@ -28,7 +27,6 @@
 // streams report through events.
 type query struct {
 	entry   *Entry
-	view    *control.View
 	service *settings.Service
 	policy  *policy
 	request caller.SearchRequest
@@ -96,11 +94,10 @@
 	err   *result.Error
 }
 
-func newQuery(e *Entry, view *control.View, s *settings.Service, r caller.SearchRequest, began time.Duration) *query {
+func newQuery(e *Entry, s *settings.Service, r caller.SearchRequest, began time.Duration) *query {
 	budget := budgetOf(s, r.Deadline)
 	q := &query{
 		entry:    e,
-		view:     view,
 		service:  s,
 		policy:   e.policyOf(s.Name, s.HedgeBudget),
 		request:  r,
@@ -125,7 +122,7 @@
 	ctx, cancel := context.WithDeadline(ctx, q.wall)
 	defer cancel()
 	q.ctx = ctx
-	plan := q.entry.table.plan(q.view, q.service)
+	plan := q.entry.table.plan(q.service)
 	pinned := snapshot.Pin(plan.layouts, nil)
 	if pinned == nil {
 		q.trace.PartialReason = "no layout"
@@ -228,7 +225,7 @@
 		q.waiting = false
 		return false
 	}
-	plan := q.entry.table.plan(q.entry.config.State.View(), q.service)
+	plan := q.entry.table.plan(q.service)
 	next := snapshot.Pin(plan.layouts, func(l *snapshot.Layout) bool {
 		return q.gone[layoutName(l)] || l.Number <= q.pinned.Number
 	})
@@ -269,7 +266,6 @@
 	s := &q.shards[i]
 	slots := max(q.service.Limits.Slots, 1)
 	return q.entry.table.choose(choice{
-		view:    q.entry.config.State.View(),
 		service: q.service,
 		id:      q.pinned.ID,
 		number:  q.pinned.Number,
--- a/entry/search.go
+++ b/entry/search.go
@@ -33,7 +33,7 @@
 	if refusal != nil {
 		return nil, e.refused(refusal)
 	}
-	q := newQuery(e, view, s, r, began)
+	q := newQuery(e, s, r, began)
 	answer, refusal := q.run(ctx)
 	e.done(ticket, q.outcome())
 	e.observe(q, answer)
--- a/entry/table.go
+++ b/entry/table.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/wisteriawharf/wisteriawharf/assign"
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/peer"
 	"github.com/wisteriawharf/wisteriawharf/route"
@@ -24,7 +24,11 @@
 	// version rises with every change that can alter a plan.
 	version uint64
 	changed chan struct{}
-	plans   map[string]*plan
+	// view returns the newest view; basis is what was taken of it last.
+	view     func() *control.View
+	basis    basis
+	plans    map[*settings.Service]*plan
+	builders map[string]*builder
 }
 
 // broker is one broker with the searchers it reports. Its session ends when its
@@ -45,16 +49,6 @@
 	sent     int
 }
 
-// plan is the layouts of one service under one view and table version. A query
-// that began under older settings makes a plan of its own.
-type plan struct {
-	view     *control.View
-	service  *settings.Service
-	version  uint64
-	replicas []replica
-	layouts  []*snapshot.Layout
-}
-
 // replica is one searcher's copy of an index, with its present owner.
 type replica struct {
 	id       string
@@ -64,17 +58,23 @@
 	searcher *searcher
 }
 
-func newTable(random *rand.Rand) *table {
+func newTable(random *rand.Rand, view func() *control.View) *table {
 	return &table{
-		random:  random,
-		brokers: make(map[string]*broker),
-		changed: make(chan struct{}),
-		plans:   make(map[string]*plan),
+		random:   random,
+		brokers:  make(map[string]*broker),
+		changed:  make(chan struct{}),
+		view:     view,
+		plans:    make(map[*settings.Service]*plan),
+		builders: make(map[string]*builder),
 	}
 }
 
-// alter marks a change that can alter a plan. The caller holds the lock.
-func (t *table) alter() {
+// alter marks a change of the named searchers that can alter the plans of their
+// services. The caller holds the lock.
+func (t *table) alter(searchers ...string) {
+	for _, p := range t.plans {
+		p.stale = p.stale || slices.ContainsFunc(searchers, func(id string) bool { return p.searchers[id] })
+	}
 	t.version++
 	close(t.changed)
 	t.changed = make(chan struct{})
@@ -93,25 +93,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.brokers[member.ID]
-	altered := b == nil
-	if b == nil {
+	known := b != nil
+	if !known {
 		b = &broker{member: member, searchers: make(map[string]*searcher)}
 		b.session, b.end = context.WithCancel(context.Background())
 		t.brokers[member.ID] = b
 	}
 	listed := make(map[string]bool, len(status.Searchers))
+	var altered []string
 	for _, state := range status.Searchers {
 		listed[state.Searcher] = true
-		altered = b.update(state, now) || altered
+		if b.update(state, now) {
+			altered = append(altered, state.Searcher)
+		}
 	}
 	for id := range b.searchers {
 		if !listed[id] {
 			delete(b.searchers, id)
-			altered = true
+			altered = append(altered, id)
 		}
 	}
-	if altered {
-		t.alter()
+	if !known || len(altered) > 0 {
+		t.alter(altered...)
 	}
 }
 
@@ -151,7 +154,7 @@
 		state.Snapshots = s.state.Snapshots
 	}
 	if r.broker.update(state, now) {
-		t.alter()
+		t.alter(r.id)
 	}
 }
 
@@ -163,7 +166,7 @@
 	if b := t.brokers[id]; b != nil {
 		delete(t.brokers, id)
 		b.end()
-		t.alter()
+		t.alter(slices.Collect(maps.Keys(b.searchers))...)
 	}
 }
 
@@ -174,7 +177,7 @@
 	defer t.mu.Unlock()
 	if r.broker.searchers[r.id] != nil {
 		delete(r.broker.searchers, r.id)
-		t.alter()
+		t.alter(r.id)
 	}
 }
 
@@ -196,61 +199,42 @@
 	}
 }
 
-// plan returns the layouts of a service, newest first.
-func (t *table) plan(view *control.View, s *settings.Service) *plan {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.planLocked(view, s)
-}
-
-func (t *table) planLocked(view *control.View, s *settings.Service) *plan {
-	p := t.plans[s.Name]
-	if p == nil || p.view != view || p.service != s || p.version != t.version {
-		p = t.build(view, s)
-		t.plans[s.Name] = p
-	}
-	return p
-}
-
-func (t *table) build(view *control.View, s *settings.Service) *plan {
-	p := &plan{view: view, service: s, version: t.version}
-	suspected := suspectedIn(view)
+// gather adds the replicas of a plan and returns what they hold. The caller
+// holds the lock.
+func (t *table) gather(p *plan, s *settings.Service, places []place, suspected map[string]bool) []snapshot.Held {
 	names := make(map[string]bool, len(s.Indexes))
 	for _, index := range s.Indexes {
 		names[index.Name] = true
 	}
 	var held []snapshot.Held
-	for _, index := range s.Indexes {
-		for _, u := range index.Searchers {
-			b, known := t.route(view, u, suspected)
-			if b == nil {
+	for _, place := range places {
+		b, known := t.route(place, suspected)
+		if b == nil {
+			continue
+		}
+		u := place.searcher
+		usable := place.candidate(known, suspected[b.member.ID]).Allowed()
+		for _, h := range known.state.Snapshots {
+			if !names[h.Index] {
 				continue
 			}
-			usable := candidate(view, u, known, suspected[b.member.ID]).Allowed()
-			for _, h := range known.state.Snapshots {
-				if !names[h.Index] {
-					continue
-				}
-				p.replicas = append(p.replicas, replica{id: u.ID, index: h.Index, domain: u.FailureDomain, broker: b, searcher: known})
-				held = append(held, snapshot.Held{
-					Replica: len(p.replicas) - 1, ID: h.ID, Number: h.Number,
-					Total: h.ShardsTotal, Shards: h.Shards, Usable: usable,
-				})
-			}
+			p.replicas = append(p.replicas, replica{id: u.ID, index: h.Index, domain: u.FailureDomain, broker: b, searcher: known})
+			held = append(held, snapshot.Held{
+				Replica: len(p.replicas) - 1, ID: h.ID, Number: h.Number,
+				Total: h.ShardsTotal, Shards: h.Shards, Usable: usable,
+			})
 		}
 	}
-	p.layouts = snapshot.Layouts(held)
-	return p
+	return held
 }
 
 // route returns the broker that owns a searcher: the rendezvous owner if it
 // reports the searcher, else any other broker that does, as during a handover.
 // A suspected broker is returned only if there is no other.
-func (t *table) route(view *control.View, u settings.Searcher, suspected map[string]bool) (*broker, *searcher) {
-	if owner, ok := assign.OwnerOf(view.Records, u.FailureDomain, u.ID); ok && !suspected[owner.ID] {
-		if b := t.brokers[owner.ID]; b != nil && b.searchers[u.ID] != nil {
-			return b, b.searchers[u.ID]
-		}
+func (t *table) route(p place, suspected map[string]bool) (*broker, *searcher) {
+	u := p.searcher
+	if b := t.brokers[p.owner]; b != nil && !suspected[p.owner] && b.searchers[u.ID] != nil {
+		return b, b.searchers[u.ID]
 	}
 	var found *broker
 	for id, b := range t.brokers {
@@ -268,10 +252,10 @@
 	return found, found.searchers[u.ID]
 }
 
-func candidate(view *control.View, u settings.Searcher, s *searcher, lost bool) route.Candidate {
+func (p place) candidate(s *searcher, lost bool) route.Candidate {
 	return route.Candidate{
-		DomainOut:   view.Out(control.OrderDomain, u.FailureDomain),
-		UpstreamOut: view.Out(control.OrderUpstream, u.ID),
+		DomainOut:   p.domainOut,
+		UpstreamOut: p.searcherOut,
 		BrokerLost:  lost,
 		Draining:    s.state.Draining,
 		Usable:      s.state.Usable,
@@ -303,7 +287,6 @@
 
 // choice asks for a replica of one shard.
 type choice struct {
-	view    *control.View
 	service *settings.Service
 	// id, number and total name the pinned layout.
 	id     string
@@ -320,9 +303,9 @@
 // choose returns a replica and the estimated wait there. It uses the present
 // plan, so that what was lost or drained since the query began is passed over.
 func (t *table) choose(c choice) (replica, time.Duration, bool) {
+	p := t.plan(c.service)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.planLocked(c.view, c.service)
 	var candidates []replica
 	var loads []route.Load
 	for _, l := range p.layouts {
