Mark changes of a roster, and offer it once per heartbeat interval

Cause: a coordinator made, sorted and compared the roster of its whole domain for each heartbeat, nearly all of which change nothing.

Change: a heartbeat is compared with the former one of its sender. A change marks the roster, which is offered at once for a suspicion, its end and a leaving process, and otherwise at most once per heartbeat interval. A roster that another process offered for the domain is compared once and replaced as before.

TestRosterIsOfferedWhenDue fails if urgent changes wait, if the interval is not kept, if changes or other rosters are not noticed, and if a roster is made although none is due.

--- a/member/coordinator.go
+++ b/member/coordinator.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"reflect"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -74,11 +72,19 @@
 		m.mu.Unlock()
 		return false
 	}
+	former, known := m.heard[beat.ID]
+	before := former.instance(m.detector.Suspected(beat.ID))
 	m.heard[beat.ID] = heartbeat{Heartbeat: beat, at: now}
 	m.acked[beat.ID] = max(m.acked[beat.ID], beat.Epoch)
 	m.detector.Heard(beat.ID, now)
+	if after := m.heard[beat.ID].instance(false); !known || after != before {
+		m.due.noteChange(after.State != before.State)
+	}
+	due := m.isRosterDue(m.config.State.View(), now)
 	m.mu.Unlock()
-	m.publishRoster()
+	if due {
+		m.publishRoster()
+	}
 	return true
 }
 
@@ -106,58 +112,6 @@
 	return reply
 }
 
-// publishRoster offers the roster as the coordinator sees it, if it changed.
-func (m *membership) publishRoster() {
-	m.rosterMu.Lock()
-	defer m.rosterMu.Unlock()
-	roster, ok := m.roster()
-	if !ok {
-		return
-	}
-	view := m.config.State.View()
-	if known := view.Rosters[m.domain]; known != nil && reflect.DeepEqual(*known, roster) {
-		return
-	}
-	value, err := json.Marshal(roster)
-	if err != nil {
-		m.config.Log.Error("roster not encoded", "error", err)
-		return
-	}
-	name := control.PrefixRoster + m.domain
-	known, _ := m.config.State.Item(name)
-	record := view.Records[m.domain]
-	m.offer([]control.Item{{Name: name, Major: max(known.Major, record.Epoch), Minor: known.Minor + 1, Value: value}})
-}
-
-func (m *membership) roster() (control.Roster, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.coordinating {
-		return control.Roster{}, false
-	}
-	roster := control.Roster{Coordinator: m.config.Self.ID}
-	for id, h := range m.heard {
-		if h.Domain != m.domain {
-			// An adopter is in the roster of its own domain.
-			continue
-		}
-		state := control.Live
-		if h.Leaving {
-			state = control.Leaving
-		}
-		if m.detector.Suspected(id) {
-			state = control.Suspected
-		}
-		roster.Instances = append(roster.Instances, control.Instance{
-			ID: id, Role: control.Role(h.Role), FailureDomain: h.Domain,
-			CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, OperatorAddress: h.OperatorAddress,
-			State: state, Revision: h.Revision,
-		})
-	}
-	slices.SortFunc(roster.Instances, func(a, b control.Instance) int { return strings.Compare(a.ID, b.ID) })
-	return roster, true
-}
-
 // renew writes the record, as coordinator or in place of one that fell silent.
 func (m *membership) renew(ctx context.Context) {
 	record, version := m.record()
@@ -317,6 +271,7 @@
 		if _, ok := record.Member(id); !ok {
 			m.detector.Forget(id)
 			delete(m.heard, id)
+			m.due.noteChange(false)
 		}
 	}
 	m.mu.Unlock()
@@ -357,6 +312,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.detector.Probed(id, reached, m.config.Clock.Boottime()) {
+		m.due.noteChange(true)
 		m.metrics.suspected.Inc()
 		m.config.Log.Warn("process is suspected", "id", id, "domain", m.domain)
 	}
--- a/member/membership.go
+++ b/member/membership.go
@@ -30,6 +30,7 @@
 	heard        map[string]heartbeat
 	acked        map[string]uint64
 	coordinating bool
+	due          rosterDue
 	// given holds searchers that were drained on leaving.
 	given map[string]bool
 	// handed holds releases that were accepted, with the epoch at which the
@@ -116,6 +117,7 @@
 	t := m.config.Timing
 	m.detector = detect.New(detect.Timing{Silence: t.Silence, Removal: t.Removal, Unheard: t.Lease})
 	m.heard = make(map[string]heartbeat)
+	m.due = rosterDue{changed: true}
 	m.followRoster(now)
 	m.config.Log.Info("coordinator changed", "domain", m.domain, "self", coordinating)
 }
