--- a/cmd/wharf-broker/service.go
+++ b/cmd/wharf-broker/service.go
@@ -12,7 +12,6 @@
 	"github.com/wisteriawharf/wisteriawharf/assign"
 	"github.com/wisteriawharf/wisteriawharf/booking"
 	"github.com/wisteriawharf/wisteriawharf/broker"
-	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/daemon"
 	"github.com/wisteriawharf/wisteriawharf/member"
 	"github.com/wisteriawharf/wisteriawharf/operator"
@@ -135,9 +134,7 @@
 func (s *service) Status(status *operator.Status) {
 	reachable := s.member.PlatformReachable()
 	status.PlatformReachable = &reachable
-	if s.leaving.Load() {
-		status.State = control.Leaving
-	}
+	status.SetState(s.leaving.Load(), s.member.Reason())
 	for _, u := range s.broker.Status() {
 		status.Searchers = append(status.Searchers, operator.SearcherStatus{ID: u.Searcher, Warm: !u.State.Cold})
 	}
--- a/cmd/wharf-entry/service.go
+++ b/cmd/wharf-entry/service.go
@@ -9,7 +9,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wisteriawharf/wisteriawharf/caller"
-	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/daemon"
 	"github.com/wisteriawharf/wisteriawharf/entry"
 	"github.com/wisteriawharf/wisteriawharf/member"
@@ -117,9 +116,7 @@
 
 // Status implements daemon.Service.
 func (s *service) Status(status *operator.Status) {
-	if s.leaving.Load() {
-		status.State = control.Leaving
-	}
+	status.SetState(s.leaving.Load(), s.member.Reason())
 }
 
 // Explain implements daemon.Service.
--- a/cmd/wharfctl/status.go
+++ b/cmd/wharfctl/status.go
@@ -95,6 +95,9 @@
 			continue
 		}
 		s := r.Status
+		if s.Reason != "" {
+			notes = append(notes, fmt.Sprintf("%s does not serve yet: %s", s.ID, s.Reason))
+		}
 		rows = append(rows, []string{
 			r.Address, s.ID, string(s.Role), s.FailureDomain, string(s.State), fmt.Sprint(s.Revision),
 			known(s.PlatformReachable), fmt.Sprintf("%d/%d", s.Warm(), len(s.Searchers)),
--- a/control/types.go
+++ b/control/types.go
@@ -118,8 +118,10 @@
 // InstanceState is how a process takes part in its failure domain.
 type InstanceState string
 
-// A suspected instance did not answer heartbeats or indirect probes.
+// A starting instance does not serve yet. A suspected one did not answer
+// heartbeats or indirect probes. Rosters list no instance as starting.
 const (
+	Starting  InstanceState = "starting"
 	Live      InstanceState = "live"
 	Leaving   InstanceState = "leaving"
 	Suspected InstanceState = "suspected"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -162,7 +162,7 @@
 		Identity: b.Identity,
 		State:    b.State,
 		Status: func() operator.Status {
-			s := operator.Status{ID: b.Self.ID, Role: b.Self.Role, FailureDomain: b.Self.FailureDomain, State: control.Live}
+			s := operator.Status{ID: b.Self.ID, Role: b.Self.Role, FailureDomain: b.Self.FailureDomain}
 			service.Status(&s)
 			return s
 		},
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -111,6 +111,19 @@
 	qt.Assert(t, string(text), qt.Contains, "wharf_test_total 0")
 }
 
+// TestSetState guards against a process that is shown as live before it serves.
+func TestSetState(t *testing.T) {
+	var s Status
+	s.SetState(false, errors.New("no lease was granted yet"))
+	qt.Assert(t, s.State, qt.Equals, control.Starting)
+	qt.Assert(t, s.Reason, qt.Equals, "no lease was granted yet")
+	s = Status{}
+	s.SetState(false, nil)
+	qt.Assert(t, s, qt.DeepEquals, Status{State: control.Live})
+	s.SetState(true, nil)
+	qt.Assert(t, s.State, qt.Equals, control.Leaving)
+}
+
 // TestOnlyOperators guards against an instance, or an operator of another
 // deployment, that gives orders to a process.
 func TestOnlyOperators(t *testing.T) {
--- a/operator/status.go
+++ b/operator/status.go
@@ -15,6 +15,8 @@
 	Role          control.Role          `json:"role"`
 	FailureDomain string                `json:"failure_domain"`
 	State         control.InstanceState `json:"state"`
+	// Reason is why a starting process does not serve yet.
+	Reason string `json:"reason,omitempty"`
 	// Revision is the number of the settings in force; zero if none are known.
 	Revision uint64 `json:"revision"`
 	// PlatformReachable is left out by an entry, which asks the platform only
@@ -38,6 +40,19 @@
 	Address       string `json:"address,omitempty"`
 }
 
+// SetState sets the state from whether the process leaves and from the reason
+// why it is not ready, nil if it is.
+func (s *Status) SetState(leaving bool, notReady error) {
+	switch {
+	case leaving:
+		s.State = control.Leaving
+	case notReady != nil:
+		s.State, s.Reason = control.Starting, notReady.Error()
+	default:
+		s.State = control.Live
+	}
+}
+
 // SearcherStatus is one searcher that a broker holds.
 type SearcherStatus struct {
 	ID   string `json:"id"`
