Take the settings revision out of heartbeats and rosters

Cause: a roster listed the revision that each process reports, so that every publish changed every roster, and each version went whole to all processes.

GET /v1/instances no longer shows a revision; GET /v1/status does.

Ruled out: sending only what changed, which keeps a message for each process and revision.

--- a/control/types.go
+++ b/control/types.go
@@ -131,7 +131,6 @@
 	PeerAddress     string        `json:"peer_address"`
 	OperatorAddress string        `json:"operator_address,omitempty"`
 	State           InstanceState `json:"state"`
-	Revision        uint64        `json:"revision"`
 }
 
 // OrderKind is what an order is about.
--- a/internal/capacity/exchange.go
+++ b/internal/capacity/exchange.go
@@ -97,7 +97,7 @@
 		name := fmt.Sprintf("failure-domain-%02d", i)
 		items := []control.Item{
 			itemOf(control.PrefixDomain+name, 1000, 1e8, record(3)),
-			itemOf(control.PrefixRoster+name, 1000, 1e6, roster(3, 1)),
+			itemOf(control.PrefixRoster+name, 1000, 1e6, roster(3)),
 		}
 		p.offerBoth(items)
 	}
@@ -135,7 +135,7 @@
 				return itemOf(control.PrefixDomain+"x", 1, i, record(size))
 			})
 			b.pull(pulledRoster, size, func(i uint64) control.Item {
-				return itemOf(control.PrefixRoster+"x", 1, i, roster(size, i))
+				return itemOf(control.PrefixRoster+"x", 1, i, roster(size))
 			})
 		}
 	}
@@ -177,12 +177,12 @@
 	return r
 }
 
-func roster(instances int, revision uint64) control.Roster {
+func roster(instances int) control.Roster {
 	r := control.Roster{Coordinator: processID(0)}
 	for i := range instances {
 		r.Instances = append(r.Instances, control.Instance{
 			ID: processID(i), Role: control.RoleBroker, FailureDomain: "failure-domain-00", PeerAddress: "10.123.123.123:7102",
-			OperatorAddress: "10.123.123.123:7202", State: control.Live, Revision: revision,
+			OperatorAddress: "10.123.123.123:7202", State: control.Live,
 		})
 	}
 	return r
--- a/internal/capacity/heartbeat.go
+++ b/internal/capacity/heartbeat.go
@@ -92,7 +92,7 @@
 	return peer.Heartbeat{
 		ID: processID(i), Role: string(role), Domain: domain, Record: domain, PeerAddress: address,
 		CallerAddress: "10.123.123.123:7001", OperatorAddress: "10.123.123.123:7201",
-		Revision: 1, BoottimeNs: int64(1000 * time.Hour), Epoch: 1,
+		BoottimeNs: int64(1000 * time.Hour), Epoch: 1,
 	}
 }
 
--- a/internal/capacity/main.go
+++ b/internal/capacity/main.go
@@ -55,6 +55,7 @@
 		{"heartbeat", b.heartbeats},
 		{"digest", b.digests},
 		{"items", b.items},
+		{"spread", b.spreads},
 		{"revision", b.revisions},
 		{"owner", b.owners},
 		{"status", b.status},
--- a/member/coordinator.go
+++ b/member/coordinator.go
@@ -59,8 +59,7 @@
 	return peer.Heartbeat{
 		ID: self.ID, Role: string(self.Role), Domain: self.FailureDomain, Record: m.domain,
 		PeerAddress: self.PeerAddress, CallerAddress: self.CallerAddress, OperatorAddress: self.OperatorAddress,
-		Leaving: m.leaving, Revision: m.config.State.View().Revision,
-		BoottimeNs: int64(now), Epoch: m.takeover.Epoch(),
+		Leaving: m.leaving, BoottimeNs: int64(now), Epoch: m.takeover.Epoch(),
 	}
 }
 
--- a/member/membership.go
+++ b/member/membership.go
@@ -133,7 +133,7 @@
 		m.heard[i.ID] = heartbeat{at: now - m.config.Timing.Removal, Heartbeat: peer.Heartbeat{
 			ID: i.ID, Role: string(i.Role), Domain: i.FailureDomain,
 			PeerAddress: i.PeerAddress, CallerAddress: i.CallerAddress, OperatorAddress: i.OperatorAddress,
-			Leaving: i.State == control.Leaving, Revision: i.Revision,
+			Leaving: i.State == control.Leaving,
 		}}
 		m.detector.Follow(i.ID, now)
 	}
--- a/member/roster.go
+++ b/member/roster.go
@@ -110,6 +110,6 @@
 	return control.Instance{
 		ID: h.ID, Role: control.Role(h.Role), FailureDomain: h.Domain,
 		CallerAddress: h.CallerAddress, PeerAddress: h.PeerAddress, OperatorAddress: h.OperatorAddress,
-		State: state, Revision: h.Revision,
+		State: state,
 	}
 }
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -127,7 +127,6 @@
 	CallerAddress   string `msg:"c"`
 	OperatorAddress string `msg:"o"`
 	Leaving         bool   `msg:"l"`
-	Revision        uint64 `msg:"v"`
 	BoottimeNs      int64  `msg:"t"`
 	// Epoch is the newest epoch of the domain's record that the sender knows.
 	Epoch uint64 `msg:"e"`
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -2103,12 +2103,6 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-		case "v":
-			z.Revision, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Revision")
-				return
-			}
 		case "t":
 			z.BoottimeNs, err = dc.ReadInt64()
 			if err != nil {
@@ -2134,9 +2128,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 11
+	// map header, size 10
 	// write "i"
-	err = en.Append(0x8b, 0xa1, 0x69)
+	err = en.Append(0x8a, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -2215,16 +2209,6 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Revision)
-	if err != nil {
-		err = msgp.WrapError(err, "Revision")
-		return
-	}
 	// write "t"
 	err = en.Append(0xa1, 0x74)
 	if err != nil {
@@ -2251,9 +2235,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 10
 	// string "i"
-	o = append(o, 0x8b, 0xa1, 0x69)
+	o = append(o, 0x8a, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -2276,9 +2260,6 @@
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendBool(o, z.Leaving)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendUint64(o, z.Revision)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.BoottimeNs)
@@ -2354,12 +2335,6 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
-		case "v":
-			z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Revision")
-				return
-			}
 		case "t":
 			z.BoottimeNs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -2386,7 +2361,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.StringPrefixSize + len(z.Record) + 2 + msgp.StringPrefixSize + len(z.PeerAddress) + 2 + msgp.StringPrefixSize + len(z.CallerAddress) + 2 + msgp.StringPrefixSize + len(z.OperatorAddress) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.StringPrefixSize + len(z.Record) + 2 + msgp.StringPrefixSize + len(z.PeerAddress) + 2 + msgp.StringPrefixSize + len(z.CallerAddress) + 2 + msgp.StringPrefixSize + len(z.OperatorAddress) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
 	return
 }
 
