Look a searcher's holders up in place of searching all brokers

Cause: a plan searched all brokers for each searcher whose owner does not report it, under the lock of the table. While many brokers are lost, every loss makes plans stale, so that this is when the lock is needed most.

Change: the table keeps the brokers that report each searcher.

TestPlanFollowsChanges compares with holders taken from the brokers; it fails if any of the four places that keep them is left out.

--- a/entry/plan_bench_test.go
+++ b/entry/plan_bench_test.go
@@ -117,17 +117,25 @@
 	f.view = &next
 }
 
-// BenchmarkGather measures how long the making of a plan locks the table.
+// BenchmarkGather measures how long the making of a plan locks the table, with
+// all owners reporting and with those of a third of the searchers lost.
 func BenchmarkGather(b *testing.B) {
-	for _, shards := range []int{48, 160, 480} {
-		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
-			f := newFleet(shards)
-			f.table.plan(f.service)
-			places := f.table.builders["s"].places(f.service, f.table.basis)
-			for b.Loop() {
-				f.table.gather(&plan{}, f.service, places, nil)
-			}
-		})
+	for _, lost := range []bool{false, true} {
+		for _, shards := range []int{48, 160, 480} {
+			b.Run(fmt.Sprintf("lost=%t/shards=%d", lost, shards), func(b *testing.B) {
+				f := newFleet(shards)
+				f.table.plan(f.service)
+				for _, m := range f.view.Records["d0"].Members {
+					if lost {
+						f.table.lose(m.ID)
+					}
+				}
+				places := f.table.builders["s"].places(f.service, f.table.basis)
+				for b.Loop() {
+					f.table.gather(&plan{}, f.service, places, nil)
+				}
+			})
+		}
 	}
 }
 
--- a/entry/plan_test.go
+++ b/entry/plan_test.go
@@ -14,7 +14,8 @@
 )
 
 // TestPlanFollowsChanges guards against a plan that is kept although something
-// that it was made from changed: every plan equals one made anew.
+// that it was made from changed, and against holders of searchers that are not
+// followed: every plan equals one made anew.
 func TestPlanFollowsChanges(t *testing.T) {
 	f := newFleet(4)
 	random := rand.New(rand.NewSource(1))
@@ -47,6 +48,11 @@
 		}
 		anew := newTable(nil, f.table.view)
 		anew.brokers = f.table.brokers
+		for _, b := range anew.brokers {
+			for id := range b.searchers {
+				anew.holders[id] = append(anew.holders[id], b)
+			}
+		}
 		got, want := f.table.plan(f.service), anew.plan(f.service)
 		qt.Assert(t, slices.Equal(got.replicas, want.replicas), qt.IsTrue, qt.Commentf("step %d: %s", step, how))
 		qt.Assert(t, reflect.DeepEqual(got.layouts, want.layouts), qt.IsTrue, qt.Commentf("step %d: %s", step, how))
--- a/entry/table.go
+++ b/entry/table.go
@@ -21,6 +21,8 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	brokers map[string]*broker
+	// holders are the brokers that report a searcher.
+	holders map[string][]*broker
 	// version rises with every change that can alter a plan.
 	version uint64
 	changed chan struct{}
@@ -62,6 +64,7 @@
 	return &table{
 		random:   random,
 		brokers:  make(map[string]*broker),
+		holders:  make(map[string][]*broker),
 		changed:  make(chan struct{}),
 		view:     view,
 		plans:    make(map[*settings.Service]*plan),
@@ -103,6 +106,9 @@
 	var altered []string
 	for _, state := range status.Searchers {
 		listed[state.Searcher] = true
+		if b.searchers[state.Searcher] == nil {
+			t.holders[state.Searcher] = append(t.holders[state.Searcher], b)
+		}
 		if b.update(state, now) {
 			altered = append(altered, state.Searcher)
 		}
@@ -110,6 +116,7 @@
 	for id := range b.searchers {
 		if !listed[id] {
 			delete(b.searchers, id)
+			t.unhold(b, id)
 			altered = append(altered, id)
 		}
 	}
@@ -118,6 +125,17 @@
 	}
 }
 
+// unhold notes that a broker reports a searcher no longer. The caller holds the
+// lock.
+func (t *table) unhold(b *broker, searcher string) {
+	rest := slices.DeleteFunc(t.holders[searcher], func(other *broker) bool { return other == b })
+	if len(rest) == 0 {
+		delete(t.holders, searcher)
+		return
+	}
+	t.holders[searcher] = rest
+}
+
 // update takes the state of one searcher and reports whether it can alter a
 // plan.
 func (b *broker) update(state peer.SearcherState, now time.Duration) bool {
@@ -166,6 +184,9 @@
 	if b := t.brokers[id]; b != nil {
 		delete(t.brokers, id)
 		b.end()
+		for searcher := range b.searchers {
+			t.unhold(b, searcher)
+		}
 		t.alter(slices.Collect(maps.Keys(b.searchers))...)
 	}
 }
@@ -177,6 +198,7 @@
 	defer t.mu.Unlock()
 	if r.broker.searchers[r.id] != nil {
 		delete(r.broker.searchers, r.id)
+		t.unhold(r.broker, r.id)
 		t.alter(r.id)
 	}
 }
@@ -237,10 +259,8 @@
 		return b, b.searchers[u.ID]
 	}
 	var found *broker
-	for id, b := range t.brokers {
-		if b.searchers[u.ID] == nil {
-			continue
-		}
+	for _, b := range t.holders[u.ID] {
+		id := b.member.ID
 		if found == nil || suspected[found.member.ID] && !suspected[id] ||
 			suspected[found.member.ID] == suspected[id] && id < found.member.ID {
 			found = b
