Let deployments under test put relays between their processes

Cause: no scenario could separate processes from each other or make the QUIC connections between them silent, because a process listened on the address by which others know it.

Ruled out: relays as seeds only, because the addresses of the records replace them within seconds.

TestUDPFlows fails if clients that are not allowed pass, TestDefaults if peer_listen_address has no default.

--- a/cmd/wharf-entry/service.go
+++ b/cmd/wharf-entry/service.go
@@ -42,7 +42,7 @@
 		return nil, errors.Annotate(err, "membership")
 	}
 	s := &service{base: b, member: m}
-	s.node, err = peer.Listen(peer.Config{Address: b.Process.PeerAddress, Identity: b.Identity, Handlers: m.Handlers(), Log: b.Log})
+	s.node, err = peer.Listen(peer.Config{Address: b.Process.PeerListen, Identity: b.Identity, Handlers: m.Handlers(), Log: b.Log})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/internal/relay"
 )
 
 const (
@@ -40,6 +42,9 @@
 	AddressLifetime time.Duration
 	// Operators names the operators that get a certificate; "operator" if empty.
 	Operators []string
+	// Relays puts a relay before the peer address of each process and before the
+	// platform for each instance.
+	Relays bool
 	// Replace holds pairs of old and new text, applied to the service settings.
 	Replace []string
 }
@@ -51,6 +56,10 @@
 	IP     string
 	Entry  *Process
 	Broker *Process
+	// Peers are the relays before the peer addresses of entry and broker, and
+	// Platform that before the platform, if there are relays.
+	Peers    []*relay.UDP
+	Platform *relay.TCP
 }
 
 // Deployment is a running deployment.
@@ -78,6 +87,9 @@
 	platformControl    = 8001
 	upstreamControl    = 8002
 	lockPort           = 8003
+
+	// behindRelay is what is added to the port of a process behind a relay.
+	behindRelay = 10
 )
 
 // Start starts everything and returns once the instances serve the first
@@ -100,7 +112,7 @@
 func (d *Deployment) start() error {
 	steps := []func() error{
 		d.reserveNetwork, d.writeServices, d.makeCertificates,
-		d.startPlatform, d.startUpstreams, d.publish, d.startInstances,
+		d.startPlatform, d.startUpstreams, d.publish, d.startRelays, d.startInstances,
 		func() error { return d.WaitReady(startTimeout) },
 	}
 	for _, step := range steps {
@@ -237,7 +249,11 @@
 		fmt.Fprintf(&text, "caller_address: %s:%d\naddress_lifetime: %s\n", i.IP, callerPort, d.config.AddressLifetime)
 	}
 	fmt.Fprintf(&text, "peer_address: %s:%d\noperator_address: %s:%d\n", i.IP, peerPort, i.IP, operatorPort)
-	fmt.Fprintf(&text, "platform_address: %s\n", d.platformAddress)
+	if d.config.Relays {
+		fmt.Fprintf(&text, "peer_listen_address: %s:%d\nplatform_address: %s\n", i.IP, peerPort+behindRelay, i.Platform.Address())
+	} else {
+		fmt.Fprintf(&text, "platform_address: %s\n", d.platformAddress)
+	}
 	fmt.Fprintf(&text, "certificate: %s\nkey: %s\nca: %s\n", d.path("certificates/"+i.Name+".pem"),
 		d.path("certificates/"+i.Name+"-key.pem"), d.path("certificates/ca.pem"))
 	fmt.Fprintf(&text, "log_level: info\nlog_format: text\nstop_timeout: 30s\nseeds:\n")
@@ -344,6 +360,9 @@
 			first = err
 		}
 	}
+	for _, i := range d.Instances {
+		i.closeRelays()
+	}
 	for _, p := range []*Process{d.Upstreams, d.Platform} {
 		if err := stopper(p)(); err != nil && first == nil {
 			first = err
@@ -367,6 +386,7 @@
 	processes := []*Process{d.Upstreams, d.Platform}
 	for _, i := range d.Instances {
 		processes = append(processes, i.Entry, i.Broker)
+		i.closeRelays()
 	}
 	for _, p := range processes {
 		if p != nil && !p.Ended() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/big"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -127,7 +128,8 @@
 	return ok && timeout.Timeout()
 }
 
-// TestUDPFlows guards against flows that are silent together.
+// TestUDPFlows guards against flows that are silent together, and against a
+// partition that lets datagrams through.
 func TestUDPFlows(t *testing.T) {
 	server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	qt.Assert(t, err, qt.IsNil)
@@ -155,8 +157,11 @@
 	qt.Assert(t, isTimeout(answers(fresh, "d", quiet)), qt.IsTrue)
 	r.Freeze(false)
 	qt.Assert(t, answers(fresh, "e", limit), qt.IsNil)
+	r.Allow(func(netip.Addr) bool { return false })
+	qt.Assert(t, isTimeout(answers(fresh, "f", quiet)), qt.IsTrue)
+	r.Allow(nil)
 	r.Cut()
-	qt.Assert(t, answers(old, "f", limit), qt.IsNil)
+	qt.Assert(t, answers(old, "g", limit), qt.IsNil)
 }
 
 func newTransport(t *testing.T) *quic.Transport {
--- a/internal/relay/udp.go
+++ b/internal/relay/udp.go
@@ -31,6 +31,7 @@
 
 	flowMu sync.Mutex
 	flows  map[netip.AddrPort]*flow
+	allow  func(client netip.Addr) bool
 	closed bool
 }
 
@@ -53,12 +54,19 @@
 }
 
 // NewUDP relays from a new loopback port to target.
-func NewUDP(target string) (*UDP, error) {
+func NewUDP(target string) (*UDP, error) { return NewUDPAt("127.0.0.1:0", target) }
+
+// NewUDPAt relays from an IP address and port to target.
+func NewUDPAt(listen, target string) (*UDP, error) {
 	address, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	at, err := net.ResolveUDPAddr("udp", listen)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	front, err := net.ListenUDP("udp", at)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -97,6 +105,14 @@
 	}
 }
 
+// Allow drops datagrams of and to clients for which allow returns false, as a
+// partition of the network does; nil allows all.
+func (r *UDP) Allow(allow func(client netip.Addr) bool) {
+	r.flowMu.Lock()
+	defer r.flowMu.Unlock()
+	r.allow = allow
+}
+
 // Close stops the relay.
 func (r *UDP) Close() error {
 	r.flowMu.Lock()
@@ -232,7 +248,7 @@
 	}
 	f.relay.flowMu.Lock()
 	defer f.relay.flowMu.Unlock()
-	return !f.silent
+	return !f.silent && (f.relay.allow == nil || f.relay.allow(f.client.Addr().Unmap()))
 }
 
 func (f *flow) close() {
--- a/settings/field.go
+++ b/settings/field.go
@@ -150,6 +150,7 @@
 	{Key: "failure_domain", Form: FormName, Required: true},
 	{Key: "caller_address", Form: FormListener, Absent: "none (a broker has no callers)"},
 	{Key: "peer_address", Form: FormListener, Required: true},
+	{Key: "peer_listen_address", Form: FormListener, Absent: "`peer_address`"},
 	{Key: "operator_address", Form: FormListener, Required: true},
 	{Key: "platform_address", Form: FormAddress, Required: true},
 	{Key: "seeds", Form: FormList, Absent: "none"},
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -52,6 +52,7 @@
 		FailureDomain:   s.name("failure_domain"),
 		CallerAddress:   s.address("caller_address"),
 		PeerAddress:     s.address("peer_address"),
+		PeerListen:      s.address("peer_listen_address"),
 		OperatorAddress: s.address("operator_address"),
 		PlatformAddress: s.address("platform_address"),
 		Certificate:     s.text("certificate"),
@@ -63,6 +64,9 @@
 		StopTimeout:     s.duration("stop_timeout"),
 	}
 	p.Seeds = s.addresses("seeds")
+	if p.PeerListen == "" {
+		p.PeerListen = p.PeerAddress
+	}
 	// A stop serves callers until the addresses they hold have expired.
 	if p.StopTimeout > 0 && p.AddressLifetime >= p.StopTimeout {
 		s.r.report(s.position("address_lifetime"), "address_lifetime", "less than stop_timeout ("+p.StopTimeout.String()+")",
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -67,6 +67,10 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, p.StopTimeout, qt.Equals, 30*time.Second)
 	qt.Assert(t, p.LogFormat, qt.Equals, "text")
+	qt.Assert(t, p.PeerListen, qt.Equals, p.PeerAddress)
+	p, err = ParseProcess("p.yaml", processText+"peer_listen_address: 127.0.0.1:7111\n")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.PeerListen, qt.Equals, "127.0.0.1:7111")
 }
 
 // TestFaults guards against a fault that is accepted, or reported at a place
--- a/settings/process.go
+++ b/settings/process.go
@@ -6,10 +6,13 @@
 type Process struct {
 	// ID names the instance. The process adds a random suffix, so that each
 	// start is an incarnation of its own.
-	ID              string        `yaml:"id"`
-	FailureDomain   string        `yaml:"failure_domain"`
-	CallerAddress   string        `yaml:"caller_address"`
-	PeerAddress     string        `yaml:"peer_address"`
+	ID            string `yaml:"id"`
+	FailureDomain string `yaml:"failure_domain"`
+	CallerAddress string `yaml:"caller_address"`
+	PeerAddress   string `yaml:"peer_address"`
+	// PeerListen is where the process itself listens for peers. It is PeerAddress
+	// unless something between forwards that address to it.
+	PeerListen      string        `yaml:"peer_listen_address"`
 	OperatorAddress string        `yaml:"operator_address"`
 	PlatformAddress string        `yaml:"platform_address"`
 	Seeds           []string      `yaml:"seeds"`
