Show that a lapsed lease alone prevents two owners

Cause: s/broker-paused passes even when leases never expire, because entries know the new owner when the paused one resumes.

In s/lease-lapsed the instance of the paused broker is cut off from all others and from the platform, so that its entry keeps sending to the resumed broker while the successor works, 23 s after the cut. With a successor that may not start yet (18 s) the scenario could not fail.

--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -85,6 +85,10 @@
 var relaxed = []string{"deadline: 110ms\nsoft_deadline: 80ms", "deadline: 2s\nsoft_deadline: 1900ms", "deadline: 1s\n", "deadline: 2s\n"}
 
 func deploy(s *scenario, ts *testscript.TestScript, args []string) error {
+	return start(s, ts, args, false)
+}
+
+func start(s *scenario, ts *testscript.TestScript, args []string, relays bool) error {
 	if len(args) < 1 {
 		return errors.New("name of an example is missing")
 	}
@@ -95,7 +99,7 @@
 	d, err := deployment.Start(deployment.Config{
 		Binaries: binaries, Services: filepath.Join(examples, args[0]), Dir: dir,
 		Domains: []string{"split", "trogir", "brac"}, PerDomain: 2,
-		Operators: []string{"ana", "ivo"}, Replace: relaxed,
+		Operators: []string{"ana", "ivo"}, Replace: relaxed, Relays: relays,
 		Upstream: append([]string{"--service-time=20ms", "--sigma=0.2"}, args[1:]...),
 	})
 	if err != nil {
--- a/scenarios/members_test.go
+++ b/scenarios/members_test.go
@@ -1,10 +1,15 @@
 package scenarios
 
 import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/wisteriawharf/wisteriawharf/internal/deployment"
 )
@@ -12,9 +17,34 @@
 // memberCommands returns the commands of scenarios about membership, operators
 // and the connections between instances.
 //
+//	deploy-relayed EXAMPLE [FLAG...]               deploy with relays before all peer addresses
+//	instance cut|join INSTANCE                     separate it from all others and the platform
+//	silence-peers                                  all present connections between processes go silent
+//	search-at INSTANCE SERVICE DURATION REPORT     search at one entry; the report counts answers by code
 //	grows DURATION since MARK SOURCE REPORT PATH   wait until a count exceeds that of a report
 func memberCommands() map[string]command {
-	return map[string]command{"grows": grows}
+	return map[string]command{
+		"grows": grows, "deploy-relayed": deployRelayed, "instance": cutInstance, "silence-peers": silencePeers,
+		"search-at": searchAt,
+	}
+}
+
+// deployRelayed starts a deployment with relays between its processes.
+func deployRelayed(s *scenario, ts *testscript.TestScript, args []string) error {
+	return start(s, ts, args, true)
+}
+
+func cutInstance(s *scenario, _ *testscript.TestScript, args []string) error {
+	if len(args) != 2 || args[0] != "cut" && args[0] != "join" || s.deployment.Instance(args[1]) == nil {
+		return errors.New("usage: instance cut|join INSTANCE")
+	}
+	s.deployment.Cut(args[1], args[0] == "cut")
+	return nil
+}
+
+func silencePeers(s *scenario, _ *testscript.TestScript, _ []string) error {
+	s.deployment.SilencePeers()
+	return nil
 }
 
 // grows waits until a count of a source is greater than in an earlier report.
@@ -47,3 +77,65 @@
 		return err
 	})
 }
+
+// searchesAtOnce is how many searches of search-at are in progress at once, and
+// searchPause the pause of each after an answer.
+const (
+	searchesAtOnce = 12
+	searchPause    = 5 * time.Millisecond
+)
+
+// searchAt sends searches to one entry, also to one that no address answer
+// names, and counts the answers by their code, 0 for good ones.
+func searchAt(s *scenario, ts *testscript.TestScript, args []string) error {
+	if len(args) != 4 || s.deployment.Instance(args[0]) == nil {
+		return errors.New("usage: search-at INSTANCE SERVICE DURATION REPORT")
+	}
+	length, err := time.ParseDuration(args[2])
+	if err != nil {
+		return errors.Trace(err)
+	}
+	url := "http://" + s.deployment.Instance(args[0]).EntryAddress() + "/v1/search/" + args[1]
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: searchesAtOnce}}
+	defer client.CloseIdleConnections()
+	codes := make(chan string)
+	until := time.Now().Add(length)
+	var running errgroup.Group
+	for range searchesAtOnce {
+		running.Go(func() error {
+			for time.Now().Before(until) {
+				code, err := search(client, url)
+				if err != nil {
+					return err
+				}
+				codes <- code
+				time.Sleep(searchPause)
+			}
+			return nil
+		})
+	}
+	go func() {
+		err = running.Wait()
+		close(codes)
+	}()
+	counts := make(map[string]int)
+	for code := range codes {
+		counts[code]++
+	}
+	ts.Logf("answers by code: %v", counts)
+	s.reports[args[3]] = counts
+	return err
+}
+
+func search(client *http.Client, url string) (string, error) {
+	response, err := client.Post(url, "application/json", strings.NewReader(`{"query":"slate","deadline_ms":1000}`))
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Code int `json:"code"`
+	}
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return strconv.Itoa(answer.Code), errors.Trace(err)
+}
