Show that silent connections between instances are replaced

Cause: silence of the QUIC connections between processes was shown with a fake only.

In s/silent-peers relays make all present connections between the twelve processes silent at once under 50 requests a second, while new ones work.

Two relays that let an old flow pass were ruled out by TestQUICSilence.

--- a/scenarios/members_test.go
+++ b/scenarios/members_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"time"
@@ -21,11 +23,12 @@
 //	instance cut|join INSTANCE                     separate it from all others and the platform
 //	silence-peers                                  all present connections between processes go silent
 //	search-at INSTANCE SERVICE DURATION REPORT     search at one entry; the report counts answers by code
+//	logged ROLE COUNT TEXT                         the logs of a role have at least so many lines with a text
 //	grows DURATION since MARK SOURCE REPORT PATH   wait until a count exceeds that of a report
 func memberCommands() map[string]command {
 	return map[string]command{
 		"grows": grows, "deploy-relayed": deployRelayed, "instance": cutInstance, "silence-peers": silencePeers,
-		"search-at": searchAt,
+		"search-at": searchAt, "logged": logged,
 	}
 }
 
@@ -139,3 +142,31 @@
 	err = json.NewDecoder(response.Body).Decode(&answer)
 	return strconv.Itoa(answer.Code), errors.Trace(err)
 }
+
+// logged checks the present logs of all processes of a role.
+func logged(s *scenario, ts *testscript.TestScript, args []string) error {
+	if len(args) != 3 {
+		return errors.New("usage: logged ROLE COUNT TEXT")
+	}
+	least, err := strconv.Atoi(args[1])
+	if err != nil {
+		return errors.Trace(err)
+	}
+	files, err := filepath.Glob(filepath.Join(s.dir, "deployment", args[0]+"-*.log"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	found := 0
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		found += strings.Count(string(text), args[2])
+	}
+	ts.Logf("%d lines", found)
+	if found < least {
+		return errors.Errorf("%d lines in %d logs", found, len(files))
+	}
+	return nil
+}
