Say that an outcome is unknown in the message too

Cause: a publish that ended with exit code 12 printed the error of the lost connection and the change identifier, but not that the revision may have been published. docs/operators.md explains the case by these words.

--- a/cmd/wharfctl/publish.go
+++ b/cmd/wharfctl/publish.go
@@ -63,7 +63,7 @@
 // unknown outcome.
 func unsettled(err error, changeID string) error {
 	if exitCode(err) == exitUnknown {
-		return fmt.Errorf("%w; repeat with --change-id %s", err, changeID)
+		return fmt.Errorf("%w: %w; repeat with --change-id %s", publish.ErrUnknown, err, changeID)
 	}
 	return err
 }
