Show that stale readings of the platform revert nothing

Cause: stale reads and exit code 12 were not shown on real processes.

The platform stand-in can hide an object from reads and lists, as if it had not been created yet.

Processes now log each revision that they take, and the scenario reads the logs. An instance that starts with stale readings takes revision 1 first and 2 by the exchange.

TestPlatformFaults fails if a hidden object is read.

--- a/member/exchange.go
+++ b/member/exchange.go
@@ -158,8 +158,12 @@
 // a faulty process cannot replace the last good state.
 func (m *Member) offer(items []control.Item) {
 	for _, item := range items {
-		if _, err := m.config.State.Offer(item); err != nil {
+		taken, err := m.config.State.Offer(item)
+		switch {
+		case err != nil:
 			m.config.Log.Warn("control state refused", "item", item.Name, "error", err)
+		case taken && item.Name == control.ItemSettings:
+			m.config.Log.Info("settings taken", "revision", item.Major)
 		}
 	}
 }
--- a/scenarios/members_test.go
+++ b/scenarios/members_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,11 +26,13 @@
 //	silence-peers                                  all present connections between processes go silent
 //	search-at INSTANCE SERVICE DURATION REPORT     search at one entry; the report counts answers by code
 //	logged ROLE COUNT TEXT                         the logs of a role have at least so many lines with a text
+//	hide [OBJECT]                                  reads of the platform omit an object, or none
+//	revisions-rise                                 no process took a revision after a newer one
 //	grows DURATION since MARK SOURCE REPORT PATH   wait until a count exceeds that of a report
 func memberCommands() map[string]command {
 	return map[string]command{
 		"grows": grows, "deploy-relayed": deployRelayed, "instance": cutInstance, "silence-peers": silencePeers,
-		"search-at": searchAt, "logged": logged,
+		"hide": hide, "search-at": searchAt, "logged": logged, "revisions-rise": revisionsRise,
 	}
 }
 
@@ -170,3 +174,37 @@
 	}
 	return nil
 }
+
+// hide makes readings of the platform as old as before an object was created.
+func hide(s *scenario, _ *testscript.TestScript, args []string) error {
+	return s.deployment.PlatformFaults(map[string]any{"hidden": strings.Join(args, "")})
+}
+
+var takenPattern = regexp.MustCompile(`msg="settings taken".* revision=(\d+)`)
+
+// revisionsRise checks in the logs of the processes that run which revisions
+// they took, since a status asked for later does not show what was in force
+// between. Each process has to have taken one.
+func revisionsRise(s *scenario, ts *testscript.TestScript, _ []string) error {
+	for _, i := range s.deployment.Instances {
+		for _, role := range []string{"entry-", "broker-"} {
+			text, err := os.ReadFile(filepath.Join(s.dir, "deployment", role+i.Name+".log"))
+			if err != nil {
+				return errors.Trace(err)
+			}
+			var taken []int
+			for _, match := range takenPattern.FindAllSubmatch(text, -1) {
+				number, err := strconv.Atoi(string(match[1]))
+				if err != nil {
+					return errors.Trace(err)
+				}
+				taken = append(taken, number)
+			}
+			ts.Logf("%s%s took %v", role, i.Name, taken)
+			if len(taken) == 0 || !slices.IsSorted(taken) {
+				return errors.Errorf("%s%s took the revisions %v", role, i.Name, taken)
+			}
+		}
+	}
+	return nil
+}
--- a/scenarios/words_test.go
+++ b/scenarios/words_test.go
@@ -21,7 +21,9 @@
 	incarnationPattern = regexp.MustCompile(`\b((?:broker|entry)-[a-z]+-\d+)[~#/@.-][0-9a-z]+\b`)
 	// Which searchers a broker holds follows from its incarnation.
 	heldPattern = regexp.MustCompile(`\b\d+/\d+\b`)
-	gapPattern  = regexp.MustCompile(`  +`)
+	// A lost reply shows as the end or the reset of the connection.
+	lostReplyPattern = regexp.MustCompile(`(read tcp \S+: )?(unexpected EOF|EOF|connection reset by peer)`)
+	gapPattern       = regexp.MustCompile(`  +`)
 )
 
 func newWords(network, dir string) *words {
@@ -35,6 +37,7 @@
 	text = digestPattern.ReplaceAllString(text, "DIGEST")
 	text = incarnationPattern.ReplaceAllString(text, "$1")
 	text = heldPattern.ReplaceAllString(text, "WARM/HELD")
+	text = lostReplyPattern.ReplaceAllString(text, "REPLY LOST")
 	text = changePattern.ReplaceAllStringFunc(text, func(id string) string {
 		if w.changes[id] == "" {
 			w.changes[id] = fmt.Sprintf("CHANGE-%d", len(w.changes)+1)
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -22,6 +22,9 @@
 	LoseReplies int `json:"lose_replies"`
 	// StaleReads makes reads and lists return the version before the present one.
 	StaleReads bool `json:"stale_reads"`
+	// Hidden names an object that reads and lists omit, as if it had not been
+	// created yet; writes and watches know it.
+	Hidden string `json:"hidden"`
 	// LagMs is how far the instance list lags behind.
 	LagMs int64 `json:"lag_ms"`
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -138,8 +138,9 @@
 func (p *Platform) serveGet(w http.ResponseWriter, name string) {
 	p.budget.count(callRead)
 	p.pause()
-	stored, ok := p.objects.get(name, p.currentFaults().StaleReads)
-	if !ok {
+	faults := p.currentFaults()
+	stored, ok := p.objects.get(name, faults.StaleReads)
+	if !ok || name == faults.Hidden {
 		http.Error(w, "no such object", http.StatusNotFound)
 		return
 	}
@@ -208,10 +209,13 @@
 func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
 	p.budget.count(callRead)
 	p.pause()
-	found, _ := p.objects.after(r.URL.Query().Get("prefix"), 0, p.currentFaults().StaleReads)
+	faults := p.currentFaults()
+	found, _ := p.objects.after(r.URL.Query().Get("prefix"), 0, faults.StaleReads)
 	rows := make([]listRow, 0, len(found))
 	for _, stored := range found {
-		rows = append(rows, listRow{stored.Name, stored.Version})
+		if stored.Name != faults.Hidden {
+			rows = append(rows, listRow{stored.Name, stored.Version})
+		}
 	}
 	writeJSON(w, http.StatusOK, rows)
 }
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -136,7 +136,16 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, stale, qt.DeepEquals, first)
 
-	faults(`{"down":true,"stale_reads":false}`)
+	faults(`{"stale_reads":false,"hidden":"a"}`)
+	_, err = h.Get(ctx, "a")
+	qt.Assert(t, errors.Is(err, platform.ErrNotFound), qt.IsTrue)
+	listed, err := h.List(ctx, "")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, listed, qt.HasLen, 0)
+	_, err = h.Create(ctx, "a", nil)
+	qt.Assert(t, errors.Is(err, platform.ErrConflict), qt.IsTrue)
+
+	faults(`{"down":true,"hidden":""}`)
 	_, err = h.Create(ctx, "b", nil)
 	qt.Assert(t, errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
 	faults(`{"down":false,"delay_ms":50}`)
