--- a/standin/answer.go
+++ b/standin/answer.go
@@ -63,6 +63,9 @@
 	var request SearchRequest
 	var snapshot Snapshot
 	s.serveWork(w, r, &request, false, func() *refusal {
+		if s.otherSnapshot {
+			request.Snapshot = s.layouts.newest(request.Index, request.Snapshot)
+		}
 		held, ok := s.layouts.find(request.Index, request.Snapshot, request.Shard)
 		if !ok {
 			s.facts.RefusedSnapshot++
--- a/standin/controls.go
+++ b/standin/controls.go
@@ -34,7 +34,10 @@
 	StateLagMs      *int64       `json:"state_lag_ms,omitempty"`
 	AddSnapshot     *NewSnapshot `json:"add_snapshot,omitempty"`
 	DropSnapshot    string       `json:"drop_snapshot,omitempty"`
-	ResetFacts      bool         `json:"reset_facts,omitempty"`
+	// OtherSnapshot makes searchers run searches in the newest snapshot they hold,
+	// whichever was asked for. Their answers name the snapshot truly.
+	OtherSnapshot *bool `json:"other_snapshot,omitempty"`
+	ResetFacts    bool  `json:"reset_facts,omitempty"`
 }
 
 func (c Control) validate() error {
@@ -121,6 +124,7 @@
 	set(&s.behaviour.Sigma, c.Sigma)
 	set(&s.shedShare, c.ShedShare)
 	set(&s.mislead, c.Mislead)
+	set(&s.otherSnapshot, c.OtherSnapshot)
 	if c.ServiceTimeMs != nil {
 		took := time.Duration(*c.ServiceTimeMs * float64(time.Millisecond))
 		s.behaviour.ServiceTime, s.behaviour.BookingTime = took, took
--- a/standin/layout.go
+++ b/standin/layout.go
@@ -92,6 +92,18 @@
 	l.held = kept
 }
 
+// newest returns the newest snapshot of the index, or the given one if none is
+// held.
+func (l *layouts) newest(index, id string) string {
+	number := uint64(0)
+	for _, s := range l.held {
+		if s.Index == index && s.Number > number {
+			id, number = s.ID, s.Number
+		}
+	}
+	return id
+}
+
 // find returns the snapshot if the shard of the index is held in it.
 func (l *layouts) find(index, id string, shard uint32) (Snapshot, bool) {
 	for _, s := range l.held {
--- a/standin/searcher.go
+++ b/standin/searcher.go
@@ -50,10 +50,12 @@
 	incarnation int
 	fallenUntil time.Time
 	mislead     bool
-	shedShare   float64
-	drainedAt   time.Time
-	cold        bool
-	coldNotice  time.Time
+	// otherSnapshot runs searches in the newest snapshot, not the one asked for.
+	otherSnapshot bool
+	shedShare     float64
+	drainedAt     time.Time
+	cold          bool
+	coldNotice    time.Time
 	// coldDone is the work completed since the searcher turned cold.
 	coldDone  int
 	layouts   layouts
--- a/standin/searches_test.go
+++ b/standin/searches_test.go
@@ -24,3 +24,15 @@
 	qt.Assert(t, facts.Runs, qt.HasLen, 2)
 	qt.Assert(t, facts.ForgottenUnixMs, qt.Equals, at(2).UnixMilli())
 }
+
+// TestOtherSnapshot guards against a searcher that is to answer from its newest
+// snapshot, and answers from the one asked for.
+func TestOtherSnapshot(t *testing.T) {
+	var l layouts
+	l.place("slate-0", 0, 2)
+	qt.Assert(t, l.newest("slate-0", "s0"), qt.Equals, "s1")
+	l.add(NewSnapshot{ID: "s9", Number: 9, ShardsTotal: 2})
+	l.add(NewSnapshot{ID: "s2", Number: 2, ShardsTotal: 2})
+	qt.Assert(t, l.newest("slate-0", "s1"), qt.Equals, "s9")
+	qt.Assert(t, l.newest("slate-1", "s1"), qt.Equals, "s1")
+}
