Let a process listen at another address than others connect to

A process advertised the address that it listens on, so nothing could forward traffic between instances, such as address translation or a relay that delays it. The optional settings caller_listen_address and peer_listen_address say where to listen; without them a process listens at caller_address and peer_address as before.

A second way was to delay the searchers' traffic only. It was ruled out, as it delays a broker's work at its own searchers and not the way from entry to broker. TestDefaults fails if peer_listen_address is ignored.

--- a/settings/parse.go
+++ b/settings/parse.go
@@ -1,5 +1,7 @@
 package settings
 
+import "cmp"
+
 // ParseService reads and validates one service settings file. path stands in
 // errors. The error is an *InvalidError with all problems of the file.
 func ParseService(path, text string) (*Service, error) {
@@ -62,6 +64,8 @@
 		AddressLifetime: s.duration("address_lifetime"),
 		StopTimeout:     s.duration("stop_timeout"),
 	}
+	p.CallerListenAddress = cmp.Or(s.address("caller_listen_address"), p.CallerAddress)
+	p.PeerListenAddress = cmp.Or(s.address("peer_listen_address"), p.PeerAddress)
 	p.Seeds = s.addresses("seeds")
 	// A stop serves callers until the addresses they hold have expired.
 	if p.StopTimeout > 0 && p.AddressLifetime >= p.StopTimeout {
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -67,6 +67,10 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, p.StopTimeout, qt.Equals, 30*time.Second)
 	qt.Assert(t, p.LogFormat, qt.Equals, "text")
+	qt.Assert(t, p.PeerListenAddress, qt.Equals, "127.0.0.1:7101")
+	p, err = ParseProcess("p.yaml", processText+"peer_listen_address: 127.0.0.2:7101\n")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, []string{p.PeerAddress, p.PeerListenAddress}, qt.DeepEquals, []string{"127.0.0.1:7101", "127.0.0.2:7101"})
 }
 
 // TestFaults guards against a fault that is accepted, or reported at a place
