Prove answers and hedges with distance between instances and callers

All processes of a scenario were on one machine without delay. A deployment can now put relays before its instances.

No bound on latency is set. TestUDPDistance fails if the distance is not added.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -42,6 +42,8 @@
 	Operators []string
 	// Replace holds pairs of old and new text, applied to the service settings.
 	Replace []string
+	// Distance is the delay of traffic; none if zero.
+	Distance Distance
 }
 
 // Instance is one instance: an entry and a broker.
@@ -65,6 +67,7 @@
 	platformAddress string
 	platformControl string
 	upstreamControl string
+	relays          *relays
 }
 
 // Ports are the same on each instance, which has an IP address of its own.
@@ -99,7 +102,7 @@
 
 func (d *Deployment) start() error {
 	steps := []func() error{
-		d.reserveNetwork, d.writeServices, d.makeCertificates,
+		d.reserveNetwork, d.writeServices, d.makeCertificates, d.placeRelays,
 		d.startPlatform, d.startUpstreams, d.publish, d.startInstances,
 		func() error { return d.WaitReady(startTimeout) },
 	}
@@ -234,16 +237,19 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "id: %s-%s\nfailure_domain: %s\n", role, i.Name, i.Domain)
 	if role == "entry" {
-		fmt.Fprintf(&text, "caller_address: %s:%d\naddress_lifetime: %s\n", i.IP, callerPort, d.config.AddressLifetime)
+		fmt.Fprintf(&text, "caller_address: %s\naddress_lifetime: %s\n", d.reached(i.EntryAddress()), d.config.AddressLifetime)
+		fmt.Fprintf(&text, "caller_listen_address: %s\n", i.EntryAddress())
 	}
-	fmt.Fprintf(&text, "peer_address: %s:%d\noperator_address: %s:%d\n", i.IP, peerPort, i.IP, operatorPort)
+	peer := fmt.Sprintf("%s:%d", i.IP, peerPort)
+	fmt.Fprintf(&text, "peer_address: %s\npeer_listen_address: %s\n", d.reached(peer), peer)
+	fmt.Fprintf(&text, "operator_address: %s:%d\n", i.IP, operatorPort)
 	fmt.Fprintf(&text, "platform_address: %s\n", d.platformAddress)
 	fmt.Fprintf(&text, "certificate: %s\nkey: %s\nca: %s\n", d.path("certificates/"+i.Name+".pem"),
 		d.path("certificates/"+i.Name+"-key.pem"), d.path("certificates/ca.pem"))
 	fmt.Fprintf(&text, "log_level: info\nlog_format: text\nstop_timeout: 30s\nseeds:\n")
 	for _, other := range d.Instances {
 		if other != i || role == "entry" {
-			fmt.Fprintf(&text, "  - %s:%d\n", other.IP, brokerPeerPort)
+			fmt.Fprintf(&text, "  - %s\n", d.reached(fmt.Sprintf("%s:%d", other.IP, brokerPeerPort)))
 		}
 	}
 	return text.String()
@@ -349,6 +355,7 @@
 			first = err
 		}
 	}
+	d.closeRelays()
 	_ = d.lock.Close()
 	return first
 }
@@ -373,6 +380,7 @@
 			p.Kill()
 		}
 	}
+	d.closeRelays()
 	if d.lock != nil {
 		_ = d.lock.Close()
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"io"
 	"math/big"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -129,20 +130,8 @@
 
 // TestUDPFlows guards against flows that are silent together.
 func TestUDPFlows(t *testing.T) {
-	server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = server.Close() }()
-	go func() {
-		buffer := make([]byte, 100)
-		for {
-			n, from, err := server.ReadFromUDP(buffer)
-			if err != nil {
-				return
-			}
-			_, _ = server.WriteToUDP(buffer[:n], from)
-		}
-	}()
-	r, err := NewUDP(server.LocalAddr().String())
+	address := udpEcho(t)
+	r, err := NewUDP(address)
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = r.Close() }()
 	old := dial(t, "udp", r.Address())
@@ -239,3 +228,42 @@
 		qt.Assert(t, answer(conns[last], limit), qt.IsNil)
 	}
 }
+
+// udpEcho returns the address of a server that sends back what it gets.
+func udpEcho(t *testing.T) string {
+	t.Helper()
+	server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = server.Close() })
+	go func() {
+		buffer := make([]byte, 100)
+		for {
+			n, from, err := server.ReadFromUDP(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = server.WriteToUDP(buffer[:n], from)
+		}
+	}()
+	return server.LocalAddr().String()
+}
+
+// TestUDPDistance guards against datagrams that are not delayed by the distance
+// of their client in both directions.
+func TestUDPDistance(t *testing.T) {
+	const distance = 20 * time.Millisecond
+	asked := make(chan string, 2)
+	r, err := NewDistantUDP(udpEcho(t), func(client netip.AddrPort) time.Duration {
+		asked <- client.String()
+		return distance
+	})
+	qt.Assert(t, err, qt.IsNil)
+	conn := dial(t, "udp", r.Address())
+	began := time.Now()
+	qt.Assert(t, answers(conn, "a", limit), qt.IsNil)
+	qt.Assert(t, time.Since(began) >= 2*distance, qt.IsTrue)
+	qt.Assert(t, answers(conn, "b", limit), qt.IsNil)
+	qt.Assert(t, r.Close(), qt.IsNil)
+	qt.Assert(t, <-asked, qt.Equals, conn.LocalAddr().String())
+	qt.Assert(t, asked, qt.HasLen, 0)
+}
--- a/internal/relay/udp.go
+++ b/internal/relay/udp.go
@@ -28,6 +28,8 @@
 	*gate
 	target *net.UDPAddr
 	front  *net.UDPConn
+	// distance is a further delay of a client's datagrams in each direction.
+	distance func(client netip.AddrPort) time.Duration
 
 	flowMu sync.Mutex
 	flows  map[netip.AddrPort]*flow
@@ -43,6 +45,8 @@
 	done   chan struct{}
 	once   sync.Once
 	silent bool
+	// distance delays in each direction.
+	distance time.Duration
 	// used are the connection IDs of the flow, and ended those of silent flows
 	// of the same client.
 	used  map[connectionID]struct{}
@@ -54,6 +58,12 @@
 
 // NewUDP relays from a new loopback port to target.
 func NewUDP(target string) (*UDP, error) {
+	return NewDistantUDP(target, func(netip.AddrPort) time.Duration { return 0 })
+}
+
+// NewDistantUDP relays as NewUDP does, and delays datagrams of each client by
+// its distance in each direction. distance is called once for each flow.
+func NewDistantUDP(target string, distance func(client netip.AddrPort) time.Duration) (*UDP, error) {
 	address, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -62,7 +72,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	r := &UDP{gate: newGate(), target: address, front: front, flows: make(map[netip.AddrPort]*flow)}
+	r := &UDP{gate: newGate(), distance: distance, target: address, front: front, flows: make(map[netip.AddrPort]*flow)}
 	go r.receive()
 	return r, nil
 }
@@ -153,7 +163,7 @@
 		return nil, errors.Trace(err)
 	}
 	f := &flow{
-		relay: r, client: client, back: back,
+		relay: r, client: client, back: back, distance: r.distance(client),
 		out: make(chan chunk, queuedChunks), in: make(chan chunk, queuedChunks),
 		done: make(chan struct{}),
 		used: make(map[connectionID]struct{}), ended: make(map[connectionID]struct{}),
@@ -207,7 +217,7 @@
 // enqueue drops the datagram if the queue is full, as a network does.
 func (f *flow) enqueue(queue chan<- chunk, datagram []byte) {
 	select {
-	case queue <- chunk{data: append([]byte(nil), datagram...), due: f.relay.due()}:
+	case queue <- chunk{data: append([]byte(nil), datagram...), due: f.relay.due().Add(f.distance)}:
 	default:
 	}
 }
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -25,10 +25,11 @@
 
 // commands returns the language of scenarios. A REPORT is a name given by
 // finish or read. Sources are facts (of the searchers), platform (its calls),
-// faults (of the platform), status (of all processes, summed up) and object:NAME
-// (of the platform).
+// faults (of the platform), status (of all processes, summed up), distance (the
+// delayed flows between failure domains) and object:NAME (of the platform).
 //
 //	deploy EXAMPLE [FLAG...]          start a deployment; flags of the upstream stand-in
+//	deploy-apart DOMAINS CALLERS EXAMPLE [FLAG...]  with delays, each way
 //	warm-up                           load until the brokers know the searchers
 //	operator NAME ARGS...             run wharfctl; "!" expects a failure
 //	race NAME NAME                    both publish at once; one is to win
@@ -57,10 +58,11 @@
 //	hedged REPORT SHARD               its explanation tells of hedges that were started
 //	hedges-won SERVICE WINS SEARCHES  so many hedges answer first within so many searches
 //	within-budget REPORT...           work started since the beginning, for these loads alone
+//	latency REPORT                    note p50 and p99; no bound
 //	lacks REPORT SERVICE SHARD...     every answer and refusal lists these as missing
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]command{
-		"deploy": deploy, "warm-up": warmUp, "race": race, "set-service": setService,
+		"deploy": deploy, "deploy-apart": deployApart, "warm-up": warmUp, "race": race, "set-service": setService,
 		"broker": processAction("broker"), "entry": processAction("entry"),
 		"replace": replaceInstance, "platform": platformFault, "upstream": upstreamControl, "load": startLoad, "finish": finishLoad,
 		"read": read, "mark": mark, "elapse": elapse, "wait-for": waitFor, "expect": expect,
@@ -69,7 +71,7 @@
 		"relay":     startRelay, "silence": silence, "sound": sound, "clean": clean, "refused": refused,
 		"each-second": eachSecond, "quiet": quiet,
 		"ask": ask, "explained": explained, "hedged": hedged, "lacks": lacks,
-		"hedges-won": hedgesWon, "within-budget": withinBudget,
+		"hedges-won": hedgesWon, "latency": latency, "within-budget": withinBudget,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){"operator": operate}
 	for name, run := range all {
@@ -91,6 +93,27 @@
 var relaxed = []string{"deadline: 110ms\nsoft_deadline: 80ms", "deadline: 2s\nsoft_deadline: 1900ms", "deadline: 1s\n", "deadline: 2s\n"}
 
 func deploy(s *scenario, ts *testscript.TestScript, args []string) error {
+	return s.deploy(ts, args, deployment.Distance{})
+}
+
+// deployApart delays traffic in each direction: between failure domains, and
+// between callers and entries.
+func deployApart(s *scenario, ts *testscript.TestScript, args []string) error {
+	if len(args) < 3 {
+		return errors.New("usage: deploy-apart DOMAINS CALLERS EXAMPLE [FLAG...]")
+	}
+	var distance deployment.Distance
+	var err error
+	if distance.Domains, err = time.ParseDuration(args[0]); err != nil {
+		return errors.Trace(err)
+	}
+	if distance.Callers, err = time.ParseDuration(args[1]); err != nil {
+		return errors.Trace(err)
+	}
+	return s.deploy(ts, args[2:], distance)
+}
+
+func (s *scenario) deploy(ts *testscript.TestScript, args []string, distance deployment.Distance) error {
 	if len(args) < 1 {
 		return errors.New("name of an example is missing")
 	}
@@ -101,7 +124,7 @@
 	d, err := deployment.Start(deployment.Config{
 		Binaries: binaries, Services: filepath.Join(examples, args[0]), Dir: dir,
 		Domains: []string{"split", "trogir", "brac"}, PerDomain: 2,
-		Operators: []string{"ana", "ivo"}, Replace: relaxed,
+		Operators: []string{"ana", "ivo"}, Replace: relaxed, Distance: distance,
 		Upstream: append([]string{"--service-time=20ms", "--sigma=0.2"}, args[1:]...),
 	})
 	if err != nil {
--- a/scenarios/expect_test.go
+++ b/scenarios/expect_test.go
@@ -43,6 +43,8 @@
 		return s.deployment.CurrentPlatformFaults()
 	case "status":
 		return s.status()
+	case "distance":
+		return map[string]int64{"flows_apart": s.deployment.FlowsApart()}, nil
 	}
 	if object, ok := strings.CutPrefix(name, "object:"); ok {
 		return s.deployment.Object(object)
--- a/scenarios/searches_test.go
+++ b/scenarios/searches_test.go
@@ -162,3 +162,14 @@
 	}
 	return nil
 }
+
+// latency notes latencies in the output of the test. They depend on the machine
+// and are not checked.
+func latency(s *scenario, ts *testscript.TestScript, args []string) error {
+	report, err := s.loadReport(args, 1, "latency LOAD")
+	if err != nil {
+		return err
+	}
+	ts.Logf("%d requests: p50 %.1f ms, p99 %.1f ms", report.Requests, report.P50Ms, report.P99Ms)
+	return nil
+}
