--- a/standin/upstream_test.go
+++ b/standin/upstream_test.go
@@ -134,6 +134,10 @@
 		Index: "slate-0", Snapshot: "s1", ShardsTotal: 2, WorkID: "w1", Query: "q", Searcher: "s0",
 	})
 	qt.Assert(t, u.send("/v1/search", strings.Replace(search, "s1", "s2", 1), longWork, nil), qt.Equals, http.StatusGone)
+	u.control(`{"searcher":"s0","set":{"other_snapshot":true,"add_snapshot":{"id":"s9","number":9,"shards_total":2}}}`)
+	qt.Assert(t, u.send("/v1/search", search, longWork, &answer), qt.Equals, http.StatusOK)
+	qt.Assert(t, answer.Body.Snapshot, qt.Equals, "s9")
+	u.control(`{"searcher":"s0","set":{"other_snapshot":false}}`)
 	qt.Assert(t, u.send("/v1/search", search, -time.Second, nil), qt.Equals, http.StatusGatewayTimeout)
 	u.control(`{"searcher":"s0","set":{"shed_share":1}}`)
 	qt.Assert(t, u.send("/v1/search", search, longWork, nil), qt.Equals, http.StatusTooManyRequests)
@@ -141,7 +145,7 @@
 	qt.Assert(t, u.send("/v1/search", search, longWork, nil), qt.Equals, http.StatusServiceUnavailable)
 	facts := u.facts("s0")
 	qt.Assert(t, []int{facts.Started, facts.RefusedSnapshot, facts.RefusedExpired, facts.RefusedShed, facts.WorkAfterDrain},
-		qt.DeepEquals, []int{1, 1, 1, 1, 1})
+		qt.DeepEquals, []int{2, 1, 1, 1, 1})
 	qt.Assert(t, u.facts("s1").Draining, qt.Equals, 0)
 }
 
