--- a/cmd/wharf-broker/service.go
+++ b/cmd/wharf-broker/service.go
@@ -73,7 +73,7 @@
 	handlers := searchers.Handlers()
 	maps.Copy(handlers, m.Handlers())
 	maps.Copy(handlers, bookings.Handlers())
-	node, err := peer.Listen(peer.Config{Address: b.Process.PeerListenAddress, Identity: b.Identity, Handlers: handlers, Log: b.Log})
+	node, err := peer.Listen(peer.Config{Address: b.Process.PeerListen, Identity: b.Identity, Handlers: handlers, Log: b.Log})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/cmd/wharf-entry/service.go
+++ b/cmd/wharf-entry/service.go
@@ -42,7 +42,7 @@
 		return nil, errors.Annotate(err, "membership")
 	}
 	s := &service{base: b, member: m}
-	s.node, err = peer.Listen(peer.Config{Address: b.Process.PeerListenAddress, Identity: b.Identity, Handlers: m.Handlers(), Log: b.Log})
+	s.node, err = peer.Listen(peer.Config{Address: b.Process.PeerListen, Identity: b.Identity, Handlers: m.Handlers(), Log: b.Log})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -62,7 +62,7 @@
 		return nil, errors.Trace(err)
 	}
 	handler := caller.NewHandler(caller.HandlerConfig{Engine: s.entry, Clock: b.Clock, Log: b.Log})
-	s.server, err = caller.Listen(b.Process.CallerListenAddress, handler, b.Log)
+	s.server, err = caller.Listen(b.Process.CallerListen, handler, b.Log)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/internal/relay"
 )
 
 const (
@@ -40,9 +42,12 @@
 	AddressLifetime time.Duration
 	// Operators names the operators that get a certificate; "operator" if empty.
 	Operators []string
+	// Relays puts a relay before the peer address of each process and before the
+	// platform for each instance.
+	Relays bool
 	// Replace holds pairs of old and new text, applied to the service settings.
 	Replace []string
-	// Distance is the delay of traffic; none if zero.
+	// Distance is the delay of traffic between processes and to callers.
 	Distance Distance
 }
 
@@ -53,6 +58,10 @@
 	IP     string
 	Entry  *Process
 	Broker *Process
+	// Peers are the relays before the peer addresses of entry and broker, and
+	// Platform that before the platform, if there are relays.
+	Peers    []*relay.UDP
+	Platform *relay.TCP
 }
 
 // Deployment is a running deployment.
@@ -67,7 +76,7 @@
 	platformAddress string
 	platformControl string
 	upstreamControl string
-	relays          *relays
+	distant         distant
 }
 
 // Ports are the same on each instance, which has an IP address of its own.
@@ -81,6 +90,9 @@
 	platformControl    = 8001
 	upstreamControl    = 8002
 	lockPort           = 8003
+
+	// behindRelay is what is added to the port of a process behind a relay.
+	behindRelay = 10
 )
 
 // Start starts everything and returns once the instances serve the first
@@ -102,8 +114,8 @@
 
 func (d *Deployment) start() error {
 	steps := []func() error{
-		d.reserveNetwork, d.writeServices, d.makeCertificates, d.placeRelays,
-		d.startPlatform, d.startUpstreams, d.publish, d.startInstances,
+		d.reserveNetwork, d.writeServices, d.makeCertificates,
+		d.startPlatform, d.startUpstreams, d.publish, d.startRelays, d.startInstances,
 		func() error { return d.WaitReady(startTimeout) },
 	}
 	for _, step := range steps {
@@ -199,6 +211,9 @@
 }
 
 func (d *Deployment) startInstances() error {
+	if err := d.startDistance(); err != nil {
+		return err
+	}
 	for _, i := range d.Instances {
 		if err := d.StartBroker(i); err != nil {
 			return err
@@ -237,19 +252,23 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "id: %s-%s\nfailure_domain: %s\n", role, i.Name, i.Domain)
 	if role == "entry" {
-		fmt.Fprintf(&text, "caller_address: %s\naddress_lifetime: %s\n", d.reached(i.EntryAddress()), d.config.AddressLifetime)
-		fmt.Fprintf(&text, "caller_listen_address: %s\n", i.EntryAddress())
+		fmt.Fprintf(&text, "caller_address: %s:%d\naddress_lifetime: %s\n", i.IP, callerPort, d.config.AddressLifetime)
+		if d.config.Relays {
+			fmt.Fprintf(&text, "caller_listen_address: %s\n", i.callerListen())
+		}
+	}
+	fmt.Fprintf(&text, "peer_address: %s:%d\noperator_address: %s:%d\n", i.IP, peerPort, i.IP, operatorPort)
+	if d.config.Relays {
+		fmt.Fprintf(&text, "peer_listen_address: %s:%d\nplatform_address: %s\n", i.IP, peerPort+behindRelay, i.Platform.Address())
+	} else {
+		fmt.Fprintf(&text, "platform_address: %s\n", d.platformAddress)
 	}
-	peer := fmt.Sprintf("%s:%d", i.IP, peerPort)
-	fmt.Fprintf(&text, "peer_address: %s\npeer_listen_address: %s\n", d.reached(peer), peer)
-	fmt.Fprintf(&text, "operator_address: %s:%d\n", i.IP, operatorPort)
-	fmt.Fprintf(&text, "platform_address: %s\n", d.platformAddress)
 	fmt.Fprintf(&text, "certificate: %s\nkey: %s\nca: %s\n", d.path("certificates/"+i.Name+".pem"),
 		d.path("certificates/"+i.Name+"-key.pem"), d.path("certificates/ca.pem"))
 	fmt.Fprintf(&text, "log_level: info\nlog_format: text\nstop_timeout: 30s\nseeds:\n")
 	for _, other := range d.Instances {
 		if other != i || role == "entry" {
-			fmt.Fprintf(&text, "  - %s\n", d.reached(fmt.Sprintf("%s:%d", other.IP, brokerPeerPort)))
+			fmt.Fprintf(&text, "  - %s:%d\n", other.IP, brokerPeerPort)
 		}
 	}
 	return text.String()
@@ -350,12 +369,15 @@
 			first = err
 		}
 	}
+	for _, i := range d.Instances {
+		i.closeRelays()
+	}
 	for _, p := range []*Process{d.Upstreams, d.Platform} {
 		if err := stopper(p)(); err != nil && first == nil {
 			first = err
 		}
 	}
-	d.closeRelays()
+	d.closeDistance()
 	_ = d.lock.Close()
 	return first
 }
@@ -374,13 +396,14 @@
 	processes := []*Process{d.Upstreams, d.Platform}
 	for _, i := range d.Instances {
 		processes = append(processes, i.Entry, i.Broker)
+		i.closeRelays()
 	}
 	for _, p := range processes {
 		if p != nil && !p.Ended() {
 			p.Kill()
 		}
 	}
-	d.closeRelays()
+	d.closeDistance()
 	if d.lock != nil {
 		_ = d.lock.Close()
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,8 +94,11 @@
 }
 
 // NewTCP relays from a new loopback port to target.
-func NewTCP(target string) (*TCP, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func NewTCP(target string) (*TCP, error) { return NewTCPAt("127.0.0.1:0", target) }
+
+// NewTCPAt relays from an IP address and port to target.
+func NewTCPAt(listen, target string) (*TCP, error) {
+	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -128,10 +128,23 @@
 	return ok && timeout.Timeout()
 }
 
-// TestUDPFlows guards against flows that are silent together.
+// TestUDPFlows guards against flows that are silent together, and against a
+// partition that lets datagrams through.
 func TestUDPFlows(t *testing.T) {
-	address := udpEcho(t)
-	r, err := NewUDP(address)
+	server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = server.Close() }()
+	go func() {
+		buffer := make([]byte, 100)
+		for {
+			n, from, err := server.ReadFromUDP(buffer)
+			if err != nil {
+				return
+			}
+			_, _ = server.WriteToUDP(buffer[:n], from)
+		}
+	}()
+	r, err := NewUDP(server.LocalAddr().String())
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = r.Close() }()
 	old := dial(t, "udp", r.Address())
@@ -144,8 +157,11 @@
 	qt.Assert(t, isTimeout(answers(fresh, "d", quiet)), qt.IsTrue)
 	r.Freeze(false)
 	qt.Assert(t, answers(fresh, "e", limit), qt.IsNil)
+	r.Allow(func(netip.Addr) bool { return false })
+	qt.Assert(t, isTimeout(answers(fresh, "f", quiet)), qt.IsTrue)
+	r.Allow(nil)
 	r.Cut()
-	qt.Assert(t, answers(old, "f", limit), qt.IsNil)
+	qt.Assert(t, answers(old, "g", limit), qt.IsNil)
 }
 
 func newTransport(t *testing.T) *quic.Transport {
@@ -228,42 +244,3 @@
 		qt.Assert(t, answer(conns[last], limit), qt.IsNil)
 	}
 }
-
-// udpEcho returns the address of a server that sends back what it gets.
-func udpEcho(t *testing.T) string {
-	t.Helper()
-	server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = server.Close() })
-	go func() {
-		buffer := make([]byte, 100)
-		for {
-			n, from, err := server.ReadFromUDP(buffer)
-			if err != nil {
-				return
-			}
-			_, _ = server.WriteToUDP(buffer[:n], from)
-		}
-	}()
-	return server.LocalAddr().String()
-}
-
-// TestUDPDistance guards against datagrams that are not delayed by the distance
-// of their client in both directions.
-func TestUDPDistance(t *testing.T) {
-	const distance = 20 * time.Millisecond
-	asked := make(chan string, 2)
-	r, err := NewDistantUDP(udpEcho(t), func(client netip.AddrPort) time.Duration {
-		asked <- client.String()
-		return distance
-	})
-	qt.Assert(t, err, qt.IsNil)
-	conn := dial(t, "udp", r.Address())
-	began := time.Now()
-	qt.Assert(t, answers(conn, "a", limit), qt.IsNil)
-	qt.Assert(t, time.Since(began) >= 2*distance, qt.IsTrue)
-	qt.Assert(t, answers(conn, "b", limit), qt.IsNil)
-	qt.Assert(t, r.Close(), qt.IsNil)
-	qt.Assert(t, <-asked, qt.Equals, conn.LocalAddr().String())
-	qt.Assert(t, asked, qt.HasLen, 0)
-}
--- a/internal/relay/udp.go
+++ b/internal/relay/udp.go
@@ -28,11 +28,12 @@
 	*gate
 	target *net.UDPAddr
 	front  *net.UDPConn
-	// distance is a further delay of a client's datagrams in each direction.
-	distance func(client netip.AddrPort) time.Duration
+	// distance returns a further delay of a client's datagrams.
+	distance func(client netip.Addr) time.Duration
 
 	flowMu sync.Mutex
 	flows  map[netip.AddrPort]*flow
+	allow  func(client netip.Addr) bool
 	closed bool
 }
 
@@ -57,22 +58,23 @@
 }
 
 // NewUDP relays from a new loopback port to target.
-func NewUDP(target string) (*UDP, error) {
-	return NewDistantUDP(target, func(netip.AddrPort) time.Duration { return 0 })
-}
+func NewUDP(target string) (*UDP, error) { return NewUDPAt("127.0.0.1:0", target) }
 
-// NewDistantUDP relays as NewUDP does, and delays datagrams of each client by
-// its distance in each direction. distance is called once for each flow.
-func NewDistantUDP(target string, distance func(client netip.AddrPort) time.Duration) (*UDP, error) {
+// NewUDPAt relays from an IP address and port to target.
+func NewUDPAt(listen, target string) (*UDP, error) {
 	address, err := net.ResolveUDPAddr("udp", target)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	front, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	at, err := net.ResolveUDPAddr("udp", listen)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	front, err := net.ListenUDP("udp", at)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	r := &UDP{gate: newGate(), distance: distance, target: address, front: front, flows: make(map[netip.AddrPort]*flow)}
+	r := &UDP{gate: newGate(), target: address, front: front, flows: make(map[netip.AddrPort]*flow)}
 	go r.receive()
 	return r, nil
 }
@@ -107,6 +109,14 @@
 	}
 }
 
+// Allow drops datagrams of and to clients for which allow returns false, as a
+// partition of the network does; nil allows all.
+func (r *UDP) Allow(allow func(client netip.Addr) bool) {
+	r.flowMu.Lock()
+	defer r.flowMu.Unlock()
+	r.allow = allow
+}
+
 // Close stops the relay.
 func (r *UDP) Close() error {
 	r.flowMu.Lock()
@@ -135,6 +145,14 @@
 	}
 }
 
+// SetDistance delays the datagrams of each client by its distance in each
+// direction. distance is called once for each flow that begins from now on.
+func (r *UDP) SetDistance(distance func(client netip.Addr) time.Duration) {
+	r.flowMu.Lock()
+	defer r.flowMu.Unlock()
+	r.distance = distance
+}
+
 // flowFor returns the flow that forwards the datagram; nil if it belongs to a
 // silent one.
 func (r *UDP) flowFor(client netip.AddrPort, datagram []byte) *flow {
@@ -163,11 +181,14 @@
 		return nil, errors.Trace(err)
 	}
 	f := &flow{
-		relay: r, client: client, back: back, distance: r.distance(client),
+		relay: r, client: client, back: back,
 		out: make(chan chunk, queuedChunks), in: make(chan chunk, queuedChunks),
 		done: make(chan struct{}),
 		used: make(map[connectionID]struct{}), ended: make(map[connectionID]struct{}),
 	}
+	if r.distance != nil {
+		f.distance = r.distance(client.Addr().Unmap())
+	}
 	if before != nil {
 		f.replaced = append(before.replaced, before)
 		for _, ids := range []map[connectionID]struct{}{before.used, before.ended} {
@@ -242,7 +263,7 @@
 	}
 	f.relay.flowMu.Lock()
 	defer f.relay.flowMu.Unlock()
-	return !f.silent
+	return !f.silent && (f.relay.allow == nil || f.relay.allow(f.client.Addr().Unmap()))
 }
 
 func (f *flow) close() {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -62,7 +62,7 @@
 //	lacks REPORT SERVICE SHARD...     every answer and refusal lists these as missing
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]command{
-		"deploy": deploy, "deploy-apart": deployApart, "warm-up": warmUp, "race": race, "set-service": setService,
+		"deploy": deploy, "warm-up": warmUp, "race": race, "set-service": setService,
 		"broker": processAction("broker"), "entry": processAction("entry"),
 		"replace": replaceInstance, "platform": platformFault, "upstream": upstreamControl, "load": startLoad, "finish": finishLoad,
 		"read": read, "mark": mark, "elapse": elapse, "wait-for": waitFor, "expect": expect,
@@ -71,7 +71,7 @@
 		"relay":     startRelay, "silence": silence, "sound": sound, "clean": clean, "refused": refused,
 		"each-second": eachSecond, "quiet": quiet,
 		"ask": ask, "explained": explained, "hedged": hedged, "lacks": lacks,
-		"hedges-won": hedgesWon, "latency": latency, "within-budget": withinBudget,
+		"deploy-apart": deployApart, "latency": latency, "hedges-won": hedgesWon, "within-budget": withinBudget,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){"operator": operate}
 	for name, run := range all {
@@ -93,27 +93,10 @@
 var relaxed = []string{"deadline: 110ms\nsoft_deadline: 80ms", "deadline: 2s\nsoft_deadline: 1900ms", "deadline: 1s\n", "deadline: 2s\n"}
 
 func deploy(s *scenario, ts *testscript.TestScript, args []string) error {
-	return s.deploy(ts, args, deployment.Distance{})
+	return start(s, ts, args, false)
 }
 
-// deployApart delays traffic in each direction: between failure domains, and
-// between callers and entries.
-func deployApart(s *scenario, ts *testscript.TestScript, args []string) error {
-	if len(args) < 3 {
-		return errors.New("usage: deploy-apart DOMAINS CALLERS EXAMPLE [FLAG...]")
-	}
-	var distance deployment.Distance
-	var err error
-	if distance.Domains, err = time.ParseDuration(args[0]); err != nil {
-		return errors.Trace(err)
-	}
-	if distance.Callers, err = time.ParseDuration(args[1]); err != nil {
-		return errors.Trace(err)
-	}
-	return s.deploy(ts, args[2:], distance)
-}
-
-func (s *scenario) deploy(ts *testscript.TestScript, args []string, distance deployment.Distance) error {
+func start(s *scenario, ts *testscript.TestScript, args []string, relays bool) error {
 	if len(args) < 1 {
 		return errors.New("name of an example is missing")
 	}
@@ -124,8 +107,9 @@
 	d, err := deployment.Start(deployment.Config{
 		Binaries: binaries, Services: filepath.Join(examples, args[0]), Dir: dir,
 		Domains: []string{"split", "trogir", "brac"}, PerDomain: 2,
-		Operators: []string{"ana", "ivo"}, Replace: relaxed, Distance: distance,
+		Operators: []string{"ana", "ivo"}, Replace: relaxed, Relays: relays,
 		Upstream: append([]string{"--service-time=20ms", "--sigma=0.2"}, args[1:]...),
+		Distance: s.distance,
 	})
 	if err != nil {
 		return err
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -62,6 +62,8 @@
 	words      *words
 	relays     []*relay.TCP
 	session    *os.File
+	// distance is that of the deployment to start.
+	distance deployment.Distance
 }
 
 type scenarioKey struct{}
--- a/scenarios/searches_test.go
+++ b/scenarios/searches_test.go
@@ -163,6 +163,22 @@
 	return nil
 }
 
+// deployApart delays traffic in each direction: between failure domains, and
+// between callers and entries.
+func deployApart(s *scenario, ts *testscript.TestScript, args []string) error {
+	if len(args) < 3 {
+		return errors.New("usage: deploy-apart DOMAINS CALLERS EXAMPLE [FLAG...]")
+	}
+	var err error
+	if s.distance.Domains, err = time.ParseDuration(args[0]); err != nil {
+		return errors.Trace(err)
+	}
+	if s.distance.Callers, err = time.ParseDuration(args[1]); err != nil {
+		return errors.Trace(err)
+	}
+	return start(s, ts, args[2:], true)
+}
+
 // latency notes latencies in the output of the test. They depend on the machine
 // and are not checked.
 func latency(s *scenario, ts *testscript.TestScript, args []string) error {
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -1,7 +1,5 @@
 package settings
 
-import "cmp"
-
 // ParseService reads and validates one service settings file. path stands in
 // errors. The error is an *InvalidError with all problems of the file.
 func ParseService(path, text string) (*Service, error) {
@@ -54,6 +52,7 @@
 		FailureDomain:   s.name("failure_domain"),
 		CallerAddress:   s.address("caller_address"),
 		PeerAddress:     s.address("peer_address"),
+		PeerListen:      s.address("peer_listen_address"),
 		OperatorAddress: s.address("operator_address"),
 		PlatformAddress: s.address("platform_address"),
 		Certificate:     s.text("certificate"),
@@ -63,15 +62,20 @@
 		LogFormat:       s.choice("log_format"),
 		AddressLifetime: s.duration("address_lifetime"),
 		StopTimeout:     s.duration("stop_timeout"),
+		CallerListen:    s.address("caller_listen_address"),
 	}
-	p.CallerListenAddress = cmp.Or(s.address("caller_listen_address"), p.CallerAddress)
-	p.PeerListenAddress = cmp.Or(s.address("peer_listen_address"), p.PeerAddress)
 	p.Seeds = s.addresses("seeds")
+	if p.PeerListen == "" {
+		p.PeerListen = p.PeerAddress
+	}
 	// A stop serves callers until the addresses they hold have expired.
 	if p.StopTimeout > 0 && p.AddressLifetime >= p.StopTimeout {
 		s.r.report(s.position("address_lifetime"), "address_lifetime", "less than stop_timeout ("+p.StopTimeout.String()+")",
 			"%s is not below stop_timeout", p.AddressLifetime)
 	}
+	if p.CallerListen == "" {
+		p.CallerListen = p.CallerAddress
+	}
 	return p
 }
 
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -67,10 +67,10 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, p.StopTimeout, qt.Equals, 30*time.Second)
 	qt.Assert(t, p.LogFormat, qt.Equals, "text")
-	qt.Assert(t, p.PeerListenAddress, qt.Equals, "127.0.0.1:7101")
-	p, err = ParseProcess("p.yaml", processText+"peer_listen_address: 127.0.0.2:7101\n")
+	qt.Assert(t, p.PeerListen, qt.Equals, p.PeerAddress)
+	p, err = ParseProcess("p.yaml", processText+"peer_listen_address: 127.0.0.1:7111\n")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, []string{p.PeerAddress, p.PeerListenAddress}, qt.DeepEquals, []string{"127.0.0.1:7101", "127.0.0.2:7101"})
+	qt.Assert(t, p.PeerListen, qt.Equals, "127.0.0.1:7111")
 }
 
 // TestFaults guards against a fault that is accepted, or reported at a place
@@ -286,3 +286,15 @@
 		qt.Check(t, got, qt.DeepEquals, want)
 	}
 }
+
+// TestCallerListen guards against an entry that does not listen where it is
+// told to.
+func TestCallerListen(t *testing.T) {
+	const callers = processText + "caller_address: 127.0.0.1:7001\n"
+	p, err := ParseProcess("p.yaml", callers)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.CallerListen, qt.Equals, p.CallerAddress)
+	p, err = ParseProcess("p.yaml", callers+"caller_listen_address: 127.0.0.1:7011\n")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.CallerListen, qt.Equals, "127.0.0.1:7011")
+}
