--- a/cmd/wharf-entry/service.go
+++ b/cmd/wharf-entry/service.go
@@ -61,7 +61,7 @@
 		return nil, errors.Trace(err)
 	}
 	handler := caller.NewHandler(caller.HandlerConfig{Engine: s.entry, Clock: b.Clock, Log: b.Log})
-	s.server, err = caller.Listen(b.Process.CallerAddress, handler, b.Log)
+	s.server, err = caller.Listen(b.Process.CallerListen, handler, b.Log)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -47,6 +47,8 @@
 	Relays bool
 	// Replace holds pairs of old and new text, applied to the service settings.
 	Replace []string
+	// Distance is the delay of traffic between processes and to callers.
+	Distance Distance
 }
 
 // Instance is one instance: an entry and a broker.
@@ -74,6 +76,7 @@
 	platformAddress string
 	platformControl string
 	upstreamControl string
+	distant         distant
 }
 
 // Ports are the same on each instance, which has an IP address of its own.
@@ -208,6 +211,9 @@
 }
 
 func (d *Deployment) startInstances() error {
+	if err := d.startDistance(); err != nil {
+		return err
+	}
 	for _, i := range d.Instances {
 		if err := d.StartBroker(i); err != nil {
 			return err
@@ -247,6 +253,9 @@
 	fmt.Fprintf(&text, "id: %s-%s\nfailure_domain: %s\n", role, i.Name, i.Domain)
 	if role == "entry" {
 		fmt.Fprintf(&text, "caller_address: %s:%d\naddress_lifetime: %s\n", i.IP, callerPort, d.config.AddressLifetime)
+		if d.config.Relays {
+			fmt.Fprintf(&text, "caller_listen_address: %s\n", i.callerListen())
+		}
 	}
 	fmt.Fprintf(&text, "peer_address: %s:%d\noperator_address: %s:%d\n", i.IP, peerPort, i.IP, operatorPort)
 	if d.config.Relays {
@@ -368,6 +377,7 @@
 			first = err
 		}
 	}
+	d.closeDistance()
 	_ = d.lock.Close()
 	return first
 }
@@ -393,6 +403,7 @@
 			p.Kill()
 		}
 	}
+	d.closeDistance()
 	if d.lock != nil {
 		_ = d.lock.Close()
 	}
--- a/internal/relay/udp.go
+++ b/internal/relay/udp.go
@@ -28,6 +28,8 @@
 	*gate
 	target *net.UDPAddr
 	front  *net.UDPConn
+	// distance returns a further delay of a client's datagrams.
+	distance func(client netip.Addr) time.Duration
 
 	flowMu sync.Mutex
 	flows  map[netip.AddrPort]*flow
@@ -44,6 +46,8 @@
 	done   chan struct{}
 	once   sync.Once
 	silent bool
+	// distance delays in each direction.
+	distance time.Duration
 	// used are the connection IDs of the flow, and ended those of silent flows
 	// of the same client.
 	used  map[connectionID]struct{}
@@ -141,6 +145,14 @@
 	}
 }
 
+// SetDistance delays the datagrams of each client by its distance in each
+// direction. distance is called once for each flow that begins from now on.
+func (r *UDP) SetDistance(distance func(client netip.Addr) time.Duration) {
+	r.flowMu.Lock()
+	defer r.flowMu.Unlock()
+	r.distance = distance
+}
+
 // flowFor returns the flow that forwards the datagram; nil if it belongs to a
 // silent one.
 func (r *UDP) flowFor(client netip.AddrPort, datagram []byte) *flow {
@@ -174,6 +186,9 @@
 		done: make(chan struct{}),
 		used: make(map[connectionID]struct{}), ended: make(map[connectionID]struct{}),
 	}
+	if r.distance != nil {
+		f.distance = r.distance(client.Addr().Unmap())
+	}
 	if before != nil {
 		f.replaced = append(before.replaced, before)
 		for _, ids := range []map[connectionID]struct{}{before.used, before.ended} {
@@ -223,7 +238,7 @@
 // enqueue drops the datagram if the queue is full, as a network does.
 func (f *flow) enqueue(queue chan<- chunk, datagram []byte) {
 	select {
-	case queue <- chunk{data: append([]byte(nil), datagram...), due: f.relay.due()}:
+	case queue <- chunk{data: append([]byte(nil), datagram...), due: f.relay.due().Add(f.distance)}:
 	default:
 	}
 }
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -27,10 +27,11 @@
 
 // commands returns the language of scenarios. A REPORT is a name given by
 // finish or read. Sources are facts (of the searchers), platform (its calls),
-// faults (of the platform), status (of all processes, summed up) and object:NAME
-// (of the platform).
+// faults (of the platform), status (of all processes, summed up), distance (the
+// delayed flows between failure domains) and object:NAME (of the platform).
 //
 //	deploy EXAMPLE [FLAG...]          start a deployment; flags of the upstream stand-in
+//	deploy-apart DOMAINS CALLERS EXAMPLE [FLAG...]  with delays, each way
 //	warm-up                           load until the brokers know the searchers
 //	operator NAME ARGS...             run wharfctl; "!" expects a failure
 //	ended NAME                        state the end of all processes that takeovers wait for
@@ -60,6 +61,7 @@
 //	hedged REPORT SHARD               its explanation tells of hedges that were started
 //	hedges-won SERVICE WINS SEARCHES  so many hedges answer first within so many searches
 //	within-budget REPORT...           work started since the beginning, for these loads alone
+//	latency REPORT                    note p50 and p99; no bound
 //	lacks REPORT SERVICE SHARD...     every answer and refusal lists these as missing
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]command{
@@ -72,7 +74,7 @@
 		"relay":     startRelay, "silence": silence, "sound": sound, "clean": clean, "refused": refused,
 		"each-second": eachSecond, "quiet": quiet,
 		"ask": ask, "explained": explained, "hedged": hedged, "lacks": lacks,
-		"hedges-won": hedgesWon, "within-budget": withinBudget,
+		"deploy-apart": deployApart, "latency": latency, "hedges-won": hedgesWon, "within-budget": withinBudget,
 	}
 	maps.Copy(all, memberCommands())
 	result := map[string]func(*testscript.TestScript, bool, []string){"operator": operate}
@@ -111,6 +113,7 @@
 		Domains: []string{"split", "trogir", "brac"}, PerDomain: 2,
 		Operators: []string{"ana", "ivo"}, Replace: relaxed, Relays: relays,
 		Upstream: append([]string{"--service-time=20ms", "--sigma=0.2"}, args[1:]...),
+		Distance: s.distance,
 	})
 	if err != nil {
 		return err
--- a/settings/field.go
+++ b/settings/field.go
@@ -149,6 +149,7 @@
 	{Key: "id", Form: FormName, Required: true},
 	{Key: "failure_domain", Form: FormName, Required: true},
 	{Key: "caller_address", Form: FormListener, Absent: "none (a broker has no callers)"},
+	{Key: "caller_listen_address", Form: FormListener, Absent: "`caller_address`"},
 	{Key: "peer_address", Form: FormListener, Required: true},
 	{Key: "peer_listen_address", Form: FormListener, Absent: "`peer_address`"},
 	{Key: "operator_address", Form: FormListener, Required: true},
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -62,6 +62,7 @@
 		LogFormat:       s.choice("log_format"),
 		AddressLifetime: s.duration("address_lifetime"),
 		StopTimeout:     s.duration("stop_timeout"),
+		CallerListen:    s.address("caller_listen_address"),
 	}
 	p.Seeds = s.addresses("seeds")
 	if p.PeerListen == "" {
@@ -72,6 +73,9 @@
 		s.r.report(s.position("address_lifetime"), "address_lifetime", "less than stop_timeout ("+p.StopTimeout.String()+")",
 			"%s is not below stop_timeout", p.AddressLifetime)
 	}
+	if p.CallerListen == "" {
+		p.CallerListen = p.CallerAddress
+	}
 	return p
 }
 
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -286,3 +286,15 @@
 		qt.Check(t, got, qt.DeepEquals, want)
 	}
 }
+
+// TestCallerListen guards against an entry that does not listen where it is
+// told to.
+func TestCallerListen(t *testing.T) {
+	const callers = processText + "caller_address: 127.0.0.1:7001\n"
+	p, err := ParseProcess("p.yaml", callers)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.CallerListen, qt.Equals, p.CallerAddress)
+	p, err = ParseProcess("p.yaml", callers+"caller_listen_address: 127.0.0.1:7011\n")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.CallerListen, qt.Equals, "127.0.0.1:7011")
+}
--- a/settings/process.go
+++ b/settings/process.go
@@ -23,4 +23,7 @@
 	LogFormat       string        `yaml:"log_format"`
 	AddressLifetime time.Duration `yaml:"address_lifetime"`
 	StopTimeout     time.Duration `yaml:"stop_timeout"`
+	// CallerListen is where an entry itself listens for callers. It is
+	// CallerAddress unless something between forwards that address to it.
+	CallerListen string `yaml:"caller_listen_address"`
 }
