Model what an entry knows, and when, in the queueing model

Package internal/simulation adds reports of 250 ms and in replies, parts sent since a report, the owner's learned mean, handling time at the slot, refusals at the broker and the cancellation of queued and running losers. Arrivals and service times are drawn apart from decisions, so that cases compare.

Ruled out as causes: the time that one part adds to a queue, which is better with the median latency than with the service time; parts under way when a report arrives, which are few.

Budget.Refund is used by the model only so far.

--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -120,6 +120,10 @@
 	return true
 }
 
+// Refund returns the price of a hedge that caused no extra load, because one of
+// the two parts was withdrawn before it started.
+func (b *Budget) Refund() { b.tokens = min(b.tokens+1, bucketTokens) }
+
 // reserve is how full the bucket's lower half is, from 0 to 1.
 func (b *Budget) reserve() float64 {
 	return min(max(b.tokens/(bucketTokens/2), 0), 1)
--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -121,6 +121,7 @@
 		{"queue", "p99 at 85 % load against one shared queue for each shard", &queueing{}},
 		{"hedging", "stragglers with hedging off and on", &hedging{}},
 		{"faults", "failure domain out and back, broker killed, platform away", &faults{}},
+		{"model", "what the parts of the path cost, in a queueing model", &modelling{}},
 		{"cost", "processor time per query and sub-request by fan-out", &cost{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.text, "", c.command); err != nil {
--- /dev/null
+++ b/internal/simulation/simulation.go
@@ -0,0 +1,523 @@
+// Package simulation is a deterministic queueing model of one search service: entries
+// that choose replicas and hedge by the packages route and hedge, and owners that
+// keep the slots and the queue of a searcher each. It contains what an entry
+// knows and when, so that a change of the decisions can be judged without the
+// noise of a shared machine. It is used by tests and measurements only.
+package simulation
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/hedge"
+	"github.com/wisteriawharf/wisteriawharf/route"
+)
+
+const (
+	replicas = 3
+	slots    = 3
+	// The service time is lognormal, as that of the searchers' stand-in.
+	medianService = 20 * time.Millisecond
+	sigma         = 0.4
+	slowFactor    = 10
+	// hop is the time of one message in one direction.
+	hop = 500 * time.Microsecond
+	// meanShare is the weight of one piece of work in the mean that an owner
+	// learns, as in package slot.
+	meanShare = 1.0 / 16
+	// maxQueued is the multiple of the hedge delay after which a part that waits
+	// is hedged although it has not started.
+	maxQueued = 3
+	// defaultStatus is the time between reports of entry.
+	defaultStatus = 250 * time.Millisecond
+)
+
+// Choices of a replica.
+const (
+	// ChooseRoute uses package route, as entries do.
+	ChooseRoute = ""
+	// ChooseRandom, ChooseTwo and ChooseLeast take one at random, the shorter
+	// wait of two, and the shortest wait.
+	ChooseRandom = "random"
+	ChooseTwo    = "two"
+	ChooseLeast  = "least"
+	// ChooseShared has one queue for all replicas of a shard, without hops.
+	ChooseShared = "shared"
+)
+
+// Config describes one run. The zero values of the fields from Status on are
+// what entries and brokers do.
+type Config struct {
+	Shards  int
+	Entries int
+	// Load is a share of the capacity, counted with the stragglers' work.
+	Load float64
+	// Stragglers is the share of work that takes ten times as long, and Budget
+	// the extra load that hedges may cause.
+	Stragglers float64
+	Budget     float64
+	Queries    int
+	Seed       int64
+
+	// Handling is added to the service time: the slot is held for as long as the
+	// request and the reply are under way and handled.
+	Handling time.Duration
+	// Choice is one of the constants.
+	Choice string
+	// Status is the time between reports of all searchers; zero is 250 ms.
+	Status time.Duration
+	// Exact gives entries the present state of each searcher.
+	Exact bool
+	// NoPiggyback leaves the searcher's state out of replies.
+	NoPiggyback bool
+	// Siblings adds the states of so many other searchers of the broker to each
+	// reply.
+	Siblings int
+	// ServicePerPart uses the mean service time for parts sent since the report,
+	// in place of the median latency of parts.
+	ServicePerPart bool
+	// Bounce has an owner return a part that would wait for longer than the
+	// entry assumed by more than Bounce, up to twice.
+	Bounce time.Duration
+	// Estimate counts the hedge delay from when the part was assumed to start, and
+	// Started from when it does, which the owner tells.
+	Estimate bool
+	Started  bool
+	// Refund returns the price of a hedge that was cancelled in the queue, or
+	// that had its original cancelled there.
+	Refund bool
+}
+
+// Outcome is what a run measured: quantiles of the time of queries, the hedges
+// as a share of parts, the work begun for nothing as a share of the work of
+// which the result was used, and messages returned as a share of parts.
+type Outcome struct {
+	P50, P99, P999 time.Duration
+	Hedges         float64
+	Extra          float64
+	Bounced        float64
+}
+
+type job struct {
+	query   *search
+	shard   int
+	replica int
+	hedge   bool
+	sent    time.Duration
+	reports int
+	wait    time.Duration
+	service time.Duration
+	done    bool
+	started time.Duration
+	running bool
+	ended   bool
+}
+
+type search struct {
+	entry    int
+	began    time.Duration
+	pending  int
+	answered []bool
+	open     [][]*job
+	hedges   []int
+	bounces  []int
+	// services are the times that the attempts at each shard take.
+	services [][replicas]time.Duration
+}
+
+type server struct {
+	slots   int
+	running int
+	queue   []*job
+	mean    time.Duration
+}
+
+// known is what one entry knows of one searcher.
+type known struct {
+	load    route.Load
+	reports int
+}
+
+type run struct {
+	Config
+	agenda
+	random *rand.Rand
+	// work draws arrivals and service times. Drawn apart from the decisions, they
+	// are the same in runs that differ only in these.
+	work     *rand.Rand
+	servers  [][]*server
+	known    [][][]known
+	policies []*hedge.Policy
+	parts    int
+	hedges   int
+	bounced  int
+	useful   int
+	wasted   int
+	took     []time.Duration
+}
+
+// Run carries out the model and returns its outcome.
+func (c Config) Run() Outcome {
+	if c.Status == 0 {
+		c.Status = defaultStatus
+	}
+	r := &run{Config: c, random: rand.New(rand.NewSource(2*c.Seed + 1)), work: rand.New(rand.NewSource(2*c.Seed + 2))}
+	for range c.Shards {
+		var servers []*server
+		for range replicas {
+			servers = append(servers, &server{slots: slots, mean: meanOf(0)})
+		}
+		if c.Choice == ChooseShared {
+			servers = []*server{{slots: replicas * slots}}
+		}
+		r.servers = append(r.servers, servers)
+	}
+	for range c.Entries {
+		table := make([][]known, c.Shards)
+		for s := range table {
+			table[s] = make([]known, len(r.servers[s]))
+		}
+		r.known = append(r.known, table)
+		r.policies = append(r.policies, hedge.NewPolicy(c.Budget))
+	}
+	r.reportAll()
+	r.arrive()
+	for len(r.took) < c.Queries {
+		r.step()
+	}
+	return r.outcome()
+}
+
+func (r *run) outcome() Outcome {
+	// The first tenth learns the latencies.
+	took := r.took[len(r.took)/10:]
+	slices.Sort(took)
+	at := func(p float64) time.Duration { return took[int(p*float64(len(took)-1))] }
+	share := func(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
+	return Outcome{
+		P50: at(0.5), P99: at(0.99), P999: at(0.999),
+		Hedges: share(r.hedges, r.parts), Extra: share(r.wasted, r.useful), Bounced: share(r.bounced, r.parts),
+	}
+}
+
+func meanOf(stragglers float64) time.Duration {
+	return time.Duration(medianService.Seconds() * math.Exp(sigma*sigma/2) * (1 + stragglers*(slowFactor-1)) * float64(time.Second))
+}
+
+// arrive starts a query and plans the next one, as a Poisson process.
+func (r *run) arrive() {
+	rate := r.Load * replicas * slots / meanOf(r.Stragglers).Seconds()
+	r.after(time.Duration(r.work.ExpFloat64()/rate*float64(time.Second)), r.arrive)
+	q := &search{
+		entry: r.work.Intn(r.Entries), began: r.now, pending: r.Shards, answered: make([]bool, r.Shards),
+		open: make([][]*job, r.Shards), hedges: make([]int, r.Shards), bounces: make([]int, r.Shards),
+		services: make([][replicas]time.Duration, r.Shards),
+	}
+	for s := range r.Shards {
+		for i := range replicas {
+			q.services[s][i] = r.service()
+		}
+	}
+	for s := range r.Shards {
+		r.parts++
+		r.policies[q.entry].Budget.Earn(1)
+		r.send(q, s, false)
+	}
+}
+
+// pick returns a replica without a part of the query, and the wait there.
+func (r *run) pick(q *search, shard int) (int, time.Duration) {
+	var left []int
+	var loads []route.Load
+	for i := range r.servers[shard] {
+		if slices.ContainsFunc(q.open[shard], func(j *job) bool { return j.replica == i }) {
+			continue
+		}
+		l := r.known[q.entry][shard][i].load
+		if r.Exact {
+			l = r.state(r.servers[shard][i])
+		}
+		l.PerPart = r.policies[q.entry].Typical() / slots
+		if r.ServicePerPart {
+			l.PerPart = meanOf(r.Stragglers) / slots
+		}
+		left = append(left, i)
+		loads = append(loads, l)
+	}
+	if len(left) == 0 {
+		return -1, 0
+	}
+	i := r.choose(loads)
+	return left[i], loads[i].Wait(r.now)
+}
+
+func (r *run) choose(loads []route.Load) int {
+	switch r.Choice {
+	case ChooseRandom, ChooseShared:
+		return r.random.Intn(len(loads))
+	case ChooseRoute:
+		return route.Choose(r.random, loads, r.now)
+	}
+	order := r.random.Perm(len(loads))
+	if r.Choice == ChooseTwo {
+		order = order[:min(2, len(order))]
+	}
+	best := order[0]
+	for _, i := range order[1:] {
+		wi, wb := loads[i].Wait(r.now), loads[best].Wait(r.now)
+		if wi < wb || wi == wb && loads[i].Sent < loads[best].Sent {
+			best = i
+		}
+	}
+	return best
+}
+
+// service draws the time that one attempt takes at a searcher.
+func (r *run) service() time.Duration {
+	seconds := medianService.Seconds() * math.Exp(sigma*r.work.NormFloat64())
+	if r.work.Float64() < r.Stragglers {
+		seconds *= slowFactor
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func (r *run) hop() time.Duration {
+	if r.Choice == ChooseShared {
+		return 0
+	}
+	return hop
+}
+
+func (r *run) send(q *search, shard int, isHedge bool) {
+	i, wait := r.pick(q, shard)
+	if i < 0 {
+		return
+	}
+	policy := r.policies[q.entry]
+	if isHedge {
+		if !policy.Budget.Take() {
+			r.planHedge(q, shard)
+			return
+		}
+		r.hedges++
+		q.hedges[shard]++
+	}
+	k := &r.known[q.entry][shard][i]
+	j := &job{query: q, shard: shard, replica: i, hedge: isHedge, sent: r.now, reports: k.reports, wait: wait,
+		service: q.services[shard][q.hedges[shard]]}
+	q.open[shard] = append(q.open[shard], j)
+	k.load.Sent++
+	r.after(r.hop(), func() { r.enqueue(j) })
+	r.planHedge(q, shard)
+}
+
+// planHedge plans the next hedge of a shard, counted from now.
+func (r *run) planHedge(q *search, shard int) {
+	sent := q.hedges[shard]
+	delay, ok := r.policies[q.entry].Delay(sent)
+	if !ok || len(q.open[shard]) >= replicas {
+		return
+	}
+	last := q.open[shard][len(q.open[shard])-1]
+	r.after(delay+r.held(last), func() { r.hedgeDue(last, sent, delay) })
+}
+
+// hedgeDue hedges a shard of which the last attempt is slow, unless it was
+// hedged or answered meanwhile.
+func (r *run) hedgeDue(last *job, sent int, delay time.Duration) {
+	q, shard := last.query, last.shard
+	if last.done || q.answered[shard] || q.hedges[shard] != sent {
+		return
+	}
+	age := r.now - last.sent
+	if left := delay - (age - r.held(last)); r.Started && left > time.Microsecond && age < maxQueued*delay {
+		r.after(max(left, hop), func() { r.hedgeDue(last, sent, delay) })
+		return
+	}
+	r.send(q, shard, true)
+}
+
+// held is the part of an attempt's time that does not count for hedges.
+func (r *run) held(j *job) time.Duration {
+	switch {
+	case r.Estimate:
+		return j.wait
+	case r.Started && j.running:
+		return j.started - j.sent
+	case r.Started:
+		return r.now - j.sent
+	}
+	return 0
+}
+
+func (r *run) enqueue(j *job) {
+	s := r.servers[j.shard][j.replica]
+	if j.done {
+		return
+	}
+	q := j.query
+	if r.Bounce > 0 && !j.hedge && q.bounces[j.shard] < replicas-1 && r.state(s).QueueWait > j.wait+r.Bounce {
+		r.bounced++
+		state := r.state(s)
+		r.after(r.hop(), func() { r.bounce(j, state) })
+		return
+	}
+	s.queue = append(s.queue, j)
+	r.dispatch(s)
+}
+
+// bounce sends a part that its owner returned to another replica.
+func (r *run) bounce(j *job, state route.Load) {
+	if j.done {
+		return
+	}
+	q := j.query
+	j.done = true
+	r.learn(q.entry, j.shard, j.replica, state)
+	q.open[j.shard] = slices.DeleteFunc(q.open[j.shard], func(o *job) bool { return o == j })
+	q.bounces[j.shard]++
+	r.send(q, j.shard, false)
+}
+
+func (r *run) dispatch(s *server) {
+	for s.running < s.slots && len(s.queue) > 0 {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		s.running++
+		j.running, j.started = true, r.now
+		took := j.service
+		if r.Choice != ChooseShared {
+			took += r.Handling
+		}
+		r.after(took, func() {
+			if !j.ended {
+				r.end(s, j)
+			}
+		})
+	}
+}
+
+// end frees the slot of work and sends its reply with the state after it.
+func (r *run) end(s *server, j *job) {
+	j.ended = true
+	s.running--
+	s.mean += time.Duration(float64(r.now-j.started-s.mean) * meanShare)
+	r.dispatch(s)
+	state := r.state(s)
+	r.after(r.hop(), func() { r.reply(j, state) })
+}
+
+// reply ends a shard: the first answer counts and the others are cancelled.
+func (r *run) reply(j *job, state route.Load) {
+	if j.done {
+		r.wasted++
+		return
+	}
+	r.useful++
+	q := j.query
+	if !r.NoPiggyback {
+		r.learn(q.entry, j.shard, j.replica, state)
+		for n := range r.Siblings {
+			// A broker owns searchers of one domain, here the same replica of
+			// neighbouring shards.
+			shard := j.shard - j.shard%(r.Siblings+1) + n
+			if shard >= j.shard {
+				shard++
+			}
+			if shard < r.Shards {
+				r.learn(q.entry, shard, j.replica, r.state(r.servers[shard][j.replica]))
+			}
+		}
+	}
+	q.answered[j.shard] = true
+	for _, other := range q.open[j.shard] {
+		r.settle(other, other != j)
+	}
+	q.pending--
+	if q.pending == 0 {
+		r.took = append(r.took, r.now-q.began)
+	}
+}
+
+// settle ends an attempt as entries do, and cancels it unless it was answered.
+func (r *run) settle(j *job, cut bool) {
+	if j.done {
+		return
+	}
+	j.done = true
+	k := &r.known[j.query.entry][j.shard][j.replica]
+	if k.reports == j.reports && k.load.Sent > 0 {
+		k.load.Sent--
+	}
+	if cut {
+		r.after(r.hop(), func() { r.cancel(j) })
+	}
+	if j.hedge {
+		return
+	}
+	policy := r.policies[j.query.entry]
+	latency := max(r.now-j.sent-r.held(j), 0)
+	if delay, _ := policy.Delay(0); cut && latency < delay {
+		return
+	}
+	policy.Latency.Add(r.now, latency)
+}
+
+// cancel takes work out of the queue, or frees its slot when the searcher has
+// answered that the work is done.
+func (r *run) cancel(j *job) {
+	s := r.servers[j.shard][j.replica]
+	if !j.running {
+		s.queue = slices.DeleteFunc(s.queue, func(o *job) bool { return o == j })
+		if r.Refund {
+			r.after(r.hop(), r.policies[j.query.entry].Budget.Refund)
+		}
+		return
+	}
+	r.after(2*r.hop(), func() {
+		if !j.ended {
+			j.ended = true
+			r.wasted++
+			s.running--
+			r.dispatch(s)
+		}
+	})
+}
+
+// reportAll starts the reports of all searchers to all entries. Each shard
+// stands for a broker; their reports are spread over the interval.
+func (r *run) reportAll() {
+	for e := range r.known {
+		for s := range r.servers {
+			for i := range r.servers[s] {
+				r.after(time.Duration(r.random.Int63n(int64(r.Status))), func() { r.report(e, s, i) })
+			}
+		}
+	}
+}
+
+func (r *run) report(entry, shard, i int) {
+	state := r.state(r.servers[shard][i])
+	r.after(r.hop(), func() { r.learn(entry, shard, i, state) })
+	r.after(r.Status, func() { r.report(entry, shard, i) })
+}
+
+// learn takes a report. Parts that the entry has under way to the searcher are
+// forgotten, as in package entry.
+func (r *run) learn(entry, shard, i int, state route.Load) {
+	k := &r.known[entry][shard][i]
+	state.Reported, state.Known = r.now, true
+	k.load = state
+	k.reports++
+}
+
+// state is what an owner reports, as in package slot.
+func (r *run) state(s *server) route.Load {
+	l := route.Load{Known: true, Reported: r.now, Free: max(s.slots-s.running-len(s.queue), 0)}
+	if ahead := len(s.queue) + s.running - s.slots + 1; ahead > 0 {
+		l.QueueWait = s.mean * time.Duration(ahead) / time.Duration(s.slots)
+	}
+	return l
+}
