Return the price of a hedge whose loser did not run

The broker already answers a withdrawn part with "not run". The entry now reads this answer and returns the token. A query often ends with the merge that withdraws the loser, so the stream of that batch stays open for it, for 50 ms at most. The budget stays an upper bound: a token is returned only on that answer.

TestHedgeRefund fails without the refund.

--- a/entry/batch.go
+++ b/entry/batch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -13,6 +15,11 @@
 // has few; one that finds no room is cancelled with the stream.
 const cancelQueue = 16
 
+// withdrawLinger is how long the stream of a batch stays open after its query
+// for the replies of losers. They come within a round trip, and a price that is
+// not returned only means fewer hedges.
+const withdrawLinger = 50 * time.Millisecond
+
 // batch is the parts of one query that go to one broker at one time, on a
 // stream of their own. A hedge or a failover to the same broker is another
 // batch, because a broker reads only Cancel frames after the first Batch.
@@ -20,10 +27,15 @@
 	broker  *broker
 	parts   []peer.Part
 	cancels chan uint32
+
+	mu sync.Mutex
+	// losers are the withdrawn parts whose hedge is refunded if their reply says
+	// that they did not run.
+	losers map[uint32]bool
 }
 
 func (q *query) newBatch(b *broker) *batch {
-	return &batch{broker: b, cancels: make(chan uint32, cancelQueue)}
+	return &batch{broker: b, cancels: make(chan uint32, cancelQueue), losers: make(map[uint32]bool)}
 }
 
 // cancelPart withdraws a part from the broker.
@@ -34,6 +46,29 @@
 	}
 }
 
+// cancelLoser withdraws a part of a shard that another part has answered.
+func (b *batch) cancelLoser(id uint32) {
+	b.mu.Lock()
+	b.losers[id] = true
+	b.mu.Unlock()
+	b.cancelPart(id)
+}
+
+// takeLoser reports whether the part lost against another one, once.
+func (b *batch) takeLoser(id uint32) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	lost := b.losers[id]
+	delete(b.losers, id)
+	return lost
+}
+
+func (b *batch) awaitsLosers() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.losers) > 0
+}
+
 // send starts the stream of a batch. The frame is made here, since the query
 // may change while the stream is opened.
 func (q *query) send(b *batch) {
@@ -45,11 +80,19 @@
 		RemainingMs:    max((q.deadline - q.now()).Milliseconds(), 1),
 		Parts:          b.parts,
 	}
-	ctx, cancel := context.WithCancel(q.round)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(q.round))
 	stop := context.AfterFunc(b.broker.session, cancel)
+	stopRound := context.AfterFunc(q.round, func() {
+		if b.awaitsLosers() {
+			time.AfterFunc(withdrawLinger, cancel)
+			return
+		}
+		cancel()
+	})
 	go func() {
 		defer cancel()
 		defer stop()
+		defer stopRound()
 		if err := q.exchange(ctx, b, frame); err != nil {
 			q.post(event{batch: b, err: err})
 		}
@@ -85,12 +128,28 @@
 		if reply.QueryID == frame.QueryID {
 			delete(open, reply.PartID)
 		}
+		if b.takeLoser(reply.PartID) {
+			q.refund(&reply)
+			continue
+		}
 		q.post(event{batch: b, reply: &reply})
 	}
 	_ = stream.CloseSend()
 	return nil
 }
 
+// refund returns the price of a hedge if one of its two parts did not run: then
+// it caused no extra load.
+func (q *query) refund(r *peer.PartReply) {
+	if r.QueryID != q.request.RequestID || r.Code == uint16(result.OK) || result.Run(r.Run) != result.RunNo {
+		return
+	}
+	q.policy.mu.Lock()
+	q.policy.Budget.Refund()
+	q.policy.mu.Unlock()
+	q.entry.metrics.hedgesRefunded.WithLabelValues(q.service.Name).Inc()
+}
+
 // lost returns the error of every part that a broken stream left open. A frame
 // that is too large for the protocol keeps its own code.
 func lost(b *batch, err error, run result.Run) *result.Error {
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -38,6 +38,9 @@
 	states    []peer.SearcherState
 	parts     map[string]int
 	cancelled map[uint32]bool
+	// withdrawn is what the reply to a cancelled part says of its run;
+	// result.RunUnknown sends no reply.
+	withdrawn result.Run
 	answer    func(b *peer.Batch, p peer.Part) ([]*peer.PartReply, error)
 	book      func(s *peer.Stream) error
 	books     int
@@ -96,11 +99,21 @@
 		if s.Receive(&c) != nil {
 			return nil
 		}
+		var run result.Run
 		f.locked(func() {
+			run = f.withdrawn
 			for _, id := range c.PartIDs {
 				f.cancelled[id] = true
 			}
 		})
+		for _, id := range c.PartIDs {
+			if run == result.RunUnknown {
+				continue
+			}
+			if err := s.Send(&peer.PartReply{QueryID: b.QueryID, PartID: id, Code: uint16(result.Cancelled), Run: uint8(run)}); err != nil {
+				return err
+			}
+		}
 	}
 }
 
@@ -280,6 +293,22 @@
 	}
 }
 
+// refunds returns how many hedges were refunded.
+func (w *world) refunds(t *testing.T) int {
+	t.Helper()
+	registry := prometheus.NewRegistry()
+	qt.Assert(t, registry.Register(w.entry.metrics.hedgesRefunded), qt.IsNil)
+	families, err := registry.Gather()
+	qt.Assert(t, err, qt.IsNil)
+	total := 0
+	for _, f := range families {
+		for _, m := range f.Metric {
+			total += int(m.GetCounter().GetValue())
+		}
+	}
+	return total
+}
+
 func succeeded(t *testing.T, refusal *result.Error) {
 	t.Helper()
 	if refusal != nil {
--- a/entry/query.go
+++ b/entry/query.go
@@ -255,10 +255,12 @@
 	return q.policy.Typical()
 }
 
-// abandon ends the streams of the pinned snapshot, which cancels their parts.
+// abandon ends the streams of the pinned snapshot, which cancels their parts. A
+// stream that stays open for the reply of a loser is told of the others.
 func (q *query) abandon() {
-	for id := range q.attempts {
-		q.settle(q.attempts[id], true)
+	for id, a := range q.attempts {
+		a.batch.cancelPart(id)
+		q.settle(a, true)
 	}
 	q.endRound()
 }
@@ -418,7 +420,7 @@
 	}
 	for len(s.running) > 0 {
 		loser := s.running[0]
-		loser.batch.cancelPart(loser.id)
+		loser.batch.cancelLoser(loser.id)
 		q.settle(loser, true)
 	}
 }
--- a/entry/search_test.go
+++ b/entry/search_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -262,6 +263,36 @@
 	}
 }
 
+// TestHedgeRefund guards against a hedge that is paid for although one of its
+// parts was withdrawn before it ran, and against a refund when both have run,
+// which would let the extra load pass the budget. The query ends with the merge
+// that withdraws the part.
+func TestHedgeRefund(t *testing.T) {
+	w := newWorld(t, 1, "hedge_budget: 0.05")
+	w.learn(0.05)
+	for i, run := range []result.Run{result.RunYes, result.RunNo} {
+		var asked atomic.Int32
+		w.answerAll(func(_ *fakeBroker, b *peer.Batch, p peer.Part) ([]*peer.PartReply, error) {
+			if asked.Add(1) == 1 {
+				return nil, nil
+			}
+			return answerGood(b, p)
+		})
+		for _, f := range w.brokers {
+			f.locked(func() { f.withdrawn, f.cancelled = run, make(map[uint32]bool) })
+		}
+		w.whole(t, "q")
+		w.eventually(t, func() bool {
+			cancelled := 0
+			for _, f := range w.brokers {
+				f.locked(func() { cancelled += len(f.cancelled) })
+			}
+			return cancelled > 0
+		})
+		w.eventually(t, func() bool { return w.refunds(t) == i })
+	}
+}
+
 // TestHedgeOtherDomain guards against a hedge in the failure domain of the slow
 // part, where it would likely be slow for the same reason.
 func TestHedgeOtherDomain(t *testing.T) {
--- a/internal/measure/model.go
+++ b/internal/measure/model.go
@@ -62,7 +62,7 @@
 	{"present states", func(c *simulation.Config) { c.Exact = true }},
 	{"delay from the estimated start", func(c *simulation.Config) { c.Estimate = true }},
 	{"delay from the start", func(c *simulation.Config) { c.Started = true }},
-	{"refunds", func(c *simulation.Config) { c.Refund = true }},
+	{"no refunds", func(c *simulation.Config) { c.NoRefund = true }},
 }
 
 func (m *modelling) queueing(base simulation.Config) {
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -85,9 +85,9 @@
 	// Started from when it does, which the owner tells.
 	Estimate bool
 	Started  bool
-	// Refund returns the price of a hedge that was cancelled in the queue, or
-	// that had its original cancelled there.
-	Refund bool
+	// NoRefund keeps the price of a hedge of which one part was cancelled in the
+	// queue.
+	NoRefund bool
 }
 
 // Outcome is what a run measured: quantiles of the time of queries, the hedges
@@ -471,7 +471,7 @@
 	s := r.servers[j.shard][j.replica]
 	if !j.running {
 		s.queue = slices.DeleteFunc(s.queue, func(o *job) bool { return o == j })
-		if r.Refund {
+		if !r.NoRefund {
 			r.after(r.hop(), r.policies[j.query.entry].Budget.Refund)
 		}
 		return
