Hedge earlier while the budget is unspent

Cause: the hedge threshold never fell below the (1-b) quantile, so that with refunds a part of the budget stayed unspent at 1 % stragglers. The threshold now follows the whole bucket: b times its filling, from 0 to 2.

--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -124,9 +124,9 @@
 // the two parts was withdrawn before it started.
 func (b *Budget) Refund() { b.tokens = min(b.tokens+1, bucketTokens) }
 
-// reserve is how full the bucket's lower half is, from 0 to 1.
+// reserve is how full the bucket is as a multiple of its half, from 0 to 2.
 func (b *Budget) reserve() float64 {
-	return min(max(b.tokens/(bucketTokens/2), 0), 1)
+	return max(b.tokens/(bucketTokens/2), 0)
 }
 
 // Policy decides the hedges of one service.
@@ -139,10 +139,12 @@
 func NewPolicy(share float64) *Policy { return &Policy{Budget: NewBudget(share)} }
 
 // Delay returns the time after which a part that was hedged so many times is
-// hedged again. With budget b the first is the (1-b) quantile of part latency,
-// and it rises toward the slowest parts while the bucket is below half: hedges
-// sent too early would leave none for the parts that are slowest. It reports
-// false while hedging is off or the latency is not learned.
+// hedged again. With budget b and a half-full bucket the first is the (1-b)
+// quantile of part latency. It rises toward the slowest parts while the bucket is
+// below half: hedges sent too early would leave none for the parts that are
+// slowest. It falls to the (1-2b) quantile while the bucket fills up, as it does
+// when hedges are refunded, so that the budget is used. It reports false while
+// hedging is off or the latency is not learned.
 func (p *Policy) Delay(hedges int) (time.Duration, bool) {
 	if p.Budget.share <= 0 {
 		return 0, false
