Return a part that would wait for longer than the entry assumed

Cause: the entry chooses on states that are up to 250 ms old, and each entry learns only from replies to its own parts.

After two returns the shard is sent without a limit, so that no part is lost by it. Hedges and bookings carry none.

--- a/internal/measure/model.go
+++ b/internal/measure/model.go
@@ -36,30 +36,37 @@
 	change func(*simulation.Config)
 }
 
+// noReturns is the choice on reported states alone.
+func noReturns(change func(*simulation.Config)) func(*simulation.Config) {
+	return func(c *simulation.Config) {
+		c.NoReturns = true
+		change(c)
+	}
+}
+
 var queueingVariants = []variant{
 	{"as built", func(*simulation.Config) {}},
 	{"no handling", func(c *simulation.Config) { c.Handling = 0 }},
 	{"one entry", func(c *simulation.Config) { c.Entries = 1 }},
 	{"nine entries", func(c *simulation.Config) { c.Entries = 9 }},
 	{"forty entries", func(c *simulation.Config) { c.Entries = 40 }},
-	{"present states, two choices", func(c *simulation.Config) { c.Exact, c.Choice = true, simulation.ChooseTwo }},
-	{"present states, all choices", func(c *simulation.Config) { c.Exact, c.Choice = true, simulation.ChooseLeast }},
-	{"two choices", func(c *simulation.Config) { c.Choice = simulation.ChooseTwo }},
-	{"all choices", func(c *simulation.Config) { c.Choice = simulation.ChooseLeast }},
-	{"service time for parts sent since the report", func(c *simulation.Config) { c.ServicePerPart = true }},
-	{"no state in replies", func(c *simulation.Config) { c.NoPiggyback = true }},
-	{"all choices, reports every 10 ms", func(c *simulation.Config) { c.Status, c.Choice = 10*time.Millisecond, simulation.ChooseLeast }},
-	{"all choices, states of four others in replies", func(c *simulation.Config) { c.Siblings, c.Choice = 4, simulation.ChooseLeast }},
-	{"all choices, parts returned from 10 ms", func(c *simulation.Config) { c.Bounce, c.Choice = 10*time.Millisecond, simulation.ChooseLeast }},
-	{"the same, forty entries", func(c *simulation.Config) {
-		c.Bounce, c.Choice, c.Entries = 10*time.Millisecond, simulation.ChooseLeast, 40
-	}},
+	{"two parts longer before a return", func(c *simulation.Config) { c.Margin = 2 }},
+	{"states of four other searchers in replies", func(c *simulation.Config) { c.Siblings = 4 }},
+	{"no returns", noReturns(func(*simulation.Config) {})},
+	{"no returns, forty entries", noReturns(func(c *simulation.Config) { c.Entries = 40 })},
+	{"no returns, two choices", noReturns(func(c *simulation.Config) { c.Choice = simulation.ChooseTwo })},
+	{"no returns, two choices, present states", noReturns(func(c *simulation.Config) { c.Exact, c.Choice = true, simulation.ChooseTwo })},
+	{"no returns, present states", noReturns(func(c *simulation.Config) { c.Exact = true })},
+	{"no returns, reports every 10 ms", noReturns(func(c *simulation.Config) { c.Status = 10 * time.Millisecond })},
+	{"no returns, states of four other searchers in replies", noReturns(func(c *simulation.Config) { c.Siblings = 4 })},
+	{"no returns, no state in replies", noReturns(func(c *simulation.Config) { c.NoPiggyback = true })},
+	{"no returns, service time for parts sent since the report", noReturns(func(c *simulation.Config) { c.ServicePerPart = true })},
 }
 
 var hedgingVariants = []variant{
 	{"as built", func(*simulation.Config) {}},
 	{"no handling", func(c *simulation.Config) { c.Handling = 0 }},
-	{"present states", func(c *simulation.Config) { c.Exact = true }},
+	{"no returns", noReturns(func(*simulation.Config) {})},
 	{"delay from the estimated start", func(c *simulation.Config) { c.Estimate = true }},
 	{"delay from the start", func(c *simulation.Config) { c.Started = true }},
 	{"no refunds", func(c *simulation.Config) { c.NoRefund = true }},
@@ -71,7 +78,7 @@
 	fmt.Println("case | p50 ms | p99 ms | ratio to the shared queue | returned")
 	for _, v := range queueingVariants {
 		o := m.mean(base, v.change)
-		fmt.Printf("%s | %.1f | %.1f | %.2f | %.3f\n", v.name, ms(o.P50), ms(o.P99), float64(o.P99)/float64(ideal.P99), o.Bounced)
+		fmt.Printf("%s | %.1f | %.1f | %.2f | %.3f\n", v.name, ms(o.P50), ms(o.P99), float64(o.P99)/float64(ideal.P99), o.Returned)
 	}
 }
 
@@ -109,7 +116,7 @@
 		sum.P99 += o.P99 / time.Duration(m.Seeds)
 		sum.Hedges += o.Hedges / float64(m.Seeds)
 		sum.Extra += o.Extra / float64(m.Seeds)
-		sum.Bounced += o.Bounced / float64(m.Seeds)
+		sum.Returned += o.Returned / float64(m.Seeds)
 	}
 	return sum
 }
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -78,9 +78,10 @@
 	// ServicePerPart uses the mean service time for parts sent since the report,
 	// in place of the median latency of parts.
 	ServicePerPart bool
-	// Bounce has an owner return a part that would wait for longer than the
-	// entry assumed by more than Bounce, up to twice.
-	Bounce time.Duration
+	// Margin is the number of parts by which a queue may be longer than assumed
+	// before its owner returns a part; zero is 1. NoReturns has it keep all.
+	Margin    int
+	NoReturns bool
 	// Estimate counts the hedge delay from when the part was assumed to start, and
 	// Started from when it does, which the owner tells.
 	Estimate bool
@@ -97,7 +98,7 @@
 	P50, P99, P999 time.Duration
 	Hedges         float64
 	Extra          float64
-	Bounced        float64
+	Returned       float64
 }
 
 type job struct {
@@ -122,7 +123,7 @@
 	answered []bool
 	open     [][]*job
 	hedges   []int
-	bounces  []int
+	returns  []int
 	// services are the times that the attempts at each shard take.
 	services [][replicas]time.Duration
 }
@@ -152,7 +153,7 @@
 	policies []*hedge.Policy
 	parts    int
 	hedges   int
-	bounced  int
+	returned int
 	useful   int
 	wasted   int
 	took     []time.Duration
@@ -163,6 +164,9 @@
 	if c.Status == 0 {
 		c.Status = defaultStatus
 	}
+	if c.Margin == 0 {
+		c.Margin = 1
+	}
 	r := &run{Config: c, random: rand.New(rand.NewSource(2*c.Seed + 1)), work: rand.New(rand.NewSource(2*c.Seed + 2))}
 	for range c.Shards {
 		var servers []*server
@@ -198,7 +202,7 @@
 	share := func(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
 	return Outcome{
 		P50: at(0.5), P99: at(0.99), P999: at(0.999),
-		Hedges: share(r.hedges, r.parts), Extra: share(r.wasted, r.useful), Bounced: share(r.bounced, r.parts),
+		Hedges: share(r.hedges, r.parts), Extra: share(r.wasted, r.useful), Returned: share(r.returned, r.parts),
 	}
 }
 
@@ -212,7 +216,7 @@
 	r.after(time.Duration(r.work.ExpFloat64()/rate*float64(time.Second)), r.arrive)
 	q := &search{
 		entry: r.work.Intn(r.Entries), began: r.now, pending: r.Shards, answered: make([]bool, r.Shards),
-		open: make([][]*job, r.Shards), hedges: make([]int, r.Shards), bounces: make([]int, r.Shards),
+		open: make([][]*job, r.Shards), hedges: make([]int, r.Shards), returns: make([]int, r.Shards),
 		services: make([][replicas]time.Duration, r.Shards),
 	}
 	for s := range r.Shards {
@@ -358,18 +362,24 @@
 		return
 	}
 	q := j.query
-	if r.Bounce > 0 && !j.hedge && q.bounces[j.shard] < replicas-1 && r.state(s).QueueWait > j.wait+r.Bounce {
-		r.bounced++
+	if !r.NoReturns && r.Choice != ChooseShared && r.margin(q.entry) > 0 && !j.hedge && q.returns[j.shard] < replicas-1 && r.state(s).QueueWait > j.wait+r.margin(q.entry) {
+		r.returned++
 		state := r.state(s)
-		r.after(r.hop(), func() { r.bounce(j, state) })
+		r.after(r.hop(), func() { r.sendBack(j, state) })
 		return
 	}
 	s.queue = append(s.queue, j)
 	r.dispatch(s)
 }
 
-// bounce sends a part that its owner returned to another replica.
-func (r *run) bounce(j *job, state route.Load) {
+// margin is how much longer than assumed a part may wait.
+func (r *run) margin(entry int) time.Duration {
+	return time.Duration(r.Margin) * r.policies[entry].Typical() / slots
+}
+
+// sendBack takes a part that its owner returned and sends it again, now that
+// the entry knows the wait there.
+func (r *run) sendBack(j *job, state route.Load) {
 	if j.done {
 		return
 	}
@@ -377,7 +387,7 @@
 	j.done = true
 	r.learn(q.entry, j.shard, j.replica, state)
 	q.open[j.shard] = slices.DeleteFunc(q.open[j.shard], func(o *job) bool { return o == j })
-	q.bounces[j.shard]++
+	q.returns[j.shard]++
 	r.send(q, j.shard, false)
 }
 
