--- a/control/state.go
+++ b/control/state.go
@@ -76,12 +76,13 @@
 	view    atomic.Pointer[View]
 	changed []chan struct{}
 	// digest is that of the items, or zero after a change.
-	digest uint64
+	digest   uint64
+	settings revisions
 }
 
 // NewState returns a state that knows nothing.
 func NewState() *State {
-	s := &State{items: make(map[string]Item)}
+	s := &State{items: make(map[string]Item), settings: newRevisions()}
 	s.view.Store(&View{
 		Records:  make(map[string]*Record),
 		Rosters:  make(map[string]*Roster),
@@ -105,7 +106,15 @@
 
 // Offer takes item if it is newer than what is known, and reports whether it
 // was taken. A value that does not parse is an error and changes nothing.
+// Settings are in force when Offer returns, if all their parts are held.
 func (s *State) Offer(item Item) (bool, error) {
+	if item.Name == ItemSettings {
+		if taken, err := s.TakeSettings(item); err != nil || !taken {
+			return false, err
+		}
+		err := s.Settle()
+		return err == nil, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if known, ok := s.items[item.Name]; ok && !item.newer(known) || s.view.Load().reconciled(item.Name) {
@@ -127,13 +136,18 @@
 		}
 	}
 	s.view.Store(next)
+	s.notify()
+	return true, nil
+}
+
+// notify tells subscribers of a change; the caller holds the lock.
+func (s *State) notify() {
 	for _, c := range s.changed {
 		select {
 		case c <- struct{}{}:
 		default:
 		}
 	}
-	return true, nil
 }
 
 // Summary returns all items without their values, sorted by name.
@@ -186,6 +200,9 @@
 			// The other drops it once it receives the recorded order.
 			continue
 		}
+		if item.Name == ItemSettings && s.settings.seen(item.Major) {
+			continue
+		}
 		if ours, ok := s.items[item.Name]; !ok || item.changed(ours) {
 			wanted = append(wanted, item.Name)
 		}
@@ -238,8 +255,6 @@
 
 func (v *View) apply(item Item) error {
 	switch {
-	case item.Name == ItemSettings:
-		return v.applySettings(item)
 	case strings.HasPrefix(item.Name, PrefixDomain):
 		return applyJSON(v.Records, strings.TrimPrefix(item.Name, PrefixDomain), item.Value)
 	case strings.HasPrefix(item.Name, PrefixRoster):
@@ -253,23 +268,6 @@
 	}
 }
 
-func (v *View) applySettings(item Item) error {
-	var revision settings.Revision
-	if err := json.Unmarshal(item.Value, &revision); err != nil {
-		return errors.Trace(err)
-	}
-	if revision.Number != item.Major {
-		return errors.Errorf("revision %d is offered as %d", revision.Number, item.Major)
-	}
-	set, err := settings.ParseFiles(revision.Files)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	v.Revision = revision.Number
-	v.Settings = set
-	return nil
-}
-
 func (v *View) applyDirect(item Item) error {
 	var order Order
 	if err := json.Unmarshal(item.Value, &order); err != nil {
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -103,11 +103,23 @@
 		return err
 	}
 	m.offer(stateItems(reply.Newer))
-	if len(reply.Wanted) > 0 {
-		items := bounded(m.config.State.Items(reply.Wanted))
-		m.noteSent("items", items)
-		push := peer.ExchangePush{Items: frameItems(items)}
-		return s.Send(&push)
+	items := bounded(m.config.State.Items(reply.Wanted))
+	m.noteSent("items", items)
+	push := peer.ExchangePush{Items: frameItems(items), Wanted: m.wantedParts()}
+	for len(push.Items)+len(push.Parts)+len(push.Wanted) > 0 {
+		if err := s.Send(&push); err != nil {
+			return err
+		}
+		var answer peer.ExchangeParts
+		if err := s.Receive(&answer); err != nil {
+			return err
+		}
+		m.takeParts(answer.Parts)
+		m.answeredParts(push.Wanted)
+		push = peer.ExchangePush{Parts: m.partsFor(answer.Wanted)}
+		if len(answer.Parts) > 0 {
+			push.Wanted = m.wantedParts()
+		}
 	}
 	return nil
 }
@@ -132,15 +144,27 @@
 	if err := s.Send(&peer.ExchangeReply{Newer: frameItems(newer), Wanted: wanted}); err != nil {
 		return err
 	}
-	if len(wanted) == 0 {
-		return nil
-	}
-	var push peer.ExchangePush
-	if err := s.Receive(&push); err != nil {
-		return err
+	var asked []string
+	for {
+		var push peer.ExchangePush
+		if err := s.Receive(&push); err != nil {
+			if err == io.EOF {
+				return nil
+			}
+			return err
+		}
+		m.offer(stateItems(push.Items))
+		m.takeParts(push.Parts)
+		m.answeredParts(asked)
+		answer := peer.ExchangeParts{Parts: m.partsFor(push.Wanted)}
+		if len(push.Items)+len(push.Parts) > 0 {
+			answer.Wanted = m.wantedParts()
+		}
+		asked = answer.Wanted
+		if err := s.Send(&answer); err != nil {
+			return err
+		}
 	}
-	m.offer(stateItems(push.Items))
-	return nil
 }
 
 // itemBytes is what an item takes in a frame besides its name and value.
@@ -155,10 +179,16 @@
 }
 
 // offer hands items to the state. One that does not parse is dropped, so that
-// a faulty process cannot replace the last good state.
+// a faulty process cannot replace the last good state. Settings are parsed apart
+// from the exchange, which passes them on meanwhile.
 func (m *Member) offer(items []control.Item) {
 	for _, item := range items {
-		if _, err := m.config.State.Offer(item); err != nil {
+		take := m.config.State.Offer
+		if item.Name == control.ItemSettings {
+			take = m.config.State.TakeSettings
+			defer signal(m.wakeSettle)
+		}
+		if _, err := take(item); err != nil {
 			m.config.Log.Warn("control state refused", "item", item.Name, "error", err)
 		}
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -34,8 +34,14 @@
 	node    atomic.Pointer[peer.Node]
 	contact contact
 
-	// wakePush is signalled after changes of the state.
-	wakePush chan struct{}
+	// wakePush is signalled after changes of the state, wakeSettle when a revision
+	// or a part of one was received.
+	wakePush, wakeSettle chan struct{}
+
+	// asked holds when parts were last asked of other processes, on the boot
+	// clock.
+	asked   map[string]time.Duration
+	askedMu sync.Mutex
 
 	// mu guards what follows and the fields of all memberships.
 	mu      sync.Mutex
@@ -58,11 +64,13 @@
 		config.Timing = DefaultTiming()
 	}
 	m := &Member{
-		config:    config,
-		ready:     make(chan struct{}),
-		wakePush:  make(chan struct{}, 1),
-		adoptions: make(map[string]*membership),
-		renewals:  make(map[string]renewal),
+		config:     config,
+		ready:      make(chan struct{}),
+		wakePush:   make(chan struct{}, 1),
+		wakeSettle: make(chan struct{}, 1),
+		asked:      make(map[string]time.Duration),
+		adoptions:  make(map[string]*membership),
+		renewals:   make(map[string]renewal),
 	}
 	m.home = newMembership(m, config.Self.FailureDomain)
 	metrics, err := newMetrics(config.Registry, m)
@@ -99,6 +107,7 @@
 	loop(t.Heartbeat, nil, m.home.sendHeartbeat)
 	loop(t.Exchange, nil, m.exchangeWithOne)
 	loop(t.WatchCheck, m.wakePush, m.pushChange)
+	loop(t.WatchCheck, m.wakeSettle, func(context.Context) { m.settle() })
 	loop(t.Renewal, nil, m.establish)
 	if m.isBroker() {
 		m.follow = func(seat *membership) {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -152,8 +153,14 @@
 	for i, id := range testSearchers {
 		text += fmt.Sprintf("  - {id: %s, address: 127.0.0.1:%d, failure_domain: x}\n", id, 9101+i)
 	}
-	value, err := json.Marshal(settings.Revision{Number: number, Files: []settings.File{{Path: "desk.yaml", Text: text}}})
+	part, err := settings.Pack(text)
 	c.Assert(err, qt.IsNil)
+	value, err := json.Marshal(settings.Revision{Number: number, Files: []settings.File{{Path: "desk.yaml", Digest: part.Digest}}})
+	c.Assert(err, qt.IsNil)
+	if number == 1 {
+		_, err = s.Create(context.Background(), settings.PartName(part.Digest), part.Packed)
+		c.Assert(err, qt.IsNil)
+	}
 	_, err = s.Create(context.Background(), RevisionName(number), value)
 	c.Assert(err, qt.IsNil)
 }
@@ -448,6 +455,30 @@
 	c.eventually("settings from a peer", func() bool { return informed.Reason() == nil })
 }
 
+// TestSettingsBeyondOneFrame guards against parts that never arrive because they
+// do not fit into one frame together.
+func TestSettingsBeyondOneFrame(t *testing.T) {
+	c := newCluster(t)
+	var files []settings.File
+	noise := make([]byte, settings.MaxPartBytes/2)
+	for i := range 4 {
+		_, _ = rand.NewChaCha8([32]byte{byte(i)}).Read(noise)
+		part, err := settings.Pack(fmt.Sprintf("# %x\nservice: s%d\nkind: booking\ndeadline: 1s\nlimits: {slots: 3, connections: 9}\nsearchers: [{id: u%d, address: 127.0.0.1:%d, failure_domain: x}]\n", noise, i, i, 9101+i))
+		c.Assert(err, qt.IsNil)
+		files = append(files, settings.File{Path: fmt.Sprint(i), Digest: part.Digest})
+		_, err = c.store.Create(context.Background(), settings.PartName(part.Digest), part.Packed)
+		c.Assert(err, qt.IsNil)
+	}
+	value, err := settings.Revision{Number: 1, Files: files}.Encode()
+	c.Assert(err, qt.IsNil)
+	_, err = c.store.Create(context.Background(), RevisionName(1), value)
+	c.Assert(err, qt.IsNil)
+	c.brokers("a")
+	c.store.set(func(s *store) { s.away = true })
+	e := c.start("e", "x", control.RoleEntry)
+	c.eventually("all parts from a peer", func() bool { return e.state.View().Revision == 1 })
+}
+
 // TestLeave guards against searchers that wait for a lease to end although
 // their owner left by plan.
 func TestLeave(t *testing.T) {
--- a/member/metrics.go
+++ b/member/metrics.go
@@ -28,7 +28,7 @@
 	}
 	result := &metrics{
 		exchanges: vector("exchanges_total", "Exchanges of control state that this process started.", "outcome"),
-		exchanged: vector("exchange_sent_bytes_total", "Bytes of control state sent in exchanges, apart from framing: summaries, and items with their values.", "content"),
+		exchanged: vector("exchange_sent_bytes_total", "Bytes of control state sent in exchanges, apart from framing: summaries, items with their values, and parts of settings.", "content"),
 		writes:    vector("record_writes_total", "Writes of the failure domain's record.", "outcome"),
 		platform:  vector("platform_calls_total", "Calls to the platform.", "call", "outcome"),
 		suspected: counter("suspicions_total", "Processes that this coordinator began to suspect."),
--- a/member/platform.go
+++ b/member/platform.go
@@ -145,10 +145,12 @@
 		item.Name, item.Major = control.PrefixDomain+strings.TrimPrefix(object.Name, prefixDomains), record.Epoch
 		return item, err
 	case strings.HasPrefix(object.Name, prefixRevisions):
-		var revision settings.Revision
-		err := json.Unmarshal(object.Value, &revision)
+		revision, err := settings.DecodeRevision(object.Value)
+		if err != nil {
+			return item, err
+		}
 		item.Name, item.Major, item.Minor = control.ItemSettings, revision.Number, 0
-		return item, err
+		return item, nil
 	case strings.HasPrefix(object.Name, prefixOrders):
 		var order control.RecordedOrder
 		err := json.Unmarshal(object.Value, &order)
@@ -203,6 +205,9 @@
 		}
 		m.offerObject(full)
 	}
+	if prefix == prefixRevisions {
+		return newest, m.readParts(ctx)
+	}
 	return newest, nil
 }
 
@@ -241,9 +246,9 @@
 			after, current = max(after, newest), err == nil
 			return
 		}
-		ctx, cancel := context.WithTimeout(ctx, m.config.Timing.WatchCheck)
-		objects, err := m.config.Store.Watch(ctx, prefix, after)
-		silent := ctx.Err() != nil
+		watch, cancel := context.WithTimeout(ctx, m.config.Timing.WatchCheck)
+		objects, err := m.config.Store.Watch(watch, prefix, after)
+		silent := watch.Err() != nil
 		cancel()
 		if err != nil || len(objects) == 0 {
 			if err != nil && !silent {
@@ -257,5 +262,8 @@
 			after = max(after, object.Version)
 			m.offerObject(object)
 		}
+		if prefix == prefixRevisions && m.readParts(ctx) != nil {
+			current = false
+		}
 	}
 }
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -236,7 +236,24 @@
 	Wanted []string `msg:"w"`
 }
 
-// ExchangePush carries the items that an ExchangeReply asked for.
+// ExchangePush carries the items that an ExchangeReply asked for, or the parts
+// of settings that an ExchangeParts asked for, and asks for parts by digest. The
+// sender ends the exchange when it has none of these to send.
 type ExchangePush struct {
-	Items []Item `msg:"i"`
+	Items  []Item         `msg:"i"`
+	Parts  []SettingsPart `msg:"p"`
+	Wanted []string       `msg:"w"`
+}
+
+// ExchangeParts answers an ExchangePush with the parts that it asked for, as far
+// as the sender holds them, and asks for those of a revision that it received.
+type ExchangeParts struct {
+	Parts  []SettingsPart `msg:"p"`
+	Wanted []string       `msg:"w"`
+}
+
+// SettingsPart is the packed content of a service settings file.
+type SettingsPart struct {
+	Digest string `msg:"d"`
+	Packed []byte `msg:"c"`
 }
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -1655,6 +1655,293 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ExchangeParts) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0002) {
+				z.Parts = (z.Parts)[:zb0002]
+			} else {
+				z.Parts = make([]SettingsPart, zb0002)
+			}
+			for za0001 := range z.Parts {
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Parts", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "d":
+						z.Parts[za0001].Digest, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001, "Digest")
+							return
+						}
+					case "c":
+						z.Parts[za0001].Packed, err = dc.ReadBytes(z.Parts[za0001].Packed)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001, "Packed")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "w":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Wanted")
+				return
+			}
+			if cap(z.Wanted) >= int(zb0004) {
+				z.Wanted = (z.Wanted)[:zb0004]
+			} else {
+				z.Wanted = make([]string, zb0004)
+			}
+			for za0002 := range z.Wanted {
+				z.Wanted[za0002], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Wanted", za0002)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ExchangeParts) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "p"
+	err = en.Append(0x82, 0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Parts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	for za0001 := range z.Parts {
+		// map header, size 2
+		// write "d"
+		err = en.Append(0x82, 0xa1, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Parts[za0001].Digest)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "Digest")
+			return
+		}
+		// write "c"
+		err = en.Append(0xa1, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Parts[za0001].Packed)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0001, "Packed")
+			return
+		}
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Wanted)))
+	if err != nil {
+		err = msgp.WrapError(err, "Wanted")
+		return
+	}
+	for za0002 := range z.Wanted {
+		err = en.WriteString(z.Wanted[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "Wanted", za0002)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ExchangeParts) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "p"
+	o = append(o, 0x82, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		// map header, size 2
+		// string "d"
+		o = append(o, 0x82, 0xa1, 0x64)
+		o = msgp.AppendString(o, z.Parts[za0001].Digest)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendBytes(o, z.Parts[za0001].Packed)
+	}
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Wanted)))
+	for za0002 := range z.Wanted {
+		o = msgp.AppendString(o, z.Wanted[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ExchangeParts) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0002) {
+				z.Parts = (z.Parts)[:zb0002]
+			} else {
+				z.Parts = make([]SettingsPart, zb0002)
+			}
+			for za0001 := range z.Parts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Parts", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "d":
+						z.Parts[za0001].Digest, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001, "Digest")
+							return
+						}
+					case "c":
+						z.Parts[za0001].Packed, bts, err = msgp.ReadBytesBytes(bts, z.Parts[za0001].Packed)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001, "Packed")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "w":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Wanted")
+				return
+			}
+			if cap(z.Wanted) >= int(zb0004) {
+				z.Wanted = (z.Wanted)[:zb0004]
+			} else {
+				z.Wanted = make([]string, zb0004)
+			}
+			for za0002 := range z.Wanted {
+				z.Wanted[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Wanted", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ExchangeParts) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Parts {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Parts[za0001].Digest) + 2 + msgp.BytesPrefixSize + len(z.Parts[za0001].Packed)
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Wanted {
+		s += msgp.StringPrefixSize + len(z.Wanted[za0002])
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *ExchangePush) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -1692,6 +1979,73 @@
 					return
 				}
 			}
+		case "p":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0003) {
+				z.Parts = (z.Parts)[:zb0003]
+			} else {
+				z.Parts = make([]SettingsPart, zb0003)
+			}
+			for za0002 := range z.Parts {
+				var zb0004 uint32
+				zb0004, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0002)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Parts", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "d":
+						z.Parts[za0002].Digest, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0002, "Digest")
+							return
+						}
+					case "c":
+						z.Parts[za0002].Packed, err = dc.ReadBytes(z.Parts[za0002].Packed)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0002, "Packed")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "w":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Wanted")
+				return
+			}
+			if cap(z.Wanted) >= int(zb0005) {
+				z.Wanted = (z.Wanted)[:zb0005]
+			} else {
+				z.Wanted = make([]string, zb0005)
+			}
+			for za0003 := range z.Wanted {
+				z.Wanted[za0003], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Wanted", za0003)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1705,9 +2059,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ExchangePush) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
+	// map header, size 3
 	// write "i"
-	err = en.Append(0x81, 0xa1, 0x69)
+	err = en.Append(0x83, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -1723,15 +2077,65 @@
 			return
 		}
 	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Parts)))
+	if err != nil {
+		err = msgp.WrapError(err, "Parts")
+		return
+	}
+	for za0002 := range z.Parts {
+		// map header, size 2
+		// write "d"
+		err = en.Append(0x82, 0xa1, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Parts[za0002].Digest)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0002, "Digest")
+			return
+		}
+		// write "c"
+		err = en.Append(0xa1, 0x63)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Parts[za0002].Packed)
+		if err != nil {
+			err = msgp.WrapError(err, "Parts", za0002, "Packed")
+			return
+		}
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Wanted)))
+	if err != nil {
+		err = msgp.WrapError(err, "Wanted")
+		return
+	}
+	for za0003 := range z.Wanted {
+		err = en.WriteString(z.Wanted[za0003])
+		if err != nil {
+			err = msgp.WrapError(err, "Wanted", za0003)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ExchangePush) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 3
 	// string "i"
-	o = append(o, 0x81, 0xa1, 0x69)
+	o = append(o, 0x83, 0xa1, 0x69)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
 	for za0001 := range z.Items {
 		o, err = z.Items[za0001].MarshalMsg(o)
@@ -1740,6 +2144,24 @@
 			return
 		}
 	}
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0002 := range z.Parts {
+		// map header, size 2
+		// string "d"
+		o = append(o, 0x82, 0xa1, 0x64)
+		o = msgp.AppendString(o, z.Parts[za0002].Digest)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendBytes(o, z.Parts[za0002].Packed)
+	}
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Wanted)))
+	for za0003 := range z.Wanted {
+		o = msgp.AppendString(o, z.Wanted[za0003])
+	}
 	return
 }
 
@@ -1780,6 +2202,73 @@
 					return
 				}
 			}
+		case "p":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0003) {
+				z.Parts = (z.Parts)[:zb0003]
+			} else {
+				z.Parts = make([]SettingsPart, zb0003)
+			}
+			for za0002 := range z.Parts {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0002)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Parts", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "d":
+						z.Parts[za0002].Digest, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0002, "Digest")
+							return
+						}
+					case "c":
+						z.Parts[za0002].Packed, bts, err = msgp.ReadBytesBytes(bts, z.Parts[za0002].Packed)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0002, "Packed")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "w":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Wanted")
+				return
+			}
+			if cap(z.Wanted) >= int(zb0005) {
+				z.Wanted = (z.Wanted)[:zb0005]
+			} else {
+				z.Wanted = make([]string, zb0005)
+			}
+			for za0003 := range z.Wanted {
+				z.Wanted[za0003], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Wanted", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1798,6 +2287,14 @@
 	for za0001 := range z.Items {
 		s += z.Items[za0001].Msgsize()
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Parts {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Parts[za0002].Digest) + 2 + msgp.BytesPrefixSize + len(z.Parts[za0002].Packed)
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Wanted {
+		s += msgp.StringPrefixSize + len(z.Wanted[za0003])
+	}
 	return
 }
 
@@ -4981,6 +5478,134 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *SettingsPart) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Digest, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "c":
+			z.Packed, err = dc.ReadBytes(z.Packed)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *SettingsPart) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "d"
+	err = en.Append(0x82, 0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Packed)
+	if err != nil {
+		err = msgp.WrapError(err, "Packed")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *SettingsPart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "d"
+	o = append(o, 0x82, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.Digest)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendBytes(o, z.Packed)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SettingsPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Digest, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "c":
+			z.Packed, bts, err = msgp.ReadBytesBytes(bts, z.Packed)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *SettingsPart) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Digest) + 2 + msgp.BytesPrefixSize + len(z.Packed)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Status) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/publish/diff.go
+++ b/publish/diff.go
@@ -24,8 +24,10 @@
 // settings without services. A revision whose files do not parse is compared
 // by its files only.
 func Compare(old, next *settings.Revision) []Change {
-	before, beforeErr := parse(old)
-	after, afterErr := parse(next)
+	// One parser parses a file that is the same in both only once.
+	var parser settings.Parser
+	before, beforeErr := parse(&parser, old)
+	after, afterErr := parse(&parser, next)
 	if beforeErr != nil || afterErr != nil {
 		return compareFiles(old, next)
 	}
@@ -36,16 +38,16 @@
 	return changes
 }
 
-func parse(r *settings.Revision) (*settings.Set, error) {
+func parse(parser *settings.Parser, r *settings.Revision) (*settings.Set, error) {
 	if r == nil {
 		return settings.NewSet(nil), nil
 	}
-	return settings.ParseFiles(r.Files)
+	return parser.Parse(r.Files, func(f settings.File) (string, error) { return f.Text, nil })
 }
 
 // compareFiles reports files that differ in their text.
 func compareFiles(old, next *settings.Revision) []Change {
-	before, after := fileTexts(old), fileTexts(next)
+	before, after := filesOf(old), filesOf(next)
 	var changes []Change
 	for _, path := range sortedKeys(before, after) {
 		b, inBefore := before[path]
@@ -55,21 +57,21 @@
 			changes = append(changes, Change{Text: fmt.Sprintf("File %s is added.", path)})
 		case !inAfter:
 			changes = append(changes, Change{Text: fmt.Sprintf("File %s is removed.", path)})
-		case a != b:
+		case !a.Same(b):
 			changes = append(changes, Change{Text: fmt.Sprintf("File %s changes in its text; no value that the services use is known to change.", path)})
 		}
 	}
 	return changes
 }
 
-func fileTexts(r *settings.Revision) map[string]string {
-	texts := make(map[string]string)
+func filesOf(r *settings.Revision) map[string]settings.File {
+	files := make(map[string]settings.File)
 	if r != nil {
 		for _, f := range r.Files {
-			texts[f.Path] = f.Text
+			files[f.Path] = f
 		}
 	}
-	return texts
+	return files
 }
 
 // CompareSets returns the changes of values between two sets of settings.
@@ -83,6 +85,7 @@
 			d.say("Service %s is added: a %s with %s, deadline %s.", name, a.Kind, upstreams(a), a.Deadline)
 		case a == nil:
 			d.say("Service %s is removed with its %s; callers get code 1003.", name, upstreams(b))
+		case a == b:
 		default:
 			d.compare(b, a)
 		}
--- a/publish/history.go
+++ b/publish/history.go
@@ -44,8 +44,18 @@
 	return numbers, nil
 }
 
-// Get returns one revision. It fails with result.NoRevision if there is none.
+// Get returns one revision with its files. It fails with result.NoRevision if
+// there is none.
 func (h History) Get(ctx context.Context, number uint64) (*settings.Revision, error) {
+	r, err := h.get(ctx, number)
+	if err != nil {
+		return nil, err
+	}
+	return r, h.load(ctx, r, nil)
+}
+
+// get returns one revision without the texts of its files.
+func (h History) get(ctx context.Context, number uint64) (*settings.Revision, error) {
 	object, err := h.Store.Get(ctx, ObjectName(number))
 	if errors.Is(err, platform.ErrNotFound) {
 		return nil, result.NotRun(result.NoRevision, "revision %d", number)
@@ -63,21 +73,30 @@
 	return r, nil
 }
 
-// Head returns the newest revision, or nil if none was published.
+// Head returns the newest revision with its files, or nil if none was published.
 func (h History) Head(ctx context.Context) (*settings.Revision, error) {
+	r, err := h.head(ctx)
+	if err != nil || r == nil {
+		return nil, err
+	}
+	return r, h.load(ctx, r, nil)
+}
+
+func (h History) head(ctx context.Context) (*settings.Revision, error) {
 	numbers, err := h.Numbers(ctx)
 	if err != nil || len(numbers) == 0 {
 		return nil, err
 	}
 	number := numbers[len(numbers)-1]
-	r, err := h.Get(ctx, number)
+	r, err := h.get(ctx, number)
 	if err != nil && result.From(err).Code == result.NoRevision {
 		return nil, errors.Errorf("revision %d is listed but not readable yet, try again", number)
 	}
 	return r, err
 }
 
-// Last returns at most limit revisions, newest first.
+// Last returns at most limit revisions without the texts of their files, newest
+// first.
 func (h History) Last(ctx context.Context, limit int) ([]*settings.Revision, error) {
 	numbers, err := h.Numbers(ctx)
 	if err != nil {
@@ -85,7 +104,7 @@
 	}
 	var all []*settings.Revision
 	for i := len(numbers) - 1; i >= 0 && len(all) < limit; i-- {
-		r, err := h.Get(ctx, numbers[i])
+		r, err := h.get(ctx, numbers[i])
 		if err != nil {
 			return nil, err
 		}
@@ -110,8 +129,9 @@
 	Faults    []string `json:"faults"`
 }
 
-// Verify reads all revisions and checks that the numbers leave no gap and that
-// each revision names its parent's digest. Digest is that of the newest one.
+// Verify reads all revisions and checks that the numbers leave no gap, that each
+// revision names its parent's digest, and that the parts of all are stored and
+// have their digests. Digest is that of the newest revision.
 func (h History) Verify(ctx context.Context) (Verification, error) {
 	v := Verification{Faults: []string{}}
 	numbers, err := h.Numbers(ctx)
@@ -120,13 +140,14 @@
 	}
 	// After a gap the parent's digest is not known and cannot be compared.
 	want, parent, known := uint64(1), "", true
+	checked := make(map[string]bool)
 	for _, n := range numbers {
 		if n != want {
 			v.Faults = append(v.Faults, fmt.Sprintf("revisions %d to %d are missing", want, n-1))
 			known = false
 		}
 		want = n + 1
-		r, err := h.Get(ctx, n)
+		r, err := h.get(ctx, n)
 		if err != nil && !isDamage(err) {
 			return v, err
 		}
@@ -143,6 +164,11 @@
 		}
 		known = true
 		v.Revisions++
+		faults, err := h.verifyParts(ctx, r, checked)
+		if err != nil {
+			return v, err
+		}
+		v.Faults = append(v.Faults, faults...)
 	}
 	v.Digest = parent
 	return v, nil
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -90,7 +90,11 @@
 	if _, err := settings.ParseFiles(q.Files); err != nil {
 		return Outcome{}, err
 	}
-	head, err := p.history.Head(ctx)
+	parts, err := pack(q.Files)
+	if err != nil {
+		return Outcome{}, err
+	}
+	head, err := p.history.head(ctx)
 	if err != nil {
 		return Outcome{}, err
 	}
@@ -104,6 +108,9 @@
 	if err != nil {
 		return Outcome{}, err
 	}
+	if err := p.history.store(ctx, parts); err != nil {
+		return Outcome{}, err
+	}
 	if head != nil && sameFiles(head.Files, next.Files) {
 		return Outcome{}, ErrNothingToDo
 	}
@@ -141,7 +148,7 @@
 			return nil, nil
 		}
 		var err error
-		if r, err = p.history.Get(ctx, r.Number-1); err != nil {
+		if r, err = p.history.get(ctx, r.Number-1); err != nil {
 			return nil, err
 		}
 	}
@@ -154,14 +161,17 @@
 	if done == nil {
 		return Outcome{}
 	}
+	if err := p.history.load(ctx, done, nil); err != nil {
+		return Outcome{Revision: done, Repeated: true}
+	}
 	var parent *settings.Revision
 	if done.Number > 1 {
 		var err error
-		if parent, err = p.history.Get(ctx, done.Number-1); err != nil {
+		if parent, err = p.history.get(ctx, done.Number-1); err != nil {
 			return Outcome{Revision: done, Repeated: true}
 		}
 	}
-	return Outcome{Revision: done, Changes: Compare(parent, done), Repeated: true}
+	return Outcome{Revision: done, Changes: p.compare(ctx, parent, done), Repeated: true}
 }
 
 func (p *Publisher) next(head *settings.Revision, q Request) (*settings.Revision, error) {
@@ -169,6 +179,9 @@
 		Number: 1, Author: q.Author, Reason: q.Reason, ChangeID: q.ChangeID,
 		Time: p.clock.Now().UTC().Truncate(time.Microsecond), Files: sortedFiles(q.Files),
 	}
+	for i, f := range next.Files {
+		next.Files[i].Digest = settings.DigestOf(f.Text)
+	}
 	if head != nil {
 		digest, err := head.Digest()
 		if err != nil {
@@ -184,10 +197,10 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	if len(value) > platform.MaxValueBytes {
-		return Outcome{}, errors.Errorf("revision has %d bytes, the platform takes %d", len(value), platform.MaxValueBytes)
+	if len(value) > settings.MaxPartBytes {
+		return Outcome{}, errors.Errorf("revision has %d bytes, at most %d are allowed: there are too many files", len(value), settings.MaxPartBytes)
 	}
-	outcome := Outcome{Revision: next, Changes: Compare(head, next)}
+	outcome := Outcome{Revision: next, Changes: p.compare(ctx, head, next)}
 	_, err = p.history.Store.Create(ctx, ObjectName(next.Number), value)
 	switch {
 	case err == nil:
@@ -217,13 +230,14 @@
 				break
 			}
 		}
-		there, err := p.history.Get(ctx, number)
+		there, err := p.history.get(ctx, number)
 		if err == nil && there.ChangeID == outcome.Revision.ChangeID {
+			there.Files = outcome.Revision.Files
 			outcome.Revision = there
 			return outcome, nil
 		}
 		if err == nil {
-			return Outcome{}, &RaceError{Winner: there, Changes: Compare(head, there)}
+			return Outcome{}, p.race(ctx, head, there)
 		}
 		if result.From(err).Code == result.NoRevision && !errors.Is(cause, platform.ErrConflict) {
 			if _, cause = p.history.Store.Create(ctx, ObjectName(number), value); cause == nil {
@@ -247,14 +261,31 @@
 
 // lost reports that the reviewed revision is not the newest one.
 func (p *Publisher) lost(ctx context.Context, base uint64, head *settings.Revision) error {
-	reviewed, err := p.history.Get(ctx, base)
+	reviewed, err := p.history.get(ctx, base)
 	if err != nil {
 		return err
 	}
 	if head == nil || head.Number < base {
 		return errors.Errorf("revision %d is not visible yet, try again", base)
 	}
-	return &RaceError{Winner: head, Changes: Compare(reviewed, head)}
+	return p.race(ctx, reviewed, head)
+}
+
+// race reports the winner with its changes against the revision that the loser
+// started from.
+func (p *Publisher) race(ctx context.Context, from, winner *settings.Revision) error {
+	// A winner that cannot be read is named all the same, with changes by files.
+	_ = p.history.load(ctx, winner, nil)
+	return &RaceError{Winner: winner, Changes: p.compare(ctx, from, winner)}
+}
+
+// compare returns the changes from old, whose files it reads as far as they
+// differ. If they cannot be read, the comparison is by files only.
+func (p *Publisher) compare(ctx context.Context, old, next *settings.Revision) []Change {
+	if old != nil {
+		_ = p.history.load(ctx, old, next.Files)
+	}
+	return Compare(old, next)
 }
 
 // Rollback publishes the files of an older revision as a new one.
@@ -274,5 +305,5 @@
 }
 
 func sameFiles(a, b []settings.File) bool {
-	return slices.Equal(sortedFiles(a), sortedFiles(b))
+	return slices.EqualFunc(sortedFiles(a), sortedFiles(b), settings.File.Same)
 }
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/hex"
+	"math/rand/v2"
 	"strings"
 	"testing"
 
@@ -90,7 +92,7 @@
 	qt.Assert(t, race.Winner.Author, qt.Equals, "ivo")
 	qt.Assert(t, race.Changes, qt.DeepEquals, []Change{{"book", "In book, the number of slots of each searcher rises from 3 to 4."}})
 	qt.Assert(t, err, qt.ErrorMatches, `4002 .* revision 2 by ivo, reason "because ivo said so"`)
-	qt.Assert(t, s.objects, qt.HasLen, 2)
+	qt.Assert(t, s.names(prefix), qt.HasLen, 2)
 }
 
 // TestBase guards against a publish that reverts what others published after
@@ -117,7 +119,7 @@
 	s.after = func(string) error { return errLost }
 	o := mustPublish(t, s, files())
 	qt.Assert(t, o.Revision.Number, qt.Equals, uint64(1))
-	qt.Assert(t, s.objects, qt.HasLen, 1)
+	qt.Assert(t, s.names(prefix), qt.HasLen, 1)
 }
 
 // TestLostRequest guards against a publish that is given up although the write
@@ -126,7 +128,7 @@
 	s := newStore()
 	s.before = func(string) error { s.before = nil; return errLost }
 	mustPublish(t, s, files())
-	qt.Assert(t, s.objects, qt.HasLen, 1)
+	qt.Assert(t, s.names(prefix), qt.HasLen, 1)
 }
 
 // TestUnknownOutcomeRepeated guards against a second revision when a publish of
@@ -150,7 +152,7 @@
 		qt.Assert(t, o.Repeated, qt.IsTrue)
 		qt.Assert(t, o.Revision.Number, qt.Equals, uint64(2))
 	}
-	qt.Assert(t, s.objects, qt.HasLen, 3)
+	qt.Assert(t, s.names(prefix), qt.HasLen, 3)
 }
 
 // TestLaggingList guards against a second revision of one publish when a
@@ -165,7 +167,7 @@
 	o, err := publish(t, s, q)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, o.Revision.Number, qt.Equals, uint64(2))
-	qt.Assert(t, s.objects, qt.HasLen, 2)
+	qt.Assert(t, s.names(prefix), qt.HasLen, 2)
 }
 
 // TestUnavailable guards against an unknown outcome being reported for a write
@@ -178,7 +180,49 @@
 	qt.Assert(t, errors.Is(err, ErrUnknown), qt.IsFalse)
 }
 
-// TestVerify guards against a changed or missing revision that goes unnoticed.
+// TestPartsFirst guards against a revision that lists content that is not
+// stored, or is damaged, whatever happens to the write of a part.
+func TestPartsFirst(t *testing.T) {
+	part := settings.PartName(settings.DigestOf(bookText))
+	for name, c := range map[string]struct {
+		fault func(s *fakeStore)
+		want  string
+	}{
+		"reply lost":    {func(s *fakeStore) { s.after = func(string) error { return errLost } }, ""},
+		"request lost":  {func(s *fakeStore) { s.before = func(string) error { s.before = nil; return errLost } }, ""},
+		"stored before": {func(s *fakeStore) { mustPublish(t, s, files()); delete(s.objects, ObjectName(1)) }, ""},
+		"never stored":  {func(s *fakeStore) { s.before = func(string) error { return errLost } }, ".*reply was lost"},
+		"away":          {func(s *fakeStore) { s.before = func(string) error { return platform.ErrUnavailable } }, ".*not reachable"},
+		"damaged":       {func(s *fakeStore) { s.objects[part] = []byte("x") }, ".*part .*"},
+	} {
+		s := newStore()
+		s.faulty = "parts/"
+		c.fault(s)
+		_, err := publish(t, s, request(t, "ana", files()))
+		if c.want != "" {
+			qt.Check(t, err, qt.ErrorMatches, c.want, qt.Commentf(name))
+			qt.Check(t, s.names(prefix), qt.HasLen, 0, qt.Commentf(name))
+			continue
+		}
+		qt.Assert(t, err, qt.IsNil, qt.Commentf(name))
+		r, err := History{s}.Get(context.Background(), 1)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf(name))
+		qt.Check(t, r.Files[0].Text, qt.Equals, bookText)
+	}
+}
+
+// TestPartTooLarge guards against a service that no process could receive.
+func TestPartTooLarge(t *testing.T) {
+	s := newStore()
+	noise := make([]byte, settings.MaxPartBytes)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(noise)
+	_, err := publish(t, s, request(t, "ana", files("kind:", "# "+hex.EncodeToString(noise)+"\nkind:")))
+	qt.Assert(t, err, qt.ErrorMatches, `book.yaml has \d+ bytes when compressed, at most 1044480 are allowed.*`)
+	qt.Assert(t, s.objects, qt.HasLen, 0)
+}
+
+// TestVerify guards against a changed or missing revision or part that goes
+// unnoticed.
 func TestVerify(t *testing.T) {
 	s := newStore()
 	for _, deadline := range []string{"1s", "2s", "3s", "4s"} {
@@ -198,6 +242,17 @@
 	_, err = History{s}.Verify(context.Background())
 	qt.Assert(t, errors.Is(err, errLost), qt.IsTrue)
 	s.get = nil
+	s.objects[ObjectName(2)] = original
+	part := settings.PartName(settings.DigestOf(strings.Replace(bookText, "1s", "3s", 1)))
+	content := s.objects[part]
+	for _, damaged := range [][]byte{nil, s.objects[settings.PartName(settings.DigestOf(bookText))]} {
+		s.objects[part] = damaged
+		v, err = History{s}.Verify(context.Background())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, v.Faults, qt.HasLen, 1)
+		qt.Assert(t, v.Faults[0], qt.Contains, "revision 3: the content of file book.yaml is not readable")
+	}
+	s.objects[part] = content
 	delete(s.objects, ObjectName(2))
 	v, err = History{s}.Verify(context.Background())
 	qt.Assert(t, err, qt.IsNil)
--- a/publish/store_test.go
+++ b/publish/store_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -12,8 +14,9 @@
 
 var errLost = errors.New("reply was lost")
 
-// fakeStore keeps objects in memory. The hooks run before and after a Create
-// takes effect; an error of either is what the caller sees.
+// fakeStore keeps objects in memory. The hooks run before and after a Create of
+// an object whose name starts with faulty takes effect; an error of either is
+// what the caller sees.
 type fakeStore struct {
 	platform.Store
 	mu            sync.Mutex
@@ -21,26 +24,32 @@
 	version       uint64
 	before, after func(name string) error
 	get           func(name string) error
+	faulty        string
 	hidden        string // name that List does not show
 }
 
-func newStore() *fakeStore { return &fakeStore{objects: make(map[string][]byte)} }
+func newStore() *fakeStore { return &fakeStore{objects: make(map[string][]byte), faulty: prefix} }
 
-func call(hook func(string) error, name string) error {
-	if hook == nil {
+func (s *fakeStore) call(hook func(string) error, name string) error {
+	if hook == nil || !strings.HasPrefix(name, s.faulty) {
 		return nil
 	}
 	return hook(name)
 }
 
+// names returns the names of the objects with the prefix.
+func (s *fakeStore) names(prefix string) []string {
+	return slices.DeleteFunc(slices.Collect(maps.Keys(s.objects)), func(name string) bool { return !strings.HasPrefix(name, prefix) })
+}
+
 func (s *fakeStore) Create(_ context.Context, name string, value []byte) (uint64, error) {
-	if err := call(s.before, name); err != nil {
+	if err := s.call(s.before, name); err != nil {
 		return 0, err
 	}
 	if err := s.put(name, value); err != nil {
 		return 0, err
 	}
-	return s.version, call(s.after, name)
+	return s.version, s.call(s.after, name)
 }
 
 func (s *fakeStore) put(name string, value []byte) error {
@@ -55,7 +64,7 @@
 }
 
 func (s *fakeStore) Get(_ context.Context, name string) (platform.Object, error) {
-	if err := call(s.get, name); err != nil {
+	if err := s.call(s.get, name); err != nil {
 		return platform.Object{}, err
 	}
 	s.mu.Lock()
--- a/settings/parse_test.go
+++ b/settings/parse_test.go
@@ -125,15 +125,21 @@
 // TestAllFaultsAtOnce guards against a report that ends at the first fault.
 func TestAllFaultsAtOnce(t *testing.T) {
 	bad := strings.NewReplacer("110ms", "110", "slots: 3", "slots: 0", "0.9", "2").Replace(deskText)
-	_, err := ParseFiles([]File{{"a.yaml", bad}, {"b.yaml", strings.Replace(bookText, "1s", "1", 1)}})
+	_, err := ParseFiles([]File{{Path: "a.yaml", Text: bad}, {Path: "b.yaml", Text: strings.Replace(bookText, "1s", "1", 1)}})
 	qt.Assert(t, problems(t, err), qt.HasLen, 4)
 }
 
 // TestSharedSearcher guards against two services whose owner would have to keep
-// two different limits for one searcher, or one limit under two identifiers.
+// two different limits for one searcher, or one limit under two identifiers, also
+// if only one of the services changed.
 func TestSharedSearcher(t *testing.T) {
 	share := strings.NewReplacer("id: b", "id: a", "9201", "9101").Replace(bookText)
-	_, err := ParseFiles([]File{{"a.yaml", deskText}, {"b.yaml", share}})
+	valid := []File{{Path: "a.yaml", Text: deskText}, {Path: "b.yaml", Text: share}}
+	_, err := ParseFiles(valid)
+	qt.Assert(t, err, qt.IsNil)
+	text := func(f File) (string, error) { return f.Text, nil }
+	var parser Parser
+	first, err := parser.Parse(valid, text)
 	qt.Assert(t, err, qt.IsNil)
 	for _, c := range []struct{ old, with, want string }{
 		{"slots: 3", "slots: 2", `b.yaml:6:10: searchers[0].id: "a" has other limits in a.yaml:11`},
@@ -141,10 +147,36 @@
 		{"id: a", "id: z", `b.yaml:6:10: searchers[0].id: "z" has the address of "a" in a.yaml:11`},
 		{"service: book", "service: desk", `b.yaml:1:10: service: "desk" is defined in a.yaml already`},
 	} {
-		_, err := ParseFiles([]File{{"a.yaml", deskText}, {"b.yaml", strings.Replace(share, c.old, c.with, 1)}})
+		files := []File{valid[0], {Path: "b.yaml", Text: strings.Replace(share, c.old, c.with, 1)}}
+		_, err := ParseFiles(files)
+		qt.Check(t, problems(t, err), qt.HasLen, 1)
+		qt.Check(t, problems(t, err)[0], qt.Contains, c.want)
+		_, err = parser.Parse(files, text)
 		qt.Check(t, problems(t, err), qt.HasLen, 1)
 		qt.Check(t, problems(t, err)[0], qt.Contains, c.want)
 	}
+	next, err := parser.Parse([]File{valid[0], {Path: "b.yaml", Text: strings.Replace(share, "1s", "2s", 1)}}, text)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, next.Services["desk"] == first.Services["desk"], qt.IsTrue, qt.Commentf("parsed again"))
+	qt.Check(t, next.Services["book"].Deadline, qt.Equals, 2*time.Second)
+}
+
+// TestPart guards against content that does not have the digest under which it
+// is listed, and against a digest that names an object elsewhere.
+func TestPart(t *testing.T) {
+	part, err := Pack(deskText)
+	qt.Assert(t, err, qt.IsNil)
+	text, err := part.Unpack()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, text, qt.Equals, deskText)
+	other, err := Pack(bookText)
+	qt.Assert(t, err, qt.IsNil)
+	for _, damaged := range [][]byte{nil, part.Packed[:len(part.Packed)-9], other.Packed} {
+		_, err = Part{Digest: part.Digest, Packed: damaged}.Unpack()
+		qt.Check(t, err, qt.IsNotNil)
+	}
+	_, err = DecodeRevision([]byte(`{"files":[{"path":"a.yaml","digest":"../orders/domain/split"}]}`))
+	qt.Assert(t, err, qt.ErrorMatches, `.* is not the digest of a file`)
 }
 
 // TestDamagedText guards against a panic, or a value out of bounds, on text
@@ -167,7 +199,7 @@
 // TestDigest guards against a digest that leaves part of the audit record out
 // or changes when the revision is stored.
 func TestDigest(t *testing.T) {
-	r := Revision{Number: 2, ParentDigest: "p", Author: "ana", Time: time.Now(), Reason: "r", ChangeID: "c", Files: []File{{"a", "b"}}}
+	r := Revision{Number: 2, ParentDigest: "p", Author: "ana", Time: time.Now(), Reason: "r", ChangeID: "c", Files: []File{{Path: "a", Text: "b"}, {Path: "c", Digest: DigestOf("d")}}}
 	digest, err := r.Digest()
 	qt.Assert(t, err, qt.IsNil)
 	value, err := r.Encode()
@@ -264,7 +296,7 @@
 		for _, p := range paths {
 			text, err := os.ReadFile(p)
 			qt.Assert(t, err, qt.IsNil)
-			files = append(files, File{p, string(text)})
+			files = append(files, File{Path: p, Text: string(text)})
 		}
 		set, err := ParseFiles(files)
 		qt.Assert(t, err, qt.IsNil)
--- a/settings/revision.go
+++ b/settings/revision.go
@@ -5,10 +5,25 @@
 	"time"
 )
 
-// File is one service settings file as it was reviewed.
+// File is one service settings file as it was reviewed. A stored revision holds
+// its Digest, under which the text is stored as a Part; revisions of earlier
+// versions hold the Text itself and no Digest.
 type File struct {
-	Path string `json:"path"`
-	Text string `json:"text"`
+	Path   string `json:"path"`
+	Digest string `json:"digest,omitempty"`
+	Text   string `json:"text,omitempty"`
+}
+
+func (f File) digest() string {
+	if f.Digest != "" {
+		return f.Digest
+	}
+	return DigestOf(f.Text)
+}
+
+// Same reports whether both files have the same path and text.
+func (f File) Same(other File) bool {
+	return f.Path == other.Path && f.digest() == other.digest()
 }
 
 // Revision is one published configuration and its audit record.
