Measure settings by the change of one service

Cause: job revision measured whole revisions only, and none that is pulled.

Change: it measures the first revision by searchers, and the change of one service of 1,440 searchers among 6, 22 and 66 services (95,040 searchers): bytes of the frames of a pull, and processor time until the revision can be passed on and until it is in force. Addresses are scattered, because regular ones compress better.

--- a/internal/capacity/exchange.go
+++ b/internal/capacity/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/wisteriawharf/wisteriawharf/member"
 	"github.com/wisteriawharf/wisteriawharf/peer"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
 // pair is two processes' control state, one of them served on a node.
@@ -60,8 +61,14 @@
 		p.frames += frameBytes(&request) + frameBytes(&reply)
 	}
 	for _, item := range reply.Newer {
-		must(p.client.Offer(control.Item(item)))
 		p.last = len(item.Value)
+		if item.Name == control.ItemSettings {
+			must(p.client.TakeSettings(control.Item(item)))
+			p.pullParts(s)
+			check(p.client.Settle())
+			continue
+		}
+		must(p.client.Offer(control.Item(item)))
 	}
 	check(s.CloseSend())
 	if err := s.Receive(&peer.ExchangeReply{}); err != io.EOF {
@@ -69,6 +76,23 @@
 	}
 }
 
+// pullParts asks for the parts that the client lacks, as member does.
+func (p *pair) pullParts(s *peer.Stream) {
+	for {
+		push := peer.ExchangePush{Wanted: p.client.MissingParts()}
+		if len(push.Wanted) == 0 {
+			return
+		}
+		var answer peer.ExchangeParts
+		check(s.Send(&push))
+		check(s.Receive(&answer))
+		p.frames += frameBytes(&push) + frameBytes(&answer)
+		for _, part := range answer.Parts {
+			check(p.client.TakePart(settings.Part(part)))
+		}
+	}
+}
+
 // digests measures exchanges of equal states.
 func (b *bench) digests() {
 	byDomain := &slope.Table{
--- a/internal/capacity/revision.go
+++ b/internal/capacity/revision.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"regexp"
 	"runtime"
 	"strings"
 	"time"
@@ -36,48 +37,115 @@
 	return files
 }
 
-// revisionItem returns a revision of the files as an item of control state.
-func revisionItem(files []settings.File, number uint64) control.Item {
-	value := must(settings.Revision{
-		Number: number, Author: "operator", Reason: "measurement", Time: time.Now(), ChangeID: processID(0), Files: files,
-	}.Encode())
-	return control.Item{Name: control.ItemSettings, Major: number, Value: value}
+// stored returns a revision of the files as an item of control state, and the
+// parts that hold the files.
+func stored(files []settings.File, number uint64) (control.Item, []settings.Part) {
+	r := settings.Revision{Number: number, Author: "operator", Reason: "measurement", Time: time.Now(), ChangeID: processID(0)}
+	var parts []settings.Part
+	for _, f := range files {
+		part := must(settings.Pack(f.Text))
+		parts = append(parts, part)
+		r.Files = append(r.Files, settings.File{Path: f.Path, Digest: part.Digest})
+	}
+	return control.Item{Name: control.ItemSettings, Major: number, Value: must(r.Encode())}, parts
 }
 
-// revisions measures a revision of the settings by its searchers, and by its
-// services at an equal number of searchers.
+// shardsOfDesign are the shards of a service at the design size, with three
+// searchers each.
+const shardsOfDesign = 480
+
+// revisions measures the first revision that a process takes by its searchers,
+// and the change of one service by the number of services.
 func (b *bench) revisions() {
-	columns := []string{"revision bytes", "ms/parse", "ms/apply", "memory bytes"}
-	bySearcher := &slope.Table{Title: "A settings revision in one process (1 service; apply = decode, parse and validate, index)", Size: "searcher", Columns: columns}
-	byService := &slope.Table{Title: "A settings revision in one process (1,500 searchers)", Size: "service", Columns: columns}
+	first := &slope.Table{
+		Title: "First revision in one process (1 service; apply = take, check digest, parse and validate, index)", Size: "searcher",
+		Columns: []string{"text bytes", "part bytes", "ms/parse", "ms/apply", "memory bytes"},
+	}
+	change := &slope.Table{
+		Title: fmt.Sprintf("Change of one service of %d searchers (pull = both ends; until passed on, apply = at one process)", 3*shardsOfDesign), Size: "service",
+		Columns: []string{"revision bytes", "frame bytes/pull", "ms/pull", "ms until passed on", "ms/apply", "memory bytes"},
+	}
 	for range repeats {
 		for _, shards := range []int{333, 1000, 2500} {
-			b.revision(bySearcher, 3*shards, 1, shards)
+			b.firstRevision(first, shards)
 		}
-		for _, services := range []int{1, 10, 50} {
-			b.revision(byService, services, services, 500/services)
+		for _, services := range []int{6, 22, 66} {
+			b.changedService(change, services)
 		}
 	}
-	show(bySearcher, byService)
+	show(first, change)
 }
 
-func (b *bench) revision(t *slope.Table, size, services, shards int) {
-	files := b.files(services, shards)
+func (b *bench) firstRevision(t *slope.Table, shards int) {
+	files := scattered(b.files(1, shards))
 	parse := microsOf(2, func(int) { must(settings.ParseFiles(files)) })
-	var items []control.Item
-	for number := range uint64(2) {
-		items = append(items, revisionItem(files, number+1))
-	}
-	state := control.NewState()
+	item, parts := stored(files, 1)
+	var state *control.State
 	before := heldBytes()
-	apply := microsOf(len(items), func(i int) { must(state.Offer(items[i])) })
-	// The state also keeps the encoded item, which was held before.
-	held := heldBytes() - before + float64(len(items[0].Value))
-	t.Add(float64(size), float64(len(items[0].Value)), parse/1000, apply/1000, held)
-	// The state is still held when its memory is read.
+	apply := microsOf(2, func(int) {
+		state = control.NewState()
+		take(state, item, parts)
+		check(state.Settle())
+	})
+	// The state also keeps the part, which was held before.
+	held := heldBytes() - before + float64(len(parts[0].Packed))
+	t.Add(float64(3*shards), float64(len(files[0].Text)), float64(len(parts[0].Packed)), parse/1000, apply/1000, held)
 	runtime.KeepAlive(state)
 }
 
+func take(state *control.State, item control.Item, parts []settings.Part) {
+	must(state.TakeSettings(item))
+	for _, part := range parts {
+		check(state.TakePart(part))
+	}
+}
+
+// changedService measures revisions that each change one value of one service.
+func (b *bench) changedService(t *slope.Table, services int) {
+	const changes = 4
+	files := scattered(b.files(services, shardsOfDesign))
+	p := b.newPair()
+	defer p.close()
+	item, parts := stored(files, 1)
+	take(p.server, item, parts)
+	check(p.server.Settle())
+	before := heldBytes()
+	p.exchange(0)
+	memory := heldBytes() - before
+	next := func(number int) (control.Item, []settings.Part) {
+		files[0].Text = strings.Replace(files[0].Text, "service: ", fmt.Sprintf("# change %d\nservice: ", number), 1)
+		item, all := stored(files, uint64(number))
+		return item, all[:1]
+	}
+	var passed, apply, pull, frames float64
+	for i := range changes {
+		item, parts := next(2 + i)
+		passed += microsOf(1, func(int) { take(p.server, item, parts) })
+		apply += microsOf(1, func(int) { check(p.server.Settle()) })
+		pull += microsOf(1, p.exchange)
+		frames = float64(p.frames)
+	}
+	perMs := 1000.0 * changes
+	t.Add(float64(services), float64(p.last), frames, pull/perMs, passed/perMs, (passed+apply)/perMs, memory)
+}
+
+// scattered gives each searcher an address far from those of its neighbours, as
+// regular addresses would compress better than those of a deployment.
+func scattered(files []settings.File) []settings.File {
+	number := uint32(0)
+	for i := range files {
+		files[i].Text = addresses.ReplaceAllStringFunc(files[i].Text, func(string) string {
+			number++
+			// An odd factor maps each number to another one.
+			n := number * 2654435761
+			return fmt.Sprintf("10.%d.%d.%d:%d", n>>24, n>>16&255, n>>8&255, 9000+n&255)
+		})
+	}
+	return files
+}
+
+var addresses = regexp.MustCompile(`127\.0\.\d+\.\d+:\d+`)
+
 // owners measures the look-up of all owners, which a broker does for each
 // searcher of the settings after every change of its control state.
 func (b *bench) owners() {
--- a/internal/capacity/searcher.go
+++ b/internal/capacity/searcher.go
@@ -42,9 +42,10 @@
 
 func (b *bench) ownSearchers(t *slope.Table, shards int) {
 	files := b.files(1, shards)
-	item := revisionItem(files, 1)
+	item, parts := stored(files, 1)
 	state := control.NewState()
-	offerAll(state, item)
+	take(state, item, parts)
+	check(state.Settle())
 	for _, name := range homes {
 		offerAll(state, itemOf(control.PrefixDomain+name, 1, 1, record(1)))
 	}
