List only the last revisions when starting and publishing

Cause: every start, every publish, log, and every check of a silent watch listed all revisions ever made.

Change: heads/revisions holds the number of a published revision. It is written after the first publish of every hundred, apart from the publish, and only says where to look: from there, or from the revision in force, names are listed a hundred at a time until none follow. If it is missing, damaged or names nothing, all are listed as before. log reads backwards from the newest revision.

Ruled out: a search for the last number that exists. A revision that is missing would make it find an older one, which a starting process would put in force.

Before, by the code and not measured: 54 B for every revision ever made. After: at most 100 rows, one empty list and one read. verify still lists all.

TestBoundedList fails without the ranges, without the note of the number, without the step to the next range, and without the step back; TestStartReadsLastRevisions fails without the ranges.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -40,10 +40,12 @@
 	// stale makes readings return the first version of each object.
 	stale  bool
 	writes map[string]int
+	// listed holds the rows that were listed by prefix.
+	listed map[string]int
 }
 
 func newStore() *store {
-	return &store{objects: make(map[string][]platform.Object), writes: make(map[string]int)}
+	return &store{objects: make(map[string][]platform.Object), writes: make(map[string]int), listed: make(map[string]int)}
 }
 
 func (s *store) set(change func(*store)) {
@@ -115,6 +117,7 @@
 	for name := range s.objects {
 		if o, ok := s.current(name); ok && strings.HasPrefix(name, prefix) {
 			found = append(found, platform.Object{Name: name, Version: o.Version})
+			s.listed[prefix]++
 		}
 	}
 	return found, nil
@@ -157,7 +160,7 @@
 	c.Assert(err, qt.IsNil)
 	value, err := json.Marshal(settings.Revision{Number: number, Files: []settings.File{{Path: "desk.yaml", Digest: part.Digest}}})
 	c.Assert(err, qt.IsNil)
-	if number == 1 {
+	if _, ok := s.objects[settings.PartName(part.Digest)]; !ok {
 		_, err = s.Create(context.Background(), settings.PartName(part.Digest), part.Packed)
 		c.Assert(err, qt.IsNil)
 	}
@@ -455,6 +458,22 @@
 	c.eventually("settings from a peer", func() bool { return informed.Reason() == nil })
 }
 
+// TestStartReadsLastRevisions guards against a process that lists all revisions
+// ever made when it starts or checks a watch.
+func TestStartReadsLastRevisions(t *testing.T) {
+	c := newCluster(t)
+	c.store.publish(c.C, 1)
+	c.store.publish(c.C, 199)
+	c.store.publish(c.C, 200)
+	_, err := c.store.Create(context.Background(), "heads/revisions", []byte("199"))
+	c.Assert(err, qt.IsNil)
+	a := c.brokers("a")[0]
+	c.eventually("newest revision", func() bool { return a.state.View().Revision == 200 })
+	_, err = a.read(context.Background(), prefixRevisions)
+	c.Assert(err, qt.IsNil)
+	c.store.set(func(s *store) { c.Assert(s.listed[prefixRevisions], qt.Equals, 0) })
+}
+
 // TestSettingsBeyondOneFrame guards against parts that never arrive because they
 // do not fit into one frame together.
 func TestSettingsBeyondOneFrame(t *testing.T) {
--- a/member/platform.go
+++ b/member/platform.go
@@ -13,6 +13,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/publish"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
@@ -184,7 +185,7 @@
 // state; of the settings only the newest revision. It returns the greatest
 // version listed.
 func (m *Member) read(ctx context.Context, prefix string) (uint64, error) {
-	objects, err := m.list(ctx, prefix)
+	objects, err := m.listNewer(ctx, prefix)
 	if err != nil {
 		return 0, err
 	}
@@ -211,6 +212,28 @@
 	return newest, nil
 }
 
+// listNewer lists the objects with the prefix; of the revisions only the last
+// ones.
+func (m *Member) listNewer(ctx context.Context, prefix string) ([]platform.Object, error) {
+	if prefix == prefixRevisions {
+		return publish.Newest(ctx, reader{m}, m.config.State.View().Revision)
+	}
+	return m.list(ctx, prefix)
+}
+
+// reader reads from the platform with the member's timeouts and counters.
+type reader struct{ member *Member }
+
+// Get returns the object.
+func (r reader) Get(ctx context.Context, name string) (platform.Object, error) {
+	return r.member.get(ctx, name)
+}
+
+// List returns the objects whose names start with prefix, without values.
+func (r reader) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	return r.member.list(ctx, prefix)
+}
+
 // newestRevision returns the object with the greatest name, as revision numbers
 // have a fixed width.
 func newestRevision(objects []platform.Object) []platform.Object {
--- a/publish/history.go
+++ b/publish/history.go
@@ -33,6 +33,11 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "list revisions")
 	}
+	return numbersOf(objects), nil
+}
+
+// numbersOf returns the numbers of revisions by their objects, rising.
+func numbersOf(objects []platform.Object) []uint64 {
 	numbers := make([]uint64, 0, len(objects))
 	for _, o := range objects {
 		n, err := strconv.ParseUint(strings.TrimPrefix(o.Name, prefix), 10, 64)
@@ -41,7 +46,7 @@
 		}
 	}
 	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
-	return numbers, nil
+	return numbers
 }
 
 // Get returns one revision with its files. It fails with result.NoRevision if
@@ -83,7 +88,8 @@
 }
 
 func (h History) head(ctx context.Context) (*settings.Revision, error) {
-	numbers, err := h.Numbers(ctx)
+	objects, err := Newest(ctx, h.Store, 0)
+	numbers := numbersOf(objects)
 	if err != nil || len(numbers) == 0 {
 		return nil, err
 	}
@@ -98,13 +104,19 @@
 // Last returns at most limit revisions without the texts of their files, newest
 // first.
 func (h History) Last(ctx context.Context, limit int) ([]*settings.Revision, error) {
-	numbers, err := h.Numbers(ctx)
-	if err != nil {
+	if limit <= 0 {
+		return nil, nil
+	}
+	head, err := h.head(ctx)
+	if err != nil || head == nil {
 		return nil, err
 	}
-	var all []*settings.Revision
-	for i := len(numbers) - 1; i >= 0 && len(all) < limit; i-- {
-		r, err := h.get(ctx, numbers[i])
+	all := []*settings.Revision{head}
+	for number := head.Number - 1; number > 0 && len(all) < limit; number-- {
+		r, err := h.get(ctx, number)
+		if err != nil && result.From(err).Code == result.NoRevision {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -116,7 +116,11 @@
 	if head != nil && sameFiles(head.Files, next.Files) {
 		return Outcome{}, ErrNothingToDo
 	}
-	return p.write(ctx, head, next)
+	outcome, err := p.write(ctx, head, next)
+	if err == nil {
+		p.history.raiseFloor(ctx, next.Number)
+	}
+	return outcome, err
 }
 
 func (q Request) validate() (time.Time, error) {
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -221,6 +222,38 @@
 	qt.Assert(t, s.objects, qt.HasLen, 0)
 }
 
+// TestBoundedList guards against a publish that lists all revisions ever made,
+// and against a newest one that is missed because the note of it is missing, old
+// or wrong.
+func TestBoundedList(t *testing.T) {
+	s := newStore()
+	const last = 3*rangeNumbers + 1
+	for i := range last {
+		mustPublish(t, s, files("1s", fmt.Sprintf("%dms", 100+i)))
+	}
+	qt.Assert(t, string(s.objects[floorName]), qt.Equals, fmt.Sprint(3*rangeNumbers))
+	for name, c := range map[string]struct {
+		floor  []byte
+		listed int
+	}{
+		"present": {[]byte("300"), 2}, "not listed yet": {[]byte("400"), 2}, "old": {[]byte("7"), last}, "wrong": {[]byte("900"), last},
+		"damaged": {[]byte("x"), last}, "missing": {nil, last},
+	} {
+		s.objects[floorName], s.listed = c.floor, 0
+		if c.floor == nil {
+			delete(s.objects, floorName)
+		}
+		head, err := History{s}.Head(context.Background())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, head.Number, qt.Equals, uint64(last), qt.Commentf(name))
+		qt.Check(t, s.listed, qt.Equals, c.listed, qt.Commentf(name))
+	}
+	all, err := History{s}.Last(context.Background(), 2)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, all, qt.HasLen, 2)
+	qt.Assert(t, all[1].Number, qt.Equals, uint64(last-1))
+}
+
 // TestVerify guards against a changed or missing revision or part that goes
 // unnoticed.
 func TestVerify(t *testing.T) {
--- a/publish/store_test.go
+++ b/publish/store_test.go
@@ -26,6 +26,7 @@
 	get           func(name string) error
 	faulty        string
 	hidden        string // name that List does not show
+	listed        int    // rows of all lists
 }
 
 func newStore() *fakeStore { return &fakeStore{objects: make(map[string][]byte), faulty: prefix} }
@@ -52,6 +53,14 @@
 	return s.version, s.call(s.after, name)
 }
 
+// Update replaces any version.
+func (s *fakeStore) Update(_ context.Context, name string, _ uint64, value []byte) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects[name] = value
+	return 1, nil
+}
+
 func (s *fakeStore) put(name string, value []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,5 +94,6 @@
 			all = append(all, platform.Object{Name: name})
 		}
 	}
+	s.listed += len(all)
 	return all, nil
 }
