--- a/internal/capacity/spread.go
+++ b/internal/capacity/spread.go
@@ -13,6 +13,7 @@
 	"github.com/wisteriawharf/wisteriawharf/member"
 	"github.com/wisteriawharf/wisteriawharf/peer"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/settings"
 	"github.com/wisteriawharf/wisteriawharf/standin"
 )
 
@@ -52,9 +53,15 @@
 	number := uint64(0)
 	publish := func() float64 {
 		number++
-		item := revisionItem(b.files(1, 1), number)
+		item, parts := stored(b.files(1, 1), number)
+		size := len(item.Value)
+		for _, part := range parts {
+			// The part of an earlier revision with the same content is there already.
+			_, _ = store.Create(context.Background(), settings.PartName(part.Digest), part.Packed)
+			size += len(part.Packed)
+		}
 		must(store.Create(context.Background(), member.RevisionName(number), item.Value))
-		return float64(len(item.Value))
+		return float64(size)
 	}
 	publish()
 	var all []*participant
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -39,10 +40,12 @@
 	// stale makes readings return the first version of each object.
 	stale  bool
 	writes map[string]int
+	// listed holds the rows that were listed by prefix.
+	listed map[string]int
 }
 
 func newStore() *store {
-	return &store{objects: make(map[string][]platform.Object), writes: make(map[string]int)}
+	return &store{objects: make(map[string][]platform.Object), writes: make(map[string]int), listed: make(map[string]int)}
 }
 
 func (s *store) set(change func(*store)) {
@@ -114,6 +117,7 @@
 	for name := range s.objects {
 		if o, ok := s.current(name); ok && strings.HasPrefix(name, prefix) {
 			found = append(found, platform.Object{Name: name, Version: o.Version})
+			s.listed[prefix]++
 		}
 	}
 	return found, nil
@@ -152,8 +156,14 @@
 	for i, id := range testSearchers {
 		text += fmt.Sprintf("  - {id: %s, address: 127.0.0.1:%d, failure_domain: x}\n", id, 9101+i)
 	}
-	value, err := json.Marshal(settings.Revision{Number: number, Files: []settings.File{{Path: "desk.yaml", Text: text}}})
+	part, err := settings.Pack(text)
 	c.Assert(err, qt.IsNil)
+	value, err := json.Marshal(settings.Revision{Number: number, Files: []settings.File{{Path: "desk.yaml", Digest: part.Digest}}})
+	c.Assert(err, qt.IsNil)
+	if _, ok := s.objects[settings.PartName(part.Digest)]; !ok {
+		_, err = s.Create(context.Background(), settings.PartName(part.Digest), part.Packed)
+		c.Assert(err, qt.IsNil)
+	}
 	_, err = s.Create(context.Background(), RevisionName(number), value)
 	c.Assert(err, qt.IsNil)
 }
@@ -449,6 +459,46 @@
 	c.eventually("settings from a peer", func() bool { return informed.Reason() == nil })
 }
 
+// TestStartReadsLastRevisions guards against a process that lists all revisions
+// ever made when it starts or checks a watch.
+func TestStartReadsLastRevisions(t *testing.T) {
+	c := newCluster(t)
+	c.store.publish(c.C, 1)
+	c.store.publish(c.C, 199)
+	c.store.publish(c.C, 200)
+	_, err := c.store.Create(context.Background(), "heads/revisions", []byte("199"))
+	c.Assert(err, qt.IsNil)
+	a := c.brokers("a")[0]
+	c.eventually("newest revision", func() bool { return a.state.View().Revision == 200 })
+	_, err = a.read(context.Background(), prefixRevisions)
+	c.Assert(err, qt.IsNil)
+	c.store.set(func(s *store) { c.Assert(s.listed[prefixRevisions], qt.Equals, 0) })
+}
+
+// TestSettingsBeyondOneFrame guards against parts that never arrive because they
+// do not fit into one frame together.
+func TestSettingsBeyondOneFrame(t *testing.T) {
+	c := newCluster(t)
+	var files []settings.File
+	noise := make([]byte, settings.MaxPartBytes/2)
+	for i := range 4 {
+		_, _ = rand.NewChaCha8([32]byte{byte(i)}).Read(noise)
+		part, err := settings.Pack(fmt.Sprintf("# %x\nservice: s%d\nkind: booking\ndeadline: 1s\nlimits: {slots: 3, connections: 9}\nsearchers: [{id: u%d, address: 127.0.0.1:%d, failure_domain: x}]\n", noise, i, i, 9101+i))
+		c.Assert(err, qt.IsNil)
+		files = append(files, settings.File{Path: fmt.Sprint(i), Digest: part.Digest})
+		_, err = c.store.Create(context.Background(), settings.PartName(part.Digest), part.Packed)
+		c.Assert(err, qt.IsNil)
+	}
+	value, err := settings.Revision{Number: 1, Files: files}.Encode()
+	c.Assert(err, qt.IsNil)
+	_, err = c.store.Create(context.Background(), RevisionName(1), value)
+	c.Assert(err, qt.IsNil)
+	c.brokers("a")
+	c.store.set(func(s *store) { s.away = true })
+	e := c.start("e", "x", control.RoleEntry)
+	c.eventually("all parts from a peer", func() bool { return e.state.View().Revision == 1 })
+}
+
 // TestLeave guards against searchers that wait for a lease to end although
 // their owner left by plan.
 func TestLeave(t *testing.T) {
--- a/member/platform.go
+++ b/member/platform.go
@@ -13,6 +13,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/publish"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
@@ -145,10 +146,12 @@
 		item.Name, item.Major = control.PrefixDomain+strings.TrimPrefix(object.Name, prefixDomains), record.Epoch
 		return item, err
 	case strings.HasPrefix(object.Name, prefixRevisions):
-		var revision settings.Revision
-		err := json.Unmarshal(object.Value, &revision)
+		revision, err := settings.DecodeRevision(object.Value)
+		if err != nil {
+			return item, err
+		}
 		item.Name, item.Major, item.Minor = control.ItemSettings, revision.Number, 0
-		return item, err
+		return item, nil
 	case strings.HasPrefix(object.Name, prefixOrders):
 		var order control.RecordedOrder
 		err := json.Unmarshal(object.Value, &order)
@@ -182,7 +185,7 @@
 // state; of the settings only the newest revision. It returns the greatest
 // version listed.
 func (m *Member) read(ctx context.Context, prefix string) (uint64, error) {
-	objects, err := m.list(ctx, prefix)
+	objects, err := m.listNewer(ctx, prefix)
 	if err != nil {
 		return 0, err
 	}
@@ -203,9 +206,34 @@
 		}
 		m.offerObject(full)
 	}
+	if prefix == prefixRevisions {
+		return newest, m.readParts(ctx)
+	}
 	return newest, nil
 }
 
+// listNewer lists the objects with the prefix; of the revisions only the last
+// ones.
+func (m *Member) listNewer(ctx context.Context, prefix string) ([]platform.Object, error) {
+	if prefix == prefixRevisions {
+		return publish.Newest(ctx, reader{m}, m.config.State.View().Revision)
+	}
+	return m.list(ctx, prefix)
+}
+
+// reader reads from the platform with the member's timeouts and counters.
+type reader struct{ member *Member }
+
+// Get returns the object.
+func (r reader) Get(ctx context.Context, name string) (platform.Object, error) {
+	return r.member.get(ctx, name)
+}
+
+// List returns the objects whose names start with prefix, without values.
+func (r reader) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	return r.member.list(ctx, prefix)
+}
+
 // newestRevision returns the object with the greatest name, as revision numbers
 // have a fixed width.
 func newestRevision(objects []platform.Object) []platform.Object {
@@ -241,9 +269,9 @@
 			after, current = max(after, newest), err == nil
 			return
 		}
-		ctx, cancel := context.WithTimeout(ctx, m.config.Timing.WatchCheck)
-		objects, err := m.config.Store.Watch(ctx, prefix, after)
-		silent := ctx.Err() != nil
+		watch, cancel := context.WithTimeout(ctx, m.config.Timing.WatchCheck)
+		objects, err := m.config.Store.Watch(watch, prefix, after)
+		silent := watch.Err() != nil
 		cancel()
 		if err != nil || len(objects) == 0 {
 			if err != nil && !silent {
@@ -257,5 +285,8 @@
 			after = max(after, object.Version)
 			m.offerObject(object)
 		}
+		if prefix == prefixRevisions && m.readParts(ctx) != nil {
+			current = false
+		}
 	}
 }
--- a/settings/revision.go
+++ b/settings/revision.go
@@ -5,10 +5,25 @@
 	"time"
 )
 
-// File is one service settings file as it was reviewed.
+// File is one service settings file as it was reviewed. A stored revision holds
+// its Digest, under which the text is stored as a Part; revisions of earlier
+// versions hold the Text itself and no Digest.
 type File struct {
-	Path string `json:"path"`
-	Text string `json:"text"`
+	Path   string `json:"path"`
+	Digest string `json:"digest,omitempty"`
+	Text   string `json:"text,omitempty"`
+}
+
+func (f File) digest() string {
+	if f.Digest != "" {
+		return f.Digest
+	}
+	return DigestOf(f.Text)
+}
+
+// Same reports whether both files have the same path and text.
+func (f File) Same(other File) bool {
+	return f.Path == other.Path && f.digest() == other.digest()
 }
 
 // Revision is one published configuration and its audit record.
@@ -41,16 +56,30 @@
 	set := &Set{Services: make(map[string]*Service), Searchers: make(map[string]Placement)}
 	for _, s := range services {
 		set.Services[s.Name] = s
-		for _, u := range s.Searchers {
-			set.Searchers[u.ID] = Placement{Searcher: u, Service: s}
+		s.place(func(p Placement) bool {
+			set.Searchers[p.ID] = p
+			return true
+		})
+	}
+	return set
+}
+
+// place calls take with each searcher until it returns false, and reports whether
+// it never did.
+func (s *Service) place(take func(Placement) bool) bool {
+	for _, u := range s.Searchers {
+		if !take(Placement{Searcher: u, Service: s}) {
+			return false
 		}
-		for _, index := range s.Indexes {
-			for _, u := range index.Searchers {
-				set.Searchers[u.ID] = Placement{Searcher: u, Service: s, Index: index.Name, Shard: index.Shard}
+	}
+	for _, index := range s.Indexes {
+		for _, u := range index.Searchers {
+			if !take(Placement{Searcher: u, Service: s, Index: index.Name, Shard: index.Shard}) {
+				return false
 			}
 		}
 	}
-	return set
+	return true
 }
 
 // FailureDomains returns the names of the failure domains that hold searchers,
