Compare the settings with other processes before serving

Cause: a starting process served as soon as the platform had given a revision. A reading can be from before the newest revision, so that an instance that was replaced could serve with older settings than it had in force before.

Change: a process serves after it has compared its state with its partners and seeds, and has what they had; if none of them serves, the deployment is starting.

Ruled out: waiting for the periodic exchange, which meets one random process that may be starting as well.

--- a/member/exchange.go
+++ b/member/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 
 	"github.com/juju/errors"
 
@@ -50,40 +51,77 @@
 	}
 }
 
-func (m *Member) exchange(ctx context.Context, address string) {
+// exchange compares control state with one process. It reports whether that
+// succeeded with a process that serves.
+func (m *Member) exchange(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Timing.Call)
 	defer cancel()
-	err := m.exchangeFrames(ctx, address)
+	serving, err := m.exchangeFrames(ctx, address)
 	m.metrics.exchanges.WithLabelValues(outcome(err)).Inc()
 	if err != nil {
 		m.config.Log.Debug("exchange failed", "peer", address, "error", err)
 	}
+	return serving && err == nil
 }
 
-func (m *Member) exchangeFrames(ctx context.Context, address string) error {
+func (m *Member) exchangeFrames(ctx context.Context, address string) (serving bool, err error) {
 	s, err := m.node.Load().Open(ctx, address, peer.KindExchange)
 	if err != nil {
-		return err
+		return false, err
 	}
 	defer s.Cancel()
 	var reply peer.ExchangeReply
 	if err := m.ask(s, &peer.Exchange{ID: m.config.Self.ID, Digest: m.config.State.Digest()}, &reply); err != nil {
 		m.node.Load().Retest(address)
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 	if !reply.Same {
 		if err := m.compare(s); err != nil {
-			return errors.Trace(err)
+			return false, errors.Trace(err)
 		}
 	}
 	if err := s.CloseSend(); err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
 	// The end of the peer's side shows that a push was read.
 	if err := s.Receive(&peer.ExchangeReply{}); err != io.EOF {
-		return errors.Annotate(err, "end of exchange")
+		return false, errors.Annotate(err, "end of exchange")
 	}
-	return nil
+	return reply.Serving, nil
+}
+
+// consult compares the state with others before this process serves, because a
+// reading of the platform can be older than what is in force. One process that
+// serves is enough: it did the same, and has had the changes since. If none of
+// the known ones answers that it serves, the deployment is starting, and what
+// the platform or another process gave has to do.
+func (m *Member) consult(ctx context.Context) {
+	if m.isConsulted() || m.config.State.View().Revision == 0 {
+		return
+	}
+	var asked sync.WaitGroup
+	for _, address := range m.peers() {
+		asked.Go(func() {
+			if m.exchange(ctx, address) {
+				m.settle()
+			}
+		})
+	}
+	asked.Wait()
+	if ctx.Err() != nil || len(m.config.State.MissingParts()) > 0 {
+		return
+	}
+	m.settle()
+	m.mu.Lock()
+	m.consulted = true
+	m.mu.Unlock()
+	m.observe()
+}
+
+func (m *Member) isConsulted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.consulted
 }
 
 func (m *Member) ask(s *peer.Stream, request *peer.Exchange, reply *peer.ExchangeReply) error {
@@ -131,7 +169,7 @@
 	}
 	if !request.Full {
 		same := request.Digest == m.config.State.Digest()
-		if err := s.Send(&peer.ExchangeReply{Same: same}); err != nil || same {
+		if err := s.Send(&peer.ExchangeReply{Same: same, Serving: m.isConsulted()}); err != nil || same {
 			return err
 		}
 		if err := s.Receive(&request); err != nil {
--- a/member/member.go
+++ b/member/member.go
@@ -46,6 +46,8 @@
 	// mu guards what follows and the fields of all memberships.
 	mu      sync.Mutex
 	leaving bool
+	// consulted is set once the state was compared with other processes.
+	consulted bool
 	// pushed is the changeSum that was last pushed to peers.
 	pushed uint64
 
@@ -106,6 +108,7 @@
 	loop(t.Heartbeat, changes, func(context.Context) { m.observe() })
 	loop(t.Heartbeat, nil, m.home.sendHeartbeat)
 	loop(t.Exchange, nil, m.exchangeWithOne)
+	loop(t.Exchange, nil, m.consult)
 	loop(t.WatchCheck, m.wakePush, m.pushChange)
 	loop(t.WatchCheck, m.wakeSettle, func(context.Context) { m.settle() })
 	loop(t.Renewal, nil, m.establish)
@@ -161,6 +164,9 @@
 	if m.config.State.View().Revision == 0 {
 		return result.NotRun(result.SettingsUnknown, "neither the platform nor a serving instance has given settings")
 	}
+	if !m.isConsulted() {
+		return result.NotRun(result.SettingsUnknown, "settings are being compared with other instances")
+	}
 	return result.NotRun(result.NoRight, "no lease was granted yet")
 }
 
@@ -216,7 +222,7 @@
 }
 
 func (m *Member) checkReady(leased bool) {
-	if m.config.State.View().Revision == 0 || m.isBroker() && !leased {
+	if m.config.State.View().Revision == 0 || !m.isConsulted() || m.isBroker() && !leased {
 		return
 	}
 	select {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -441,6 +441,29 @@
 	c.Assert(a.state.View().Records["x"].Renewal >= renewals, qt.IsTrue)
 }
 
+// TestStartWithStaleReads guards against a process that serves with settings
+// older than those in force at others, because it read the platform only.
+func TestStartWithStaleReads(t *testing.T) {
+	c := newCluster(t)
+	c.store.publish(c.C, 1)
+	a := c.brokers("a")[0]
+	c.store.publish(c.C, 2)
+	c.eventually("revision 2", func() bool { return a.state.View().Revision == 2 })
+	c.store.set(func(s *store) {
+		s.stale = true
+		s.objects[RevisionName(2)] = nil
+	})
+	for i := range 5 {
+		started := c.start(fmt.Sprintf("e%d", i), "x", control.RoleEntry)
+		select {
+		case <-started.Ready():
+		case <-time.After(30 * time.Second):
+			c.Fatal("not ready")
+		}
+		c.Assert(started.state.View().Revision, qt.Equals, uint64(2))
+	}
+}
+
 // TestStartWithoutPlatform guards against a process that serves with unknown
 // settings, and against one that ignores those of a serving instance.
 func TestStartWithoutPlatform(t *testing.T) {
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -231,11 +231,13 @@
 
 // ExchangeReply says whether the digests are the same. In answer to a full
 // Exchange it carries items that are newer at the receiver and names those that
-// are newer at the sender, which then sends them as an ExchangePush.
+// are newer at the sender, which then sends them as an ExchangePush. Serving says
+// that the receiver knows the settings that were the newest when it started.
 type ExchangeReply struct {
-	Same   bool     `msg:"s"`
-	Newer  []Item   `msg:"n"`
-	Wanted []string `msg:"w"`
+	Serving bool     `msg:"v"`
+	Same    bool     `msg:"s"`
+	Newer   []Item   `msg:"n"`
+	Wanted  []string `msg:"w"`
 }
 
 // ExchangePush carries the items that an ExchangeReply asked for, or the parts
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -2316,6 +2316,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "v":
+			z.Serving, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Serving")
+				return
+			}
 		case "s":
 			z.Same, err = dc.ReadBool()
 			if err != nil {
@@ -2373,9 +2379,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ExchangeReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 4
+	// write "v"
+	err = en.Append(0x84, 0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Serving)
+	if err != nil {
+		err = msgp.WrapError(err, "Serving")
+		return
+	}
 	// write "s"
-	err = en.Append(0x83, 0xa1, 0x73)
+	err = en.Append(0xa1, 0x73)
 	if err != nil {
 		return
 	}
@@ -2424,9 +2440,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ExchangeReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
+	// string "v"
+	o = append(o, 0x84, 0xa1, 0x76)
+	o = msgp.AppendBool(o, z.Serving)
 	// string "s"
-	o = append(o, 0x83, 0xa1, 0x73)
+	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendBool(o, z.Same)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -2465,6 +2484,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "v":
+			z.Serving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Serving")
+				return
+			}
 		case "s":
 			z.Same, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -2523,7 +2548,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ExchangeReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Newer {
 		s += z.Newer[za0001].Msgsize()
 	}
