Ask for parts only where they are held, in smaller frames

Cause: a process that lacked parts asked whichever process it compared states with. While one that does not hold them was asked, the one that had brought the revision was not, and the parts waited for a later exchange (300 ms). By reading the code; no run showed it alone. An exchange that ends by the time of a call keeps the parts of finished frames only, and a frame could hold 768 KiB.

Change: only the sender of the revision is asked, because it passes on none whose parts it lacks. A frame holds 256 KiB of parts, or a single larger one.

Scenarios run: publish, publish-lagging, rolling-replacement; all pass, as do the tests of member with the race detector.

--- a/member/exchange.go
+++ b/member/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 
 	"github.com/juju/errors"
 
@@ -105,7 +106,10 @@
 	m.offer(stateItems(reply.Newer))
 	items := bounded(m.config.State.Items(reply.Wanted))
 	m.noteSent("items", items)
-	push := peer.ExchangePush{Items: frameItems(items), Wanted: m.wantedParts()}
+	push := peer.ExchangePush{Items: frameItems(items)}
+	if slices.ContainsFunc(reply.Newer, isSettings) {
+		push.Wanted = m.wantedParts()
+	}
 	for len(push.Items)+len(push.Parts)+len(push.Wanted) > 0 {
 		if err := s.Send(&push); err != nil {
 			return err
@@ -157,7 +161,7 @@
 		m.takeParts(push.Parts)
 		m.answeredParts(asked)
 		answer := peer.ExchangeParts{Parts: m.partsFor(push.Wanted)}
-		if len(push.Items)+len(push.Parts) > 0 {
+		if len(push.Parts) > 0 || slices.ContainsFunc(push.Items, isSettings) {
 			answer.Wanted = m.wantedParts()
 		}
 		asked = answer.Wanted
@@ -167,6 +171,10 @@
 	}
 }
 
+// isSettings reports whether the sender of the item holds all parts of a newer
+// revision. Others are not asked, because meanwhile this one would not be.
+func isSettings(item peer.Item) bool { return item.Name == control.ItemSettings }
+
 // itemBytes is what an item takes in a frame besides its name and value.
 const itemBytes = 16
 
--- a/member/parts.go
+++ b/member/parts.go
@@ -15,6 +15,10 @@
 	// maxWantedParts bounds the digests in one frame; further ones are asked for
 	// once these were received.
 	maxWantedParts = 1000
+	// maxPartsBytes bounds the parts in one frame, unless a single one is larger. An
+	// exchange that is cut off by the time of a call keeps those that arrived, so
+	// that small frames make progress on slow connections.
+	maxPartsBytes = 256 << 10
 	// partReaders is how many parts are read from the platform at once.
 	partReaders = 8
 )
@@ -61,12 +65,12 @@
 	}
 }
 
-// partsFor returns what is held of the wanted parts, as far as it fits into a
+// partsFor returns what is held of the wanted parts, as far as it fits into one
 // frame.
 func (m *Member) partsFor(wanted []string) []peer.SettingsPart {
 	var frames []peer.SettingsPart
 	size := 0
-	for _, part := range m.config.State.Parts(wanted, maxExchangeBytes) {
+	for _, part := range m.config.State.Parts(wanted, maxPartsBytes) {
 		frames = append(frames, peer.SettingsPart(part))
 		size += len(part.Digest) + len(part.Packed)
 	}
