--- a/broker/faults_test.go
+++ b/broker/faults_test.go
@@ -66,10 +66,10 @@
 	hold, release := context.WithCancel(context.Background())
 	defer release()
 	f.script(func(int, string) behaviour { return behaviour{hold: hold.Done()} })
+	seen := f.read(func(f *fake) int { return f.seen }) + slots
 	held := b.search("held", slots, time.Second)
 	defer held.Cancel()
-	eventually(t, "all slots are in use", func() bool { return b.status().Running == slots })
-	seen := f.read(func(f *fake) int { return f.seen })
+	eventually(t, "all slots are in use", func() bool { return f.read(func(f *fake) int { return f.seen }) == seen })
 	s, err := b.client.Open(b.ctx, b.server.Address(), peer.KindBatch)
 	qt.Assert(t, err, qt.IsNil)
 	defer s.Cancel()
