--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -20,8 +20,9 @@
 
 var update = flag.Bool("update", false, "write the sessions that were seen into the scenarios")
 
-// deployments bounds the deployments that run at the same time.
-var deployments = make(chan struct{}, 2)
+// deployments bounds the deployments that run at the same time. Each has about
+// fifteen processes that use one to two cores.
+var deployments = make(chan struct{}, 3)
 
 // binaries is the directory of the programs, built by TestMain.
 var binaries string
