Revert the return of parts that would wait longer than assumed

This reverts in the programs; the model keeps it as a case, off by default.

The model has no processor time, of which returned parts need more.

--- a/broker/faults_test.go
+++ b/broker/faults_test.go
@@ -57,31 +57,6 @@
 	qt.Assert(t, f.read(func(f *fake) int { return f.mostOpen }) <= connections, qt.IsTrue)
 }
 
-// TestReturnsLongWait guards against a part that is queued although its requester
-// asked to have it back, and against one that is run or kept without its state.
-func TestReturnsLongWait(t *testing.T) {
-	f := newFake(t, plain)
-	b := newBench(t, f.address(), 2)
-	b.warm()
-	hold, release := context.WithCancel(context.Background())
-	defer release()
-	f.script(func(int, string) behaviour { return behaviour{hold: hold.Done()} })
-	held := b.search("held", slots, time.Second)
-	defer held.Cancel()
-	eventually(t, "all slots are in use", func() bool { return b.status().Running == slots })
-	seen := f.read(func(f *fake) int { return f.seen })
-	s, err := b.client.Open(b.ctx, b.server.Address(), peer.KindBatch)
-	qt.Assert(t, err, qt.IsNil)
-	defer s.Cancel()
-	qt.Assert(t, s.Send(&peer.Batch{QueryID: "q", Service: "svc", DeadlineUnixMs: time.Now().Add(time.Second).UnixMilli(), RemainingMs: 1000,
-		Parts: []peer.Part{{Searcher: "u", Index: "x", Snapshot: "s1", MaxWaitUs: 1}}}), qt.IsNil)
-	reply := b.reply(s)
-	qt.Assert(t, reply.Code, qt.Equals, uint16(result.WaitTooLong))
-	qt.Assert(t, reply.Run, qt.Equals, uint8(result.RunNo))
-	qt.Assert(t, reply.State.QueueWaitUs > 1, qt.IsTrue)
-	qt.Assert(t, f.read(func(f *fake) int { return f.seen }), qt.Equals, seen)
-}
-
 // TestBrokenBookingIsUnknown guards against a booking being sent again, or
 // said not to have run, after its connection broke behind the write.
 func TestBrokenBookingIsUnknown(t *testing.T) {
--- a/broker/job.go
+++ b/broker/job.go
@@ -31,8 +31,6 @@
 	deadline time.Duration
 	unixMs   int64
 	queuedAt time.Duration
-	// maxWait is the wait above which the job is returned; zero is no limit.
-	maxWait time.Duration
 	// build returns the request with the time that remains when it is written.
 	build func(address, workID string, d upstream.Deadline) (*upstream.Request, error)
 	// read takes the outcome from a reply of status 200.
@@ -62,7 +60,6 @@
 func searchJob(p peer.Part, query string) *job {
 	return &job{
 		searcher: p.Searcher,
-		maxWait:  time.Duration(p.MaxWaitUs) * time.Microsecond,
 		build: func(address, workID string, d upstream.Deadline) (*upstream.Request, error) {
 			return upstream.NewSearch(address, workID, d, upstream.Search{
 				Index: p.Index, Shard: p.Shard, Snapshot: p.Snapshot, Query: query,
--- a/broker/owner.go
+++ b/broker/owner.go
@@ -204,9 +204,6 @@
 			o.broker.refuse(j, result.NotRun(result.NotOwner, "%s", o.id))
 			return
 		}
-		if o.returned(j, now) {
-			return
-		}
 		o.lastWork++
 		j.id, j.queuedAt = o.lastWork, now
 		j.workID = o.workID(j.id)
@@ -215,20 +212,6 @@
 	})
 }
 
-// returned sends a job back that would wait for longer than its requester
-// assumed, and reports whether it did. A searcher that takes no work refuses the
-// job with its own reason.
-func (o *owner) returned(j *job, now time.Duration) bool {
-	s := o.searcher.State(now)
-	if j.maxWait <= 0 || !s.Usable || s.QueueWait <= j.maxWait {
-		return false
-	}
-	err := result.NotRun(result.WaitTooLong, "%v", s.QueueWait)
-	o.broker.metrics.refused(err)
-	j.finish(outcome{err: err, state: o.searcherState(s)})
-	return true
-}
-
 // cancel withdraws a job. If there is no room for it the job ends with its
 // deadline.
 func (o *owner) cancel(j *job) {
--- a/entry/query.go
+++ b/entry/query.go
@@ -70,7 +70,6 @@
 	body     string
 	running  []*attempt
 	tried    []replica
-	returns  int
 	hedges   int
 	hedgeAt  time.Duration
 	gone     bool
@@ -204,7 +203,7 @@
 	q.trace.Snapshots = append(q.trace.Snapshots, l.ID)
 	batches := make(map[string]*batch)
 	for i := range q.shards {
-		r, wait, ok := q.choose(uint32(i), nil)
+		r, _, ok := q.choose(uint32(i), nil)
 		if !ok {
 			q.giveUp(uint32(i), result.NotRun(result.NoReplica, "no replica of shard %d of snapshot %q is usable", i, l.ID))
 			continue
@@ -214,7 +213,7 @@
 			b = q.newBatch(r.broker)
 			batches[r.broker.member.ID] = b
 		}
-		q.add(b, uint32(i), r, q.maxWait(uint32(i), wait), false)
+		q.add(b, uint32(i), r, false)
 	}
 	for _, b := range batches {
 		q.send(b)
@@ -270,6 +269,7 @@
 // more.
 func (q *query) choose(i uint32, avoid func(replica) bool) (replica, time.Duration, bool) {
 	s := &q.shards[i]
+	slots := max(q.service.Limits.Slots, 1)
 	return q.entry.table.choose(choice{
 		view:    q.entry.config.State.View(),
 		service: q.service,
@@ -285,14 +285,13 @@
 			}
 			return avoid != nil && avoid(r)
 		},
-		perPart: q.perPart(),
+		perPart: q.policyTypical() / time.Duration(slots),
 		now:     q.now(),
 	})
 }
 
-// add puts a part for a replica into a batch. The owner returns it if it would
-// wait for longer than maxWait; zero is no limit.
-func (q *query) add(b *batch, i uint32, r replica, maxWait time.Duration, isHedge bool) {
+// add puts a part for a replica into a batch.
+func (q *query) add(b *batch, i uint32, r replica, isHedge bool) {
 	q.nextPart++
 	now := q.now()
 	a := &attempt{
@@ -304,8 +303,8 @@
 	s.running = append(s.running, a)
 	s.tried = append(s.tried, r)
 	s.hedgeAt = q.hedgeTime(now, s.hedges)
-	b.parts = append(b.parts, peer.Part{ID: a.id, Searcher: r.id, Index: r.index, Shard: i, Snapshot: q.pinned.ID, MaxWaitUs: maxWait.Microseconds()})
-	if len(s.tried) == 1 && s.returns == 0 {
+	b.parts = append(b.parts, peer.Part{ID: a.id, Searcher: r.id, Index: r.index, Shard: i, Snapshot: q.pinned.ID})
+	if len(s.tried) == 1 {
 		q.trace.Parts++
 		q.policy.mu.Lock()
 		q.policy.Budget.Earn(1)
@@ -315,6 +314,62 @@
 	q.trace.attempt(q.began, now, i, r, isHedge)
 }
 
+// hedgeTime returns when a part sent now, after so many hedges, is hedged, or
+// zero for never.
+func (q *query) hedgeTime(now time.Duration, hedges int) time.Duration {
+	q.policy.mu.Lock()
+	defer q.policy.mu.Unlock()
+	delay, ok := q.policy.Delay(hedges)
+	if !ok {
+		return 0
+	}
+	return now + delay
+}
+
+// hedgeDue sends hedges for the shards whose parts are slow.
+func (q *query) hedgeDue() {
+	now := q.now()
+	for i := range q.shards {
+		s := &q.shards[i]
+		if s.hedgeAt == 0 || s.hedgeAt > now || s.answered || s.failed {
+			continue
+		}
+		s.hedgeAt = 0
+		if s.hedges < maxHedges {
+			q.hedge(uint32(i))
+		}
+	}
+}
+
+// hedge sends a shard to a replica in a failure domain where none of its parts
+// is running, if the budget allows and the replica can answer in time.
+func (q *query) hedge(i uint32) {
+	s := &q.shards[i]
+	r, wait, ok := q.choose(i, func(r replica) bool {
+		for _, a := range s.running {
+			if a.replica.domain == r.domain {
+				return true
+			}
+		}
+		return false
+	})
+	if !ok || !q.timeFor(wait+q.policyTypical()) {
+		return
+	}
+	q.policy.mu.Lock()
+	paid := q.policy.Budget.Take()
+	q.policy.mu.Unlock()
+	if !paid {
+		s.hedgeAt = q.hedgeTime(q.now(), s.hedges)
+		q.entry.metrics.hedgesUnpaid.WithLabelValues(q.service.Name).Inc()
+		return
+	}
+	s.hedges++
+	b := q.newBatch(r.broker)
+	q.add(b, i, r, true)
+	q.send(b)
+}
+
 // handle takes one event of a stream.
 func (q *query) handle(ev event) {
 	if ev.reply == nil {
@@ -411,22 +466,20 @@
 		q.shortOfRoom = true
 	case result.SnapshotGone:
 		s.gone = true
-	case result.WaitTooLong:
-		s.returned(a.replica)
 	case result.NotOwner:
 		q.entry.table.disown(a.replica)
 	}
 	if len(s.running) > 0 {
 		return
 	}
-	r, wait, ok := q.choose(a.shard, nil)
+	r, _, ok := q.choose(a.shard, nil)
 	if !ok {
 		q.giveUp(a.shard, e)
 		return
 	}
 	q.entry.metrics.failovers.WithLabelValues(q.service.Name, codeLabel(e.Code)).Inc()
 	b := q.newBatch(r.broker)
-	q.add(b, a.shard, r, q.maxWait(a.shard, wait), false)
+	q.add(b, a.shard, r, false)
 	q.send(b)
 }
 
--- a/entry/search_test.go
+++ b/entry/search_test.go
@@ -293,29 +293,6 @@
 	}
 }
 
-// TestReturned guards against a part that is lost, sent without end or counted as
-// new work for the hedge budget when owners return it.
-func TestReturned(t *testing.T) {
-	w := newWorld(t, 1, "min_coverage: 1\nhedge_budget: 0")
-	w.learn(0)
-	var sent, limited atomic.Int32
-	w.answerAll(func(_ *fakeBroker, b *peer.Batch, p peer.Part) ([]*peer.PartReply, error) {
-		sent.Add(1)
-		if p.MaxWaitUs == 0 {
-			return answerGood(b, p)
-		}
-		limited.Add(1)
-		r := refusal(b, p, result.WaitTooLong)
-		r.State = peer.SearcherState{Searcher: p.Searcher, Usable: true, QueueWaitUs: 1e6}
-		return one(r)
-	})
-	answer := w.whole(t, "q")
-	qt.Assert(t, limited.Load(), qt.Equals, int32(maxReturns))
-	qt.Assert(t, sent.Load(), qt.Equals, int32(maxReturns+1))
-	trace, _ := w.entry.Explain(answer.RequestID)
-	qt.Assert(t, trace.Parts, qt.Equals, 1)
-}
-
 // TestHedgeOtherDomain guards against a hedge in the failure domain of the slow
 // part, where it would likely be slow for the same reason.
 func TestHedgeOtherDomain(t *testing.T) {
--- a/internal/measure/model.go
+++ b/internal/measure/model.go
@@ -36,37 +36,30 @@
 	change func(*simulation.Config)
 }
 
-// noReturns is the choice on reported states alone.
-func noReturns(change func(*simulation.Config)) func(*simulation.Config) {
-	return func(c *simulation.Config) {
-		c.NoReturns = true
-		change(c)
-	}
-}
-
 var queueingVariants = []variant{
 	{"as built", func(*simulation.Config) {}},
 	{"no handling", func(c *simulation.Config) { c.Handling = 0 }},
 	{"one entry", func(c *simulation.Config) { c.Entries = 1 }},
 	{"nine entries", func(c *simulation.Config) { c.Entries = 9 }},
 	{"forty entries", func(c *simulation.Config) { c.Entries = 40 }},
-	{"two parts longer before a return", func(c *simulation.Config) { c.Margin = 2 }},
+	{"two choices", func(c *simulation.Config) { c.Choice = simulation.ChooseTwo }},
+	{"two choices, present states", func(c *simulation.Config) { c.Exact, c.Choice = true, simulation.ChooseTwo }},
+	{"present states", func(c *simulation.Config) { c.Exact = true }},
+	{"reports every 10 ms", func(c *simulation.Config) { c.Status = 10 * time.Millisecond }},
 	{"states of four other searchers in replies", func(c *simulation.Config) { c.Siblings = 4 }},
-	{"no returns", noReturns(func(*simulation.Config) {})},
-	{"no returns, forty entries", noReturns(func(c *simulation.Config) { c.Entries = 40 })},
-	{"no returns, two choices", noReturns(func(c *simulation.Config) { c.Choice = simulation.ChooseTwo })},
-	{"no returns, two choices, present states", noReturns(func(c *simulation.Config) { c.Exact, c.Choice = true, simulation.ChooseTwo })},
-	{"no returns, present states", noReturns(func(c *simulation.Config) { c.Exact = true })},
-	{"no returns, reports every 10 ms", noReturns(func(c *simulation.Config) { c.Status = 10 * time.Millisecond })},
-	{"no returns, states of four other searchers in replies", noReturns(func(c *simulation.Config) { c.Siblings = 4 })},
-	{"no returns, no state in replies", noReturns(func(c *simulation.Config) { c.NoPiggyback = true })},
-	{"no returns, service time for parts sent since the report", noReturns(func(c *simulation.Config) { c.ServicePerPart = true })},
+	{"no state in replies", func(c *simulation.Config) { c.NoPiggyback = true }},
+	{"service time for parts sent since the report", func(c *simulation.Config) { c.ServicePerPart = true }},
+	{"returns from one part longer", func(c *simulation.Config) { c.Margin = 1 }},
+	{"returns from one part longer, no handling", func(c *simulation.Config) { c.Margin, c.Handling = 1, 0 }},
+	{"returns from one part longer, forty entries", func(c *simulation.Config) { c.Margin, c.Entries = 1, 40 }},
+	{"returns from two parts longer", func(c *simulation.Config) { c.Margin = 2 }},
+	{"returns, states of four other searchers in replies", func(c *simulation.Config) { c.Margin, c.Siblings = 1, 4 }},
 }
 
 var hedgingVariants = []variant{
 	{"as built", func(*simulation.Config) {}},
 	{"no handling", func(c *simulation.Config) { c.Handling = 0 }},
-	{"no returns", noReturns(func(*simulation.Config) {})},
+	{"returns from one part longer", func(c *simulation.Config) { c.Margin = 1 }},
 	{"delay from the estimated start", func(c *simulation.Config) { c.Estimate = true }},
 	{"delay from the start", func(c *simulation.Config) { c.Started = true }},
 	{"no refunds", func(c *simulation.Config) { c.NoRefund = true }},
--- a/internal/simulation/simulation.go
+++ b/internal/simulation/simulation.go
@@ -78,10 +78,9 @@
 	// ServicePerPart uses the mean service time for parts sent since the report,
 	// in place of the median latency of parts.
 	ServicePerPart bool
-	// Margin is the number of parts by which a queue may be longer than assumed
-	// before its owner returns a part; zero is 1. NoReturns has it keep all.
-	Margin    int
-	NoReturns bool
+	// Margin is the number of parts by which a queue may be longer than the entry
+	// assumed before its owner returns a part, up to twice. At zero none is.
+	Margin int
 	// Estimate counts the hedge delay from when the part was assumed to start, and
 	// Started from when it does, which the owner tells.
 	Estimate bool
@@ -164,9 +163,6 @@
 	if c.Status == 0 {
 		c.Status = defaultStatus
 	}
-	if c.Margin == 0 {
-		c.Margin = 1
-	}
 	r := &run{Config: c, random: rand.New(rand.NewSource(2*c.Seed + 1)), work: rand.New(rand.NewSource(2*c.Seed + 2))}
 	for range c.Shards {
 		var servers []*server
@@ -362,7 +358,7 @@
 		return
 	}
 	q := j.query
-	if !r.NoReturns && r.Choice != ChooseShared && r.margin(q.entry) > 0 && !j.hedge && q.returns[j.shard] < replicas-1 && r.state(s).QueueWait > j.wait+r.margin(q.entry) {
+	if r.margin(q.entry) > 0 && !j.hedge && q.returns[j.shard] < replicas-1 && r.state(s).QueueWait > j.wait+r.margin(q.entry) {
 		r.returned++
 		state := r.state(s)
 		r.after(r.hop(), func() { r.sendBack(j, state) })
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -16,16 +16,13 @@
 }
 
 // Part asks one searcher for one shard of the pinned snapshot. ID is unique
-// within its query over all attempts, so that a reply belongs to one attempt. If
-// the part would wait for more than MaxWaitUs microseconds, the broker returns it
-// with the searcher's state in place of queueing it; zero is no limit.
+// within its query over all attempts, so that a reply belongs to one attempt.
 type Part struct {
-	ID        uint32 `msg:"i"`
-	Searcher  string `msg:"s"`
-	Index     string `msg:"x"`
-	Shard     uint32 `msg:"h"`
-	Snapshot  string `msg:"n"`
-	MaxWaitUs int64  `msg:"w"`
+	ID       uint32 `msg:"i"`
+	Searcher string `msg:"s"`
+	Index    string `msg:"x"`
+	Shard    uint32 `msg:"h"`
+	Snapshot string `msg:"n"`
 }
 
 // PartReply is the outcome of one Part. Code and Run are those of package
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -3033,12 +3033,6 @@
 				err = msgp.WrapError(err, "Snapshot")
 				return
 			}
-		case "w":
-			z.MaxWaitUs, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "MaxWaitUs")
-				return
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3052,9 +3046,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Part) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 5
 	// write "i"
-	err = en.Append(0x86, 0xa1, 0x69)
+	err = en.Append(0x85, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -3103,25 +3097,15 @@
 		err = msgp.WrapError(err, "Snapshot")
 		return
 	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.MaxWaitUs)
-	if err != nil {
-		err = msgp.WrapError(err, "MaxWaitUs")
-		return
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Part) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 5
 	// string "i"
-	o = append(o, 0x86, 0xa1, 0x69)
+	o = append(o, 0x85, 0xa1, 0x69)
 	o = msgp.AppendUint32(o, z.ID)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
@@ -3135,9 +3119,6 @@
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Snapshot)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt64(o, z.MaxWaitUs)
 	return
 }
 
@@ -3189,12 +3170,6 @@
 				err = msgp.WrapError(err, "Snapshot")
 				return
 			}
-		case "w":
-			z.MaxWaitUs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "MaxWaitUs")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3209,7 +3184,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Part) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Searcher) + 2 + msgp.StringPrefixSize + len(z.Index) + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Snapshot) + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Searcher) + 2 + msgp.StringPrefixSize + len(z.Index) + 2 + msgp.Uint32Size + 2 + msgp.StringPrefixSize + len(z.Snapshot)
 	return
 }
 
--- a/result/result.go
+++ b/result/result.go
@@ -43,7 +43,6 @@
 	UpstreamDraining Code = 2111
 	ConnectionLost   Code = 2112
 	Cancelled        Code = 2113
-	WaitTooLong      Code = 2114
 	Overloaded       Code = 2201
 	LowCoverage      Code = 2202
 	PlatformAway     Code = 2301
@@ -91,7 +90,6 @@
 	UpstreamDraining: "upstream is draining",
 	ConnectionLost:   "connection was lost",
 	Cancelled:        "request was cancelled",
-	WaitTooLong:      "queue is longer than assumed",
 	Overloaded:       "instance is overloaded",
 	LowCoverage:      "coverage is below the minimum of the service",
 	PlatformAway:     "platform is not reachable",
