--- a/entry/search_test.go
+++ b/entry/search_test.go
@@ -293,6 +293,25 @@
 	}
 }
 
+// TestRefundOnlyIfNotRun guards against a refund for a part that ran or may have
+// run, which would let the extra load pass the budget.
+func TestRefundOnlyIfNotRun(t *testing.T) {
+	w := newWorld(t, 1, "hedge_budget: 0.05")
+	q := newQuery(w.entry, w.state.View().Settings.Services["desk"], caller.SearchRequest{RequestID: "r", Service: "desk"}, w.entry.config.Clock.Boottime())
+	cancelled := uint16(result.Cancelled)
+	for _, reply := range []peer.PartReply{
+		{QueryID: "r", Code: cancelled, Run: uint8(result.RunYes)},
+		{QueryID: "r", Code: cancelled, Run: uint8(result.RunUnknown)},
+		{QueryID: "r", Code: uint16(result.OK), Run: uint8(result.RunNo)},
+		{QueryID: "of another query", Code: cancelled, Run: uint8(result.RunNo)},
+	} {
+		q.refund(&reply)
+		qt.Assert(t, w.refunds(t), qt.Equals, 0, qt.Commentf("%+v", reply))
+	}
+	q.refund(&peer.PartReply{QueryID: "r", Code: cancelled, Run: uint8(result.RunNo)})
+	qt.Assert(t, w.refunds(t), qt.Equals, 1)
+}
+
 // TestHedgeOtherDomain guards against a hedge in the failure domain of the slow
 // part, where it would likely be slow for the same reason.
 func TestHedgeOtherDomain(t *testing.T) {
