Pass over owners that a booking did not reach

Cause: each booking tried the lost owner for the 250 ms that an attempt may take, until the record changed its members.

Change: for one second after an attempt failed, and while rosters call it suspected, an owner is chosen only if there is no other. Ruled out: a shorter attempt, because connections over a distance take several round trips.

--- a/booking/booking.go
+++ b/booking/booking.go
@@ -83,6 +83,8 @@
 	limiter *rate.Limiter
 	metrics *metrics
 	load    *load
+	// unreached are owners of searchers that bookings did not reach.
+	unreached unreached
 
 	ctx    context.Context
 	caller Caller
@@ -101,13 +103,14 @@
 		return nil, err
 	}
 	return &Service{
-		config:  config,
-		limiter: rate.NewLimiter(rate.Limit(config.WritesPerSecond/claim.Partitions), writeBurst),
-		metrics: newMetrics(config.Registry),
-		load:    newLoad(),
-		buckets: make(map[string]*bucket),
-		slots:   make(chan struct{}, maxInFlight),
-		stop:    make(chan struct{}),
+		config:    config,
+		limiter:   rate.NewLimiter(rate.Limit(config.WritesPerSecond/claim.Partitions), writeBurst),
+		metrics:   newMetrics(config.Registry),
+		load:      newLoad(),
+		unreached: unreached{owners: make(map[string]time.Duration)},
+		buckets:   make(map[string]*bucket),
+		slots:     make(chan struct{}, maxInFlight),
+		stop:      make(chan struct{}),
 	}, nil
 }
 
--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -87,9 +87,18 @@
 	runs   map[string]int
 	refuse int
 	hold   chan struct{}
+	// lost is the address of an owner that is not reached; attempts counts calls.
+	lost     string
+	attempts int
 }
 
-func (u *upstreams) CallWithin(_ context.Context, _ time.Duration, _ string, _ peer.Kind, request, response peer.Message) error {
+func (u *upstreams) CallWithin(_ context.Context, _ time.Duration, address string, _ peer.Kind, request, response peer.Message) error {
+	if address == u.lost {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.attempts++
+		return result.NotRun(result.ConnectionLost, "not reached")
+	}
 	run, reply := request.(*peer.Run), response.(*peer.RunReply)
 	if u.hold != nil {
 		<-u.hold
@@ -247,6 +256,26 @@
 	}
 }
 
+// TestLostOwnerIsPassedOver guards against bookings that all wait for the owner of
+// a searcher that was lost, until its domain's record changes.
+func TestLostOwnerIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(c)
+	f.ups.lost = "127.0.0.1:2"
+	text, err := json.Marshal(control.Record{Epoch: 2, Members: []control.Member{{ID: "b2", Address: f.ups.lost}}})
+	c.Assert(err, qt.IsNil)
+	_, err = f.state.Offer(control.Item{Name: control.PrefixDomain + "nadi", Major: 2, Value: text})
+	c.Assert(err, qt.IsNil)
+	s := f.service(c, "b1")
+	began := time.Now()
+	for range 40 {
+		c.Assert(book(s, newKey(), "4").Code, qt.Equals, uint16(result.OK))
+	}
+	f.ups.mu.Lock()
+	defer f.ups.mu.Unlock()
+	c.Assert(f.ups.attempts <= 1+int(time.Since(began)/unreachedFor), qt.IsTrue, qt.Commentf("%d attempts", f.ups.attempts))
+}
+
 // TestRace guards against two processes that both dispatch one key.
 func TestRace(t *testing.T) {
 	c := qt.New(t)
--- a/booking/dispatch.go
+++ b/booking/dispatch.go
@@ -40,6 +40,35 @@
 	return l.running[a] <= l.running[b]
 }
 
+// unreachedFor is how long an owner that was not reached is passed over. It is
+// about the time until a lost process is suspected, and short enough that one
+// booking in a second finds out that the owner is back.
+const unreachedFor = time.Second
+
+// unreached remembers when owners were not reached, on the boot clock.
+type unreached struct {
+	mu     sync.Mutex
+	owners map[string]time.Duration
+}
+
+func (u *unreached) note(owner string, now time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, at := range u.owners {
+		if now >= at+unreachedFor {
+			delete(u.owners, id)
+		}
+	}
+	u.owners[owner] = now
+}
+
+func (u *unreached) recent(owner string, now time.Duration) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	at, ok := u.owners[owner]
+	return ok && now < at+unreachedFor
+}
+
 // dispatch offers the booking to one searcher after another until one may have
 // run it. It goes on to another only after a refusal that is certainly not run.
 func (s *Service) dispatch(j *job) peer.BookReply {
@@ -92,15 +121,24 @@
 }
 
 // candidates returns the searchers of a service that have an owner and that no
-// order takes out of service.
+// order takes out of service. Those of owners that are suspected, or were not
+// reached a moment ago, are returned only if there are no others.
 func (s *Service) candidates(view *control.View, service string) []settings.Searcher {
-	var usable []settings.Searcher
+	suspected := view.Suspected()
+	var usable, doubtful []settings.Searcher
 	for _, u := range view.Settings.Services[service].Searchers {
-		_, owned := assign.OwnerOf(view.Records, u.FailureDomain, u.ID)
-		if owned && !view.Out(control.OrderDomain, u.FailureDomain) && !view.Out(control.OrderUpstream, u.ID) {
+		owner, owned := assign.OwnerOf(view.Records, u.FailureDomain, u.ID)
+		switch {
+		case !owned || view.Out(control.OrderDomain, u.FailureDomain) || view.Out(control.OrderUpstream, u.ID):
+		case suspected[owner.ID] || s.unreached.recent(owner.ID, s.config.Clock.Boottime()):
+			doubtful = append(doubtful, u)
+		default:
 			usable = append(usable, u)
 		}
 	}
+	if len(usable) == 0 {
+		return doubtful
+	}
 	return usable
 }
 
@@ -135,7 +173,11 @@
 	}
 	var reply peer.RunReply
 	if err := s.caller.CallWithin(ctx, openTimeout, owner.Address, peer.KindRun, &request, &reply); err != nil {
-		return refusal(result.From(err))
+		e := result.From(err)
+		if e.Code == result.ConnectionLost && e.Run == result.RunNo {
+			s.unreached.note(owner.ID, s.config.Clock.Boottime())
+		}
+		return refusal(e)
 	}
 	if reply.Code == uint16(result.OK) && reply.Run != uint8(result.RunYes) {
 		return refusal(result.MayHaveRun(result.BadFrame, "reply of the owner of %q does not say that the booking ran", u.ID))
--- a/control/state.go
+++ b/control/state.go
@@ -329,6 +329,20 @@
 	v.Direct = kept
 }
 
+// Suspected returns the identifiers of the processes that rosters list as
+// suspected.
+func (v *View) Suspected() map[string]bool {
+	suspected := make(map[string]bool)
+	for _, roster := range v.Rosters {
+		for _, i := range roster.Instances {
+			if i.State == Suspected {
+				suspected[i.ID] = true
+			}
+		}
+	}
+	return suspected
+}
+
 // Out reports whether an order takes the named failure domain or upstream out
 // of service, or states that the process has ended. A recorded "out" holds until a recorded "back" replaces it; a
 // direct "out" holds until it is recorded or a direct "back" that knew it
--- a/entry/plan.go
+++ b/entry/plan.go
@@ -54,7 +54,7 @@
 		}
 	}
 	if !maps.Equal(b.view.Rosters, view.Rosters) {
-		next.suspected = suspectedIn(view)
+		next.suspected = view.Suspected()
 	}
 	if !maps.Equal(b.suspected, next.suspected) || !maps.Equal(b.view.Recorded, view.Recorded) ||
 		(len(b.view.Direct) > 0 || len(view.Direct) > 0) && !reflect.DeepEqual(b.view.Direct, view.Direct) {
--- a/entry/table.go
+++ b/entry/table.go
@@ -282,22 +282,10 @@
 	}
 }
 
-func suspectedIn(view *control.View) map[string]bool {
-	suspected := make(map[string]bool)
-	for _, roster := range view.Rosters {
-		for _, i := range roster.Instances {
-			if i.State == control.Suspected {
-				suspected[i.ID] = true
-			}
-		}
-	}
-	return suspected
-}
-
 // doubted returns a function that reports brokers that are suspected or whose
 // status stream is lost.
 func (t *table) doubted(view *control.View) func(id string) bool {
-	suspected := suspectedIn(view)
+	suspected := view.Suspected()
 	return func(id string) bool {
 		t.mu.Lock()
 		defer t.mu.Unlock()
