Share the setup of relay and booking tests

Two tests of each package repeated the same server, or the same booking that has to succeed and to run once. The checks are the same; both packages pass with -race.

--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -190,16 +190,22 @@
 	c.Assert(f.ups.runs[key], qt.Equals, 1)
 }
 
+// bookOnce makes a booking that has to succeed and to run once.
+func (f *fixture) bookOnce(c *qt.C) {
+	c.Helper()
+	s := f.service(c, "b1")
+	key := newKey()
+	c.Assert(book(s, key, "4").Code, qt.Equals, uint16(result.OK))
+	c.Assert(f.ups.runs[key], qt.Equals, 1)
+}
+
 // TestLostReply guards against a booking that is refused or run twice because
 // the reply to the write of its claim was lost.
 func TestLostReply(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(c)
 	f.store.loseReplies = 3
-	s := f.service(c, "b1")
-	key := newKey()
-	c.Assert(book(s, key, "4").Code, qt.Equals, uint16(result.OK))
-	c.Assert(f.ups.runs[key], qt.Equals, 1)
+	f.bookOnce(c)
 }
 
 // TestPlatformAway guards against a booking that runs without a claim, and
@@ -226,10 +232,7 @@
 	c := qt.New(t)
 	f := newFixture(c)
 	f.ups.refuse = 1
-	s := f.service(c, "b1")
-	key := newKey()
-	c.Assert(book(s, key, "4").Code, qt.Equals, uint16(result.OK))
-	c.Assert(f.ups.runs[key], qt.Equals, 1)
+	f.bookOnce(c)
 }
 
 // TestWriteShare guards against writes of claims that grow with the number of
--- a/internal/relay/distance_test.go
+++ b/internal/relay/distance_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -12,22 +11,7 @@
 // TestUDPDistance guards against datagrams that are not delayed by the distance
 // of their client in both directions.
 func TestUDPDistance(t *testing.T) {
-	server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = server.Close() }()
-	go func() {
-		buffer := make([]byte, 100)
-		for {
-			n, from, err := server.ReadFromUDP(buffer)
-			if err != nil {
-				return
-			}
-			_, _ = server.WriteToUDP(buffer[:n], from)
-		}
-	}()
-	r, err := NewUDP(server.LocalAddr().String())
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = r.Close() }()
+	r := relayUDP(t)
 	const distance = 20 * time.Millisecond
 	asked := make(chan string, 2)
 	r.SetDistance(func(client netip.Addr) time.Duration {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -128,12 +128,12 @@
 	return ok && timeout.Timeout()
 }
 
-// TestUDPFlows guards against flows that are silent together, and against a
-// partition that lets datagrams through.
-func TestUDPFlows(t *testing.T) {
+// relayUDP returns a relay before a server that sends each datagram back.
+func relayUDP(t *testing.T) *UDP {
+	t.Helper()
 	server, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = server.Close() }()
+	t.Cleanup(func() { _ = server.Close() })
 	go func() {
 		buffer := make([]byte, 100)
 		for {
@@ -146,7 +146,14 @@
 	}()
 	r, err := NewUDP(server.LocalAddr().String())
 	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = r.Close() }()
+	t.Cleanup(func() { _ = r.Close() })
+	return r
+}
+
+// TestUDPFlows guards against flows that are silent together, and against a
+// partition that lets datagrams through.
+func TestUDPFlows(t *testing.T) {
+	r := relayUDP(t)
 	old := dial(t, "udp", r.Address())
 	qt.Assert(t, answers(old, "a", limit), qt.IsNil)
 	r.SilenceExisting()
