Serve callers on the platform: a thin path from entry to searcher

Cause: nothing of the system ran on the users' platform. A new program, wharf-gateway, reads the platform's settings file, follows its store, answers which addresses to use and sends each request directly to searchers over kept connections. Shards are gathered into the greatest records of their parts.

Ruled out for now: the path through one owner for each searcher; limits are divided among the instances that are known.

--- /dev/null
+++ b/cmd/wharf-gateway/main.go
@@ -0,0 +1,62 @@
+// Command wharf-gateway serves callers on the users' platform: it answers which
+// addresses to use, and runs requests on searchers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/wisteriawharf/wisteriawharf/platform"
+)
+
+// Exit codes.
+const (
+	exitStopped = 0
+	exitFailed  = 1
+	exitUsage   = 2
+)
+
+type options struct {
+	LogLevel string `long:"log-level" value-name:"LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least level of the log's lines"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	var o options
+	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "The settings of the instance are read from the file that the platform names in the environment (docs/settings.md)."
+	if _, err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		if flags.WroteHelp(err) {
+			return exitStopped
+		}
+		return exitUsage
+	}
+	node, err := platform.ReadNode()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	log := newLog(o.LogLevel).With("instance", node.Name)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	if err := serve(context.Background(), node, log, signals); err != nil {
+		log.Error("stopped", "error", err.Error())
+		return exitFailed
+	}
+	log.Info("stopped")
+	return exitStopped
+}
+
+func newLog(level string) *slog.Logger {
+	var l slog.Level
+	_ = l.UnmarshalText([]byte(level)) // the parser takes only known levels
+	return slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: l}))
+}
--- /dev/null
+++ b/dispatch/metrics.go
@@ -0,0 +1,47 @@
+package dispatch
+
+import (
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type metrics struct {
+	outcomes *prometheus.CounterVec
+	dials    *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wharf_attempts_total",
+			Help: "Attempts to run a request on a searcher, by outcome.",
+		}, []string{"outcome"}),
+		dials: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wharf_searcher_dials_total",
+			Help: "Connections opened to searchers, by outcome.",
+		}, []string{"outcome"}),
+	}
+	r.MustRegister(m.outcomes, m.dials)
+	return m
+}
+
+func (m *metrics) ended(o Outcome) { m.outcomes.WithLabelValues(o.String()).Inc() }
+
+func (m *metrics) notStarted(err error) {
+	switch {
+	case errors.Is(err, ErrBudget):
+		m.outcomes.WithLabelValues("no budget").Inc()
+	case errors.Is(err, ErrBusy):
+		m.outcomes.WithLabelValues("busy").Inc()
+	default:
+		m.outcomes.WithLabelValues("no searcher").Inc()
+	}
+}
+
+func (m *metrics) dialed(err error) {
+	outcome := "opened"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.dials.WithLabelValues(outcome).Inc()
+}
--- /dev/null
+++ b/dispatch/target.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/balance"
+	"github.com/wisteriawharf/wisteriawharf/fleet"
+	"github.com/wisteriawharf/wisteriawharf/hedge"
+	"github.com/wisteriawharf/wisteriawharf/retry"
+	"github.com/wisteriawharf/wisteriawharf/routing"
+	"github.com/wisteriawharf/wisteriawharf/searcher"
+)
+
+type connection = searcher.Conn
+
+// service is what is known of one service.
+type service struct {
+	settings routing.Service
+	targets  []*target
+	budget   retry.Budget
+	latency  hedge.Quantile
+	// waiters are attempts that wait for a connection, the first in line first.
+	waiters []*Attempt
+}
+
+// target is a searcher with its connections.
+type target struct {
+	fleet.Searcher
+	service   *service
+	record    balance.Record
+	cold      retry.Cold
+	coldUntil time.Duration
+	// removed says that the searcher is no longer listed, replaced that another
+	// one answers at its address.
+	removed  bool
+	replaced bool
+
+	// idle holds the connections without a request, the last used last; open
+	// counts all of them, those that are being opened included.
+	idle []*connection
+	open int
+	// running holds the attempts that were sent and have no reply, the oldest first.
+	running []*Attempt
+}
+
+// replacedBy reports whether the entry is of another process than before.
+func (t *target) replacedBy(s fleet.Searcher) bool {
+	return t.Address != s.Address || t.Service != s.Service || t.Incarnation != s.Incarnation
+}
+
+func (t *target) takeIdle() []*connection {
+	idle := t.idle
+	t.idle = nil
+	return idle
+}
+
+// takeUsable returns an idle connection, and those that are too old to be used.
+func (t *target) takeUsable(now time.Time) (*connection, []*connection) {
+	var old []*connection
+	for len(t.idle) > 0 {
+		c := t.idle[len(t.idle)-1]
+		t.idle = t.idle[:len(t.idle)-1]
+		if c.Usable(now) {
+			return c, old
+		}
+		old = append(old, c)
+	}
+	return nil, old
+}
+
+func (t *target) forget(c *connection) {
+	for i := range t.idle {
+		if t.idle[i] == c {
+			t.idle = append(t.idle[:i], t.idle[i+1:]...)
+			break
+		}
+	}
+	t.open--
+}
+
+func (t *target) started(a *Attempt) { t.running = append(t.running, a) }
+
+func (t *target) ended(a *Attempt) {
+	for i := range t.running {
+		if t.running[i] == a {
+			t.running = append(t.running[:i], t.running[i+1:]...)
+			return
+		}
+	}
+}
+
+func (t *target) candidate(now time.Duration, domain string) balance.Candidate {
+	c := balance.Candidate{
+		Record:      &t.record,
+		Outstanding: len(t.running),
+		Slots:       t.Slots,
+		SameDomain:  t.FailureDomain == domain,
+		Connected:   len(t.idle) > 0,
+		Cold:        now < t.coldUntil,
+	}
+	if len(t.running) > 0 {
+		c.Oldest = now - t.running[0].sent
+	}
+	return c
+}
+
+func closeAll(connections []*connection) {
+	for _, c := range connections {
+		c.Close()
+	}
+}
+
+func runAll(tasks []func()) {
+	for _, f := range tasks {
+		f()
+	}
+}
--- /dev/null
+++ b/fleet/instances.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Instance is one instance of this system.
+type Instance struct {
+	Name          string
+	FailureDomain string
+	// CallerAddress is where it serves callers, InternalAddress where it serves
+	// other instances.
+	CallerAddress   string
+	ReadyAddress    string
+	InternalAddress string
+	// Started is the Unix millisecond of its start.
+	Started int64
+	// Revision is that of its entry in the store.
+	Revision int64
+}
+
+// Health is what is known of an instance's ability to serve.
+type Health struct {
+	// Answered is when it last answered a check, Ready whether it was ready then.
+	Answered time.Duration
+	Ready    bool
+	// Checked says that it was asked at least once since it was first seen.
+	Checked bool
+	// FirstSeen is when its entry was first seen.
+	FirstSeen time.Duration
+}
+
+const (
+	// silentAfter is how long an instance may be silent before callers are no
+	// longer sent to it.
+	silentAfter = 2500 * time.Millisecond
+	// countedFor is how long a silent instance still counts as one that may use
+	// its part of the shared budgets.
+	countedFor = 12 * time.Second
+	// forgottenAfter is how long a silent instance's entry is kept.
+	forgottenAfter = 60 * time.Second
+)
+
+// Instances is the set of instances. It is safe for concurrent use.
+type Instances struct {
+	mu      sync.Mutex
+	self    string
+	members map[string]*member
+}
+
+type member struct {
+	instance Instance
+	health   Health
+}
+
+// NewInstances returns a set that holds only the instance itself.
+func NewInstances(self Instance) *Instances {
+	return &Instances{self: self.Name, members: map[string]*member{self.Name: {instance: self}}}
+}
+
+// Put takes an entry of the store.
+func (s *Instances) Put(i Instance, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.members[i.Name]
+	if i.Name == s.self {
+		// The instance knows itself better than an entry of an earlier start.
+		m.instance.Revision = i.Revision
+		return
+	}
+	if m == nil || m.instance.Started != i.Started {
+		s.members[i.Name] = &member{instance: i, health: Health{FirstSeen: now}}
+		return
+	}
+	m.instance = i
+}
+
+// Remove takes an instance off the set because its entry is gone.
+func (s *Instances) Remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if name != s.self {
+		delete(s.members, name)
+	}
+}
+
+// Checked notes the outcome of a check of an instance.
+func (s *Instances) Checked(name string, now time.Duration, answered, ready bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.members[name]
+	if m == nil {
+		return
+	}
+	m.health.Checked = true
+	if answered {
+		m.health.Answered = now
+		m.health.Ready = ready
+	}
+}
+
+// Others returns all instances but the own one, by name.
+func (s *Instances) Others() []Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []Instance
+	for name, m := range s.members {
+		if name != s.self {
+			all = append(all, m.instance)
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// Forgotten returns the instances that have been silent for so long that their
+// entries can be removed.
+func (s *Instances) Forgotten(now time.Duration) []Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var silent []Instance
+	for name, m := range s.members {
+		if name != s.self && now-max(m.health.Answered, m.health.FirstSeen) > forgottenAfter {
+			silent = append(silent, m.instance)
+		}
+	}
+	return silent
+}
+
+// Sharers returns how many instances divide the shared budgets among them: all
+// that were heard of lately, ready or not.
+func (s *Instances) Sharers(now time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for name, m := range s.members {
+		if name == s.self || now-max(m.health.Answered, m.health.FirstSeen) <= countedFor {
+			n++
+		}
+	}
+	return n
+}
+
+// minAddresses is how many addresses callers get at least, if there are as many:
+// with one address alone they have nowhere to go when it fails.
+const minAddresses = 2
+
+// maxAddresses bounds an answer.
+const maxAddresses = 64
+
+// Addresses returns the addresses that callers in a failure domain should use:
+// the ready instances there, and others if these are too few. The instance
+// itself is among them only if selfReady.
+func (s *Instances) Addresses(domain string, now time.Duration, selfReady bool) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var near, far []string
+	for name, m := range s.members {
+		usable := m.health.Ready && now-m.health.Answered <= silentAfter
+		if name == s.self {
+			usable = selfReady
+		}
+		if !usable {
+			continue
+		}
+		if m.instance.FailureDomain == domain {
+			near = append(near, m.instance.CallerAddress)
+		} else {
+			far = append(far, m.instance.CallerAddress)
+		}
+	}
+	sort.Strings(near)
+	sort.Strings(far)
+	if len(near) < minAddresses {
+		near = append(near, far...)
+	}
+	return near[:min(len(near), maxAddresses)]
+}
--- /dev/null
+++ b/fleet/searchers.go
@@ -0,0 +1,128 @@
+// Package fleet keeps what is known of the searchers, of the failure domains
+// that are out of service and of the instances of this system, from the lists
+// and changes that the platform's store hands out. It does no I/O; time is that
+// of the boot clock.
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+// Searcher is one entry of the list of searchers.
+type Searcher struct {
+	ID            string
+	Service       string
+	Address       string
+	FailureDomain string
+	Slots         int
+	// Draining says that the searcher leaves and takes no new requests.
+	Draining bool
+	// ColdFor is how much longer the searcher stays cold, counted from when the
+	// entry was written.
+	ColdFor time.Duration
+	// Incarnation is the Unix millisecond of the searcher's start, zero if it is
+	// not stated.
+	Incarnation int64
+}
+
+// entry is a searcher that is in use.
+type entry struct {
+	searcher Searcher
+	// revision is that of the store's object.
+	revision int64
+	// missingSince is when the entry was first missing from the list while that
+	// may be the store's fault, and zero while it is listed.
+	missingSince time.Duration
+}
+
+// Searchers is the list of searchers. It is safe for concurrent use.
+type Searchers struct {
+	mu      sync.Mutex
+	entries map[string]*entry
+	// unreliableUntil ends the time after an outage of the store in which a
+	// missing entry may come back.
+	unreliableUntil time.Duration
+}
+
+// ReturnTime is how long after an outage of the store an entry that lapsed
+// meanwhile may take to come back.
+const ReturnTime = 2200 * time.Millisecond
+
+// NewSearchers returns an empty list.
+func NewSearchers() *Searchers { return &Searchers{entries: make(map[string]*entry)} }
+
+// StoreReturned notes that the store answers again after an outage: until
+// ReturnTime has passed, entries that are missing are kept.
+func (l *Searchers) StoreReturned(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unreliableUntil = now + ReturnTime
+}
+
+// Put takes a new or changed entry and reports whether it was taken. An entry
+// that is older than what is known, or of an earlier incarnation of the
+// searcher, is not.
+func (l *Searchers) Put(s Searcher, revision int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[s.ID]
+	if e == nil {
+		l.entries[s.ID] = &entry{searcher: s, revision: revision}
+		return true
+	}
+	if revision < e.revision || s.Incarnation < e.searcher.Incarnation {
+		return false
+	}
+	*e = entry{searcher: s, revision: revision}
+	return true
+}
+
+// Remove takes an entry off the list because the store says that it is gone or
+// that it can't be read. While entries may have lapsed through the store's
+// fault, it is kept until Expire. It reports whether the searcher is no longer on
+// the list.
+func (l *Searchers) Remove(id string, revision int64, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[id]
+	if e == nil {
+		return true
+	}
+	if revision != 0 && revision < e.revision {
+		return false
+	}
+	if now < l.unreliableUntil && !e.searcher.Draining {
+		if e.missingSince == 0 {
+			e.missingSince = now
+		}
+		return false
+	}
+	delete(l.entries, id)
+	return true
+}
+
+// Expire removes the entries that were kept and did not come back, and returns
+// their IDs.
+func (l *Searchers) Expire(now time.Duration) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now < l.unreliableUntil {
+		return nil
+	}
+	var expired []string
+	for id, e := range l.entries {
+		if e.missingSince != 0 {
+			delete(l.entries, id)
+			expired = append(expired, id)
+		}
+	}
+	return expired
+}
+
+// Len returns the number of searchers.
+func (l *Searchers) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.entries)
+}
--- /dev/null
+++ b/gateway/gather.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/gather"
+	"github.com/wisteriawharf/wisteriawharf/platform"
+)
+
+// answerMargin is the time that an answer takes to reach its caller, and the
+// question took to come.
+const answerMargin = 10 * time.Millisecond
+
+// gathering is a request to all shards of a route.
+type gathering struct {
+	*call
+	parts []*part
+	// answered and given count the parts with an answer and without hope of one.
+	answered int
+	given    int
+	needed   int
+	// soft is when an answer that suffices is given though parts are missing.
+	soft time.Duration
+}
+
+// gather serves a request of a route that names shards.
+func (c *call) gather() answer {
+	q := &gathering{
+		call:   c,
+		needed: c.route.Needed(),
+		soft:   c.arrived + max(c.route.TargetLatency-answerMargin, c.route.TargetLatency/2),
+	}
+	for i, service := range c.route.Shards {
+		p := &part{service: service, tag: i}
+		q.parts = append(q.parts, p)
+		if !c.launch(p, false) {
+			p.given = true
+			q.given++
+		}
+	}
+	for !q.done() {
+		timer := time.NewTimer(q.untilNext())
+		select {
+		case e := <-c.events:
+			q.took(e.Attempt.Tag, func(p *part) { c.took(p, e) })
+		case <-c.ctx.Done():
+			timer.Stop()
+			q.letGo(true)
+			return answer{gone: true}
+		case <-timer.C:
+			q.hedgeDue()
+		}
+		timer.Stop()
+	}
+	q.letGo(false)
+	return q.answer()
+}
+
+// took passes the end of an attempt to its part and counts what became of it.
+func (q *gathering) took(tag int, take func(*part)) {
+	p := q.parts[tag]
+	if p.ended() {
+		return
+	}
+	take(p)
+	switch {
+	case p.reply != nil:
+		q.answered++
+		for _, a := range p.running {
+			a.Abandon()
+		}
+		p.running = nil
+	case p.given:
+		q.given++
+	}
+}
+
+// done reports whether waiting longer is of no use.
+func (q *gathering) done() bool {
+	switch {
+	case q.answered+q.given == len(q.parts):
+		return true
+	case len(q.parts)-q.given < q.needed:
+		return true
+	case q.now() >= q.deadline:
+		return true
+	}
+	return q.answered >= q.needed && q.now() >= q.soft
+}
+
+func (q *gathering) untilNext() time.Duration {
+	now := q.now()
+	at := q.deadline
+	if q.soft > now && q.soft < at {
+		at = q.soft
+	}
+	for _, p := range q.parts {
+		if !p.ended() && p.hedgeAt != 0 && p.hedgeAt < at {
+			at = p.hedgeAt
+		}
+	}
+	return at - now
+}
+
+func (q *gathering) hedgeDue() {
+	now := q.now()
+	for _, p := range q.parts {
+		if !p.ended() && p.hedgeAt != 0 && p.hedgeAt <= now {
+			q.hedge(p)
+		}
+	}
+}
+
+func (q *gathering) letGo(gone bool) {
+	for _, p := range q.parts {
+		p.letGo(gone)
+	}
+}
+
+// answer merges the parts, or says why there is no answer.
+func (q *gathering) answer() answer {
+	if q.answered < q.needed {
+		return answer{refusal: q.refusal()}
+	}
+	var signatures []string
+	var bodies [][]byte
+	for _, p := range q.parts {
+		if p.reply != nil {
+			signatures = append(signatures, p.reply.Says.Signature)
+			bodies = append(bodies, p.reply.Body)
+		}
+	}
+	missing := len(q.parts) - q.answered
+	header := make(http.Header)
+	platform.SetParts(header, signatures, missing)
+	return answer{status: http.StatusOK, header: header, body: gather.Greatest(bodies, q.route.TopK), partial: missing}
+}
+
+func (q *gathering) refusal() *refusal {
+	asked := false
+	for _, p := range q.parts {
+		asked = asked || p.ran > 0 || len(p.asked) > p.unsent
+	}
+	switch {
+	case !asked:
+		return q.notRun(nil)
+	case q.now() >= q.deadline:
+		return &refusal{status: http.StatusGatewayTimeout, reason: "too few shards in time"}
+	}
+	return &refusal{status: http.StatusBadGateway, reason: "too few shards"}
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,29 @@
+package gateway
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type metrics struct {
+	outcomes *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	latency  prometheus.Histogram
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wharf_answers_total",
+			Help: "Answers to callers, by outcome.",
+		}, []string{"outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wharf_refusals_total",
+			Help: "Requests that were not answered by a searcher, by reason.",
+		}, []string{"reason"}),
+		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "wharf_answer_seconds",
+			Help:    "Time from the arrival of a request to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
+		}),
+	}
+	r.MustRegister(m.outcomes, m.refusals, m.latency)
+	return m
+}
--- /dev/null
+++ b/gateway/single.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/routing"
+)
+
+// single serves a request of a route that names services, of which one searcher
+// runs it.
+func (c *call) single() answer {
+	p := &part{service: chooseTarget(c.route.Targets)}
+	if !c.launch(p, false) {
+		return answer{refusal: c.notRun(p)}
+	}
+	for !p.ended() {
+		timer := time.NewTimer(c.untilNext(p))
+		select {
+		case e := <-c.events:
+			c.took(p, e)
+		case <-c.ctx.Done():
+			timer.Stop()
+			p.letGo(true)
+			return answer{gone: true}
+		case <-timer.C:
+			if c.now() >= c.deadline {
+				return c.outOfTime(p)
+			}
+			c.hedge(p)
+		}
+		timer.Stop()
+	}
+	p.letGo(false)
+	if p.reply != nil {
+		return answer{status: p.reply.Status, header: p.reply.Header, body: p.reply.Body}
+	}
+	return c.failed(p)
+}
+
+// chooseTarget draws one of the services by weight.
+func chooseTarget(targets []routing.Target) string {
+	total := 0.0
+	for _, t := range targets {
+		total += t.Weight
+	}
+	drawn := rand.Float64() * total
+	for _, t := range targets {
+		drawn -= t.Weight
+		if drawn < 0 {
+			return t.Service
+		}
+	}
+	if len(targets) == 0 {
+		return ""
+	}
+	return targets[len(targets)-1].Service
+}
+
+// untilNext returns the time until something is to be done for the part.
+func (c *call) untilNext(p *part) time.Duration {
+	at := c.deadline
+	if p.hedgeAt != 0 && p.hedgeAt < at {
+		at = p.hedgeAt
+	}
+	return at - c.now()
+}
+
+// outOfTime ends a request whose time is over.
+func (c *call) outOfTime(p *part) answer {
+	ran := p.ran > 0 || len(p.running) > 0
+	p.letGo(true)
+	if !ran {
+		return answer{refusal: c.notRun(p)}
+	}
+	return answer{refusal: &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}}
+}
+
+// failed ends a request that no searcher answered.
+func (c *call) failed(p *part) answer {
+	switch {
+	case p.failure != nil:
+		return answer{status: p.failure.Status, header: p.failure.Header, body: p.failure.Body}
+	case p.ran > 0:
+		return answer{refusal: &refusal{status: http.StatusBadGateway, reason: "searcher broke off"}}
+	}
+	return answer{refusal: c.notRun(p)}
+}
+
+// notRun refuses a request that no searcher has run or will run.
+func (c *call) notRun(*part) *refusal {
+	left := c.deadline - c.now()
+	return &refusal{
+		status: http.StatusServiceUnavailable, reason: "no searcher could run the request",
+		retryAfter: retryAfter(left),
+	}
+}
+
+const (
+	// Callers come back after a part of the time that they have left, spread so
+	// that they do not come all at once.
+	retryPart = 0.15
+	maxRetry  = 1 * time.Second
+	minRetry  = 20 * time.Millisecond
+)
+
+func retryAfter(left time.Duration) time.Duration {
+	d := min(max(time.Duration(retryPart*float64(left)), minRetry), maxRetry)
+	return d/2 + rand.N(d)
+}
--- /dev/null
+++ b/gather/gather.go
@@ -0,0 +1,30 @@
+// Package gather merges the parts of an answer. It does no I/O.
+package gather
+
+import (
+	"bytes"
+	"sort"
+)
+
+// RecordBytes is the size of one record.
+const RecordBytes = 16
+
+// Greatest returns the greatest records of all parts, the greatest first, at
+// most limit of them. Records are compared byte by byte, and equal ones all
+// count. What is left of a part after its last whole record is no record.
+func Greatest(parts [][]byte, limit int) []byte {
+	var records [][]byte
+	for _, p := range parts {
+		for len(p) >= RecordBytes {
+			records = append(records, p[:RecordBytes])
+			p = p[RecordBytes:]
+		}
+	}
+	sort.Slice(records, func(i, j int) bool { return bytes.Compare(records[i], records[j]) > 0 })
+	records = records[:min(len(records), max(limit, 0))]
+	out := make([]byte, 0, len(records)*RecordBytes)
+	for _, r := range records {
+		out = append(out, r...)
+	}
+	return out
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,93 @@
+// Package retry bounds the extra work that repeated requests put on a service,
+// and the work that cold searchers get. All instances share these bounds: each
+// keeps to its part of them, without asking the others. It does no I/O; time is
+// that of the boot clock.
+package retry
+
+import "time"
+
+// Budget is an instance's part of the repeats of one service: each request earns
+// the ratio, and a burst may use the instance's part of the extra.
+type Budget struct {
+	tokens float64
+}
+
+// Allowance is what the instances together may use.
+type Allowance struct {
+	// Ratio of the requests may be repeated, and Extra repeats come on top in each
+	// window of time.
+	Ratio float64
+	Extra float64
+	// Sharers is the number of instances that use the allowance.
+	Sharers int
+}
+
+const (
+	// ratioUsed and extraUsed leave room for requests that are counted in another
+	// window than their repeats, and for instances that start anew.
+	ratioUsed = 0.85
+	extraUsed = 0.5
+)
+
+func (a Allowance) burst() float64 {
+	return max(a.Extra*extraUsed/float64(max(a.Sharers, 1)), 1)
+}
+
+// Earn notes requests that were sent for the first time.
+func (b *Budget) Earn(a Allowance, requests int) {
+	b.tokens = min(b.tokens+a.Ratio*ratioUsed*float64(requests), a.burst())
+}
+
+// Take pays for one repeat and reports whether it may be sent.
+func (b *Budget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Refund returns the price of a repeat that never reached a searcher.
+func (b *Budget) Refund() { b.tokens++ }
+
+// Tokens returns how many repeats may be sent now.
+func (b *Budget) Tokens() float64 { return b.tokens }
+
+// coldWindow is the time in which the requests of a cold searcher are counted.
+const coldWindow = time.Second
+
+// Cold bounds the requests that one cold searcher gets from this instance.
+type Cold struct {
+	sent []time.Duration
+}
+
+// ColdLimit is what a cold searcher bears from all instances together.
+type ColdLimit struct {
+	PerSecond float64
+	Overage   float64
+	Slack     float64
+	Sharers   int
+}
+
+// requests returns the instance's part of the limit in one window. Requests that
+// were sent in one window may arrive in the next, so half of the overage and the
+// slack stays unused.
+func (l ColdLimit) requests() int {
+	total := l.PerSecond*(1+(l.Overage-1)/2) + l.Slack/2
+	return int(total / float64(max(l.Sharers, 1)))
+}
+
+// Allows reports whether one more request may be sent.
+func (c *Cold) Allows(l ColdLimit, now time.Duration) bool {
+	kept := c.sent[:0]
+	for _, t := range c.sent {
+		if now-t < coldWindow {
+			kept = append(kept, t)
+		}
+	}
+	c.sent = kept
+	return len(c.sent) < l.requests()
+}
+
+// Sent notes a request.
+func (c *Cold) Sent(now time.Duration) { c.sent = append(c.sent, now) }
--- /dev/null
+++ b/routing/config.go
@@ -0,0 +1,132 @@
+// Package routing holds the configuration of routes and services, and finds the
+// route of a request. It does no I/O.
+package routing
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// Target is a service that a route sends requests to, and its share of them
+// relative to the other targets of the route.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// Route says where the requests of a host and path go, and what they may cost.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Targets are the services of a route whose requests run on one searcher.
+	Targets []Target
+	// Shards are the services of a route whose requests run on one searcher of
+	// each. A route has either Targets or Shards.
+	Shards []string
+	// TopK is the number of records in the answer of a route with Shards.
+	TopK int
+	// MinShardShare is the share of the shards below which an answer is a failure.
+	MinShardShare float64
+	// Idempotent says that a request may run more than once.
+	Idempotent bool
+	// Attempts is the number of searchers (for each shard) that one request may
+	// run on.
+	Attempts int
+	// Timeout is how long a request may wait for its answer, TargetLatency the
+	// time within which an answer is worth most to its caller.
+	Timeout       time.Duration
+	TargetLatency time.Duration
+	// Priority is the rank of the route; 0 is the highest.
+	Priority int
+	// Regions are the regions whose searchers may run the requests; none means
+	// that all may.
+	Regions []string
+}
+
+// Needed returns how many of the route's shards make a sufficient answer.
+func (r *Route) Needed() int {
+	needed := 1
+	for needed < len(r.Shards) && float64(needed) < r.MinShardShare*float64(len(r.Shards))-shareTolerance {
+		needed++
+	}
+	return needed
+}
+
+// shareTolerance absorbs the rounding of a share that is a fraction of shards.
+const shareTolerance = 1e-9
+
+// Service describes the searchers of one service.
+type Service struct {
+	Name string
+	// HealthPath answers health checks.
+	HealthPath string
+	// MaxConnections is what a searcher accepts from all instances together.
+	MaxConnections int
+	// WarmupPerSecond is the number of requests a second that a cold searcher
+	// bears. Zero means that no rate is stated.
+	WarmupPerSecond float64
+}
+
+// Limits bounds what callers may send and how long they may take.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  int64
+	Services map[string]*Service
+	Limits   Limits
+
+	// byHost holds the routes of each host, the longest prefix first.
+	byHost map[string][]*Route
+}
+
+// NewConfig returns a configuration of the given routes and services.
+func NewConfig(version int64, routes []*Route, services []*Service, limits Limits) *Config {
+	c := &Config{
+		Version:  version,
+		Services: make(map[string]*Service, len(services)),
+		Limits:   limits,
+		byHost:   make(map[string][]*Route),
+	}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for _, routes := range c.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return c
+}
+
+// Match returns the route with the longest prefix of path among those of the
+// host, or nil. The host may carry a port.
+func (c *Config) Match(host, path string) *Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// RouteCount returns the number of routes.
+func (c *Config) RouteCount() int {
+	n := 0
+	for _, routes := range c.byHost {
+		n += len(routes)
+	}
+	return n
+}
