Notice dead watches and pass news on between instances

Now a few leading instances watch in short turns, heartbeats carry the newest revision of each kind, and an instance that is behind asks the store anew or fetches from the other one. One mirror tries for all while the store is away.

Ruled out: short watches on all instances (calls to the store are priced).

--- a/cmd/wharf-gateway/follow.go
+++ b/cmd/wharf-gateway/follow.go
@@ -1,13 +1,34 @@
 package main
 
 import (
+	"time"
+
 	"github.com/wisteriawharf/wisteriawharf/mirror"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
+// How long a watch of the store waits. An instance that leads notices in time for
+// all when its watch has silently come to nothing; the others hear from it.
+const (
+	leadingWait  = 1200 * time.Millisecond
+	followWait   = 10 * time.Second
+	evacuateWait = 2500 * time.Millisecond
+)
+
+func (s *service) watchWait(kind string) time.Duration {
+	if kind == platform.KindInstances || !s.instances.Leads(s.clock.Boottime()) {
+		return followWait
+	}
+	if kind == platform.KindEvacuations {
+		return evacuateWait
+	}
+	return leadingWait
+}
+
 // follow makes the mirrors of the platform's objects.
 func (s *service) follow() {
 	s.mirrors = make(map[string]*mirror.Mirror)
+	outage := &mirror.Outage{}
 	for kind, changed := range map[string]func(platform.Event){
 		platform.KindConfig:      s.configChanged,
 		platform.KindSearchers:   s.searcherChanged,
@@ -15,7 +36,8 @@
 		platform.KindInstances:   s.instanceChanged,
 	} {
 		s.mirrors[kind] = mirror.New(mirror.Config{
-			Kind: kind, Source: s.store, Changed: changed, Log: s.log,
+			Kind: kind, Source: s.store, Changed: changed, Outage: outage, Log: s.log,
+			Wait:     func() time.Duration { return s.watchWait(kind) },
 			Returned: func() { s.searchers.StoreReturned(s.clock.Boottime()) },
 		})
 	}
--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -45,12 +44,11 @@
 	if err := v.serve(v.callers, s.node.CallerAddress); err != nil {
 		return nil, err
 	}
-	metricsAddress := net.JoinHostPort(s.node.IP, strconv.Itoa(s.node.InternalPorts[0]))
 	for address, register := range map[string]func(*echo.Echo){
 		s.node.ReadyAddress:     s.registerReadiness,
 		s.node.DirectoryAddress: s.registerDirectory,
 		s.node.ExchangeAddress:  s.exchange.Register,
-		metricsAddress: func(e *echo.Echo) {
+		internalAddress(s.node, metricsPort): func(e *echo.Echo) {
 			e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})))
 		},
 	} {
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -71,11 +73,21 @@
 	})
 	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry})
 	s.follow()
-	s.exchange = exchange.New(exchange.Config{
-		Self: s.self, Seeds: node.Seeds, Instances: s.instances, Mirrors: s.mirrors,
+	s.exchange, err = exchange.Listen(exchange.Config{
+		Self: s.self, HeartbeatAddress: internalAddress(node, heartbeatPort), Seeds: node.Seeds, Instances: s.instances, Mirrors: s.mirrors,
 		Ready: s.ready, Clock: s.clock, Log: log,
 	})
-	return s, nil
+	return s, errors.Trace(err)
+}
+
+// Ports of the instance's internal range, counted from its first.
+const (
+	metricsPort   = 0
+	heartbeatPort = 1
+)
+
+func internalAddress(node *platform.Node, port int) string {
+	return net.JoinHostPort(node.IP, strconv.Itoa(node.InternalPorts[0]+port))
 }
 
 // initialSharers is assumed until the other instances are known: an instance that
@@ -174,6 +186,7 @@
 	s.log.Info("planned stop", "open", s.gateway.InFlight())
 	s.leaving.Store(true)
 	s.gateway.Leave()
+	s.exchange.Send()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := s.store.Delete(ctx, platform.KindInstances, s.self.Name, 0); err != nil {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -22,13 +23,20 @@
 )
 
 const (
-	// interval is the time between two checks of an instance.
-	interval = 500 * time.Millisecond
-	// checkTimeout bounds a check, pullTimeout the transfer of objects.
-	checkTimeout = 900 * time.Millisecond
-	pullTimeout  = 2 * time.Second
+	// pullTimeout bounds the transfer of objects, seedTimeout a question to a seed.
+	pullTimeout = 2 * time.Second
+	seedTimeout = 900 * time.Millisecond
+	// seedInterval is the time between two questions to the seeds.
+	seedInterval = 1 * time.Second
 	// maxReplyBytes bounds what another instance may send.
 	maxReplyBytes = 64 << 20
+
+	// newsDelay is how long the store's own news may take after another instance
+	// has them, before the store is asked anew.
+	newsDelay = 120 * time.Millisecond
+	// pullAfter is how long an instance may stay behind another one before it
+	// fetches the objects from there.
+	pullAfter = 1500 * time.Millisecond
 )
 
 const (
@@ -38,47 +46,56 @@
 
 // Config describes an exchange.
 type Config struct {
-	Self      fleet.Instance
-	Seeds     []string
-	Instances *fleet.Instances
-	Mirrors   map[string]*mirror.Mirror
+	Self fleet.Instance
+	// HeartbeatAddress is the UDP address for heartbeats, at the same port on all
+	// instances.
+	HeartbeatAddress string
+	Seeds            []string
+	Instances        *fleet.Instances
+	Mirrors          map[string]*mirror.Mirror
 	// Ready says whether this instance serves callers.
 	Ready func() bool
 	Clock clock.Clock
 	Log   *slog.Logger
 }
 
-// Exchange checks the other instances and answers their checks.
+// Exchange tells the other instances what this one knows, and listens to them.
 type Exchange struct {
 	config Config
 	client *http.Client
+	socket *net.UDPConn
+	port   int
 
 	mu sync.Mutex
-	// ahead counts the checks in a row that found another instance to know newer
-	// objects of a kind.
-	ahead map[string]int
+	// behindSince is since when this instance is behind another one in a kind.
+	behindSince map[lead]time.Duration
+	pulling     map[string]bool
 }
 
-// New returns an exchange.
-func New(config Config) *Exchange {
-	return &Exchange{
-		config: config,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
-		ahead:  make(map[string]int),
-	}
-}
+// lead is another instance's newer knowledge of a kind.
+type lead struct{ kind, instance string }
 
-// state is what an instance answers to a check.
-type state struct {
-	Name  string `json:"name"`
-	Ready bool   `json:"ready"`
-	// Newest holds the revision of the newest change of each kind.
-	Newest map[string]int64 `json:"newest"`
+// Listen returns an exchange that receives heartbeats.
+func Listen(config Config) (*Exchange, error) {
+	address, err := net.ResolveUDPAddr("udp4", config.HeartbeatAddress)
+	if err != nil {
+		return nil, errors.Annotate(err, "heartbeats")
+	}
+	socket, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, errors.Annotate(err, "heartbeats")
+	}
+	return &Exchange{
+		config: config, socket: socket, port: address.Port,
+		client:      &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		behindSince: make(map[lead]time.Duration),
+		pulling:     make(map[string]bool),
+	}, nil
 }
 
 // Register adds the calls of other instances to a server.
 func (x *Exchange) Register(e *echo.Echo) {
-	e.GET(pathInstance, func(c echo.Context) error { return c.JSON(http.StatusOK, x.state()) })
+	e.GET(pathInstance, func(c echo.Context) error { return c.JSON(http.StatusOK, x.heartbeat()) })
 	e.GET(pathObjects, func(c echo.Context) error {
 		m := x.config.Mirrors[c.Param("kind")]
 		if m == nil {
@@ -88,98 +105,132 @@
 	})
 }
 
-func (x *Exchange) state() state {
-	s := state{Name: x.config.Self.Name, Ready: x.config.Ready(), Newest: make(map[string]int64)}
-	for kind, m := range x.config.Mirrors {
-		s.Newest[kind] = m.Newest()
-	}
-	return s
-}
-
-// Run checks the other instances until ctx ends.
+// Run exchanges heartbeats until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
-	ticker := time.NewTicker(interval)
+	go x.receive()
+	go x.askSeeds(ctx)
+	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
+		x.Send()
 		select {
 		case <-ctx.Done():
+			_ = x.socket.Close() // ends receive
 			return
 		case <-ticker.C:
 		}
-		for _, i := range x.config.Instances.Others() {
-			go x.check(ctx, i)
-		}
-		x.askSeeds(ctx)
 	}
 }
 
-func (x *Exchange) check(ctx context.Context, i fleet.Instance) {
-	var s state
-	err := x.get(ctx, i.InternalAddress, pathInstance, checkTimeout, &s)
-	answered := err == nil && s.Name == i.Name
-	x.config.Instances.Checked(i.Name, x.config.Clock.Boottime(), answered, s.Ready)
-	if answered {
-		x.catchUp(ctx, i.InternalAddress, s)
+// askSeeds fetches objects from the seeds while the store has not told them.
+func (x *Exchange) askSeeds(ctx context.Context) {
+	for {
+		// An instance that starts beside the others gets the objects from the store.
+		if clock.Pause(ctx, seedInterval) != nil || x.filled() {
+			return
+		}
+		for _, seed := range x.config.Seeds {
+			if seed != x.config.Self.InternalAddress {
+				x.askSeed(ctx, seed)
+			}
+		}
 	}
 }
 
-// askSeeds fetches objects from the seeds while the store has not told them.
-func (x *Exchange) askSeeds(ctx context.Context) {
+func (x *Exchange) filled() bool {
 	for _, m := range x.config.Mirrors {
 		select {
 		case <-m.Filled():
-			continue
 		default:
+			return false
 		}
-		for _, seed := range x.config.Seeds {
-			if seed != x.config.Self.InternalAddress {
-				go x.askSeed(ctx, seed)
-			}
-		}
-		return
 	}
+	return true
 }
 
 func (x *Exchange) askSeed(ctx context.Context, address string) {
-	var s state
-	if err := x.get(ctx, address, pathInstance, checkTimeout, &s); err != nil {
+	var h heartbeat
+	if err := x.get(ctx, address, pathInstance, seedTimeout, &h); err != nil {
 		x.config.Log.Debug("seed does not answer", "address", address, "error", err.Error())
 		return
 	}
-	x.catchUp(ctx, address, s)
+	for kind, m := range x.config.Mirrors {
+		if h.Newest[kind] > m.Newest() {
+			x.pull(ctx, kind, address)
+		}
+	}
 }
 
-// behindFor is how many checks in a row must find newer objects elsewhere before
-// they are fetched: the store's own news usually comes sooner.
-const behindFor = 2
-
-// catchUp fetches the objects of which the other instance knows newer ones.
-func (x *Exchange) catchUp(ctx context.Context, address string, s state) {
+// catchUp compares what another instance knows with what this one knows. Where
+// this one is behind, it asks the store anew, and after some time the other
+// instance.
+func (x *Exchange) catchUp(h heartbeat, address string) {
+	now := x.config.Clock.Boottime()
 	for kind, m := range x.config.Mirrors {
-		if !x.behind(kind, address, s.Newest[kind] > m.Newest()) {
+		newest, ahead := h.Newest[kind], lead{kind: kind, instance: h.Name}
+		if newest <= m.Newest() {
+			x.settle(ahead)
 			continue
 		}
-		var l platform.Listing
-		if err := x.get(ctx, address, "/v1/objects/"+kind, pullTimeout, &l); err != nil {
-			x.config.Log.Warn("objects were not fetched", "kind", kind, "from", address, "error", err.Error())
+		if x.behindFor(ahead, now) > pullAfter {
+			go x.pull(context.Background(), kind, address)
 			continue
 		}
-		x.config.Log.Info("objects fetched from another instance", "kind", kind, "from", address,
-			"revision", l.Revision, "held", m.Revision())
-		m.Reset(l)
+		time.AfterFunc(newsDelay, func() {
+			if newest > m.Newest() {
+				m.Refresh()
+			}
+		})
 	}
 }
 
-func (x *Exchange) behind(kind, address string, newer bool) bool {
+func (x *Exchange) settle(l lead) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	key := kind + "@" + address
-	if !newer {
-		delete(x.ahead, key)
+	delete(x.behindSince, l)
+}
+
+func (x *Exchange) behindFor(l lead, now time.Duration) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	since, ok := x.behindSince[l]
+	if !ok {
+		x.behindSince[l] = now
+		return 0
+	}
+	return now - since
+}
+
+// pull fetches all objects of a kind from another instance.
+func (x *Exchange) pull(ctx context.Context, kind, address string) {
+	if !x.beginPull(kind) {
+		return
+	}
+	defer x.endPull(kind)
+	m := x.config.Mirrors[kind]
+	var l platform.Listing
+	if err := x.get(ctx, address, "/v1/objects/"+kind, pullTimeout, &l); err != nil {
+		x.config.Log.Warn("objects were not fetched", "kind", kind, "from", address, "error", err.Error())
+		return
+	}
+	x.config.Log.Info("objects fetched from another instance", "kind", kind, "from", address, "revision", l.Revision, "held", m.Revision())
+	m.Reset(l)
+}
+
+func (x *Exchange) beginPull(kind string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.pulling[kind] {
 		return false
 	}
-	x.ahead[key]++
-	return x.ahead[key] >= behindFor
+	x.pulling[kind] = true
+	return true
+}
+
+func (x *Exchange) endPull(kind string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.pulling[kind] = false
 }
 
 func (x *Exchange) get(ctx context.Context, address, path string, timeout time.Duration, answer any) error {
--- a/fleet/instances.go
+++ b/fleet/instances.go
@@ -21,17 +21,6 @@
 	Revision int64
 }
 
-// Health is what is known of an instance's ability to serve.
-type Health struct {
-	// Answered is when it last answered a check, Ready whether it was ready then.
-	Answered time.Duration
-	Ready    bool
-	// Checked says that it was asked at least once since it was first seen.
-	Checked bool
-	// FirstSeen is when its entry was first seen.
-	FirstSeen time.Duration
-}
-
 const (
 	// silentAfter is how long an instance may be silent before callers are no
 	// longer sent to it.
@@ -52,7 +41,10 @@
 
 type member struct {
 	instance Instance
-	health   Health
+	// heard is when its last heartbeat came, at first when its entry was seen;
+	// ready is what it said of itself then.
+	heard time.Duration
+	ready bool
 }
 
 // NewInstances returns a set that holds only the instance itself.
@@ -71,7 +63,7 @@
 		return
 	}
 	if m == nil || m.instance.Started != i.Started {
-		s.members[i.Name] = &member{instance: i, health: Health{FirstSeen: now}}
+		s.members[i.Name] = &member{instance: i, heard: now}
 		return
 	}
 	m.instance = i
@@ -86,19 +78,19 @@
 	}
 }
 
-// Checked notes the outcome of a check of an instance.
-func (s *Instances) Checked(name string, now time.Duration, answered, ready bool) {
+// Heard notes a heartbeat. It returns the address at which the instance serves
+// others, and false if the instance is not known or the heartbeat is of another
+// start than its entry.
+func (s *Instances) Heard(name string, started int64, now time.Duration, ready bool) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.members[name]
-	if m == nil {
-		return
-	}
-	m.health.Checked = true
-	if answered {
-		m.health.Answered = now
-		m.health.Ready = ready
+	if m == nil || name == s.self || m.instance.Started != started {
+		return "", false
 	}
+	m.heard = now
+	m.ready = ready
+	return m.instance.InternalAddress, true
 }
 
 // Others returns all instances but the own one, by name.
@@ -122,7 +114,7 @@
 	defer s.mu.Unlock()
 	var silent []Instance
 	for name, m := range s.members {
-		if name != s.self && now-max(m.health.Answered, m.health.FirstSeen) > forgottenAfter {
+		if name != s.self && now-m.heard > forgottenAfter {
 			silent = append(silent, m.instance)
 		}
 	}
@@ -136,7 +128,7 @@
 	defer s.mu.Unlock()
 	n := 0
 	for name, m := range s.members {
-		if name == s.self || now-max(m.health.Answered, m.health.FirstSeen) <= countedFor {
+		if name == s.self || now-m.heard <= countedFor {
 			n++
 		}
 	}
@@ -158,7 +150,7 @@
 	defer s.mu.Unlock()
 	var near, far []string
 	for name, m := range s.members {
-		usable := m.health.Ready && now-m.health.Answered <= silentAfter
+		usable := m.usable(now)
 		if name == s.self {
 			usable = selfReady
 		}
@@ -178,3 +170,28 @@
 	}
 	return near[:min(len(near), maxAddresses)]
 }
+
+func (m *member) usable(now time.Duration) bool { return m.ready && now-m.heard <= silentAfter }
+
+// minLeaders is how many instances lead at least, if there are as many.
+const minLeaders = 2
+
+// Leads reports whether this instance is one of the few that ask the store often
+// for news, on behalf of all: the first ready one of each failure domain, and the
+// first of all. It needs no agreement: when views differ, more of them lead.
+func (s *Instances) Leads(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	self := s.members[s.self].instance
+	before, beforeInDomain := 0, 0
+	for name, m := range s.members {
+		if name >= s.self || !m.usable(now) {
+			continue
+		}
+		before++
+		if m.instance.FailureDomain == self.FailureDomain {
+			beforeInDomain++
+		}
+	}
+	return beforeInDomain == 0 || before < minLeaders
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -16,13 +16,9 @@
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
 
-const (
-	// startingRetryAfter is when a caller should ask again while the gateway has
-	// no configuration yet.
-	startingRetryAfter = 300 * time.Millisecond
-	// minDeadline is the least time that is left for a request to be tried.
-	minDeadline = 2 * time.Millisecond
-)
+// startingRetryAfter is when a caller should ask again while the gateway has no
+// configuration yet.
+const startingRetryAfter = 300 * time.Millisecond
 
 // call is a caller's request while it is served.
 type call struct {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,12 +16,11 @@
 )
 
 const (
-	// watchWait is how long one watch waits. A watch that hears nothing because
-	// the store answers nobody is noticed after it at the latest.
-	watchWait = 10 * time.Second
 	// Pauses after failed calls grow from minPause to maxPause.
 	minPause = 200 * time.Millisecond
 	maxPause = 900 * time.Millisecond
+	// trialWait is how long a watch waits after a failed call.
+	trialWait = 1 * time.Millisecond
 )
 
 // Source is the part of the store that a mirror reads.
@@ -34,12 +33,17 @@
 type Config struct {
 	Kind   string
 	Source Source
+	// Wait returns how long the next watch waits. A watch that has silently come
+	// to nothing is noticed after it.
+	Wait func() time.Duration
 	// Changed is called for each change, one at a time.
 	Changed func(platform.Event)
 	// Returned is called when the store answers again after calls that failed, before
 	// the changes since then.
 	Returned func()
-	Log      *slog.Logger
+	// Outage is shared by the mirrors of one store.
+	Outage *Outage
+	Log    *slog.Logger
 }
 
 // Mirror is the copy of one kind.
@@ -52,6 +56,8 @@
 	// newest is the highest revision of a change that was taken.
 	newest int64
 	filled chan struct{}
+	// stop ends the present call, so that the next one is made at once.
+	stop context.CancelFunc
 }
 
 // New returns an empty mirror.
@@ -155,23 +161,49 @@
 	m.config.Changed(platform.Event{Object: o, Deleted: true})
 }
 
+// Refresh makes the mirror ask the store anew, because its present watch may have
+// come to nothing.
+func (m *Mirror) Refresh() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stop != nil {
+		m.config.Log.Info("store is asked anew", "kind", m.config.Kind, "revision", m.revision)
+		m.stop()
+	}
+}
+
+func (m *Mirror) setStop(stop context.CancelFunc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stop = stop
+}
+
 // Run follows the store until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	pause := minPause
-	failing := false
+	failures := 0
 	for listed := false; ctx.Err() == nil; {
-		err := m.step(ctx, &listed)
+		m.config.Outage.wait(ctx, m.config.Kind)
+		call, stop := context.WithCancel(ctx)
+		m.setStop(stop)
+		err := m.step(call, &listed, failures > 0)
+		refreshed := call.Err() != nil
+		stop()
 		if err == nil {
-			pause, failing = minPause, false
+			pause, failures = minPause, 0
+			m.config.Outage.over()
 			continue
 		}
-		if ctx.Err() != nil {
-			return
+		m.config.Returned()
+		failures++
+		if refreshed || failures == 1 {
+			// One failure may be that of a connection which had fallen silent.
+			continue
 		}
-		if !failing {
+		if failures == 2 {
 			m.config.Log.Warn("store is not followed", "kind", m.config.Kind, "revision", m.Revision(), "error", err.Error())
 		}
-		failing = true
+		m.config.Outage.began(m.config.Kind)
 		// The error of Pause is that of ctx, which the loop checks.
 		_ = clock.Pause(ctx, pause/2+rand.N(pause))
 		pause = min(pause*2, maxPause)
@@ -180,8 +212,8 @@
 }
 
 // step makes one call: a listing first and after an end of history, else a
-// watch.
-func (m *Mirror) step(ctx context.Context, listed *bool) error {
+// watch. A trial returns soon, so that it shows whether the store answers.
+func (m *Mirror) step(ctx context.Context, listed *bool, trial bool) error {
 	if !*listed {
 		l, err := m.config.Source.List(ctx, m.config.Kind)
 		if err != nil {
@@ -191,7 +223,11 @@
 		*listed = true
 		return nil
 	}
-	events, revision, err := m.config.Source.Watch(ctx, m.config.Kind, m.Revision(), watchWait)
+	wait := m.config.Wait()
+	if trial {
+		wait = trialWait
+	}
+	events, revision, err := m.config.Source.Watch(ctx, m.config.Kind, m.Revision(), wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		m.config.Log.Info("history is gone, listing anew", "kind", m.config.Kind, "revision", m.Revision())
 		*listed = false
