--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,88 @@
+package balance
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func learned(latency time.Duration) *Record {
+	r := &Record{}
+	for range 50 {
+		r.Answered(0, latency, true)
+	}
+	return r
+}
+
+func chosen(t *testing.T, now time.Duration, candidates ...Candidate) int {
+	t.Helper()
+	for i := range candidates {
+		candidates[i].Slots = 3
+	}
+	return Choose(now, candidates, 10*time.Millisecond)
+}
+
+// TestChoose guards against requests going to a searcher that answers later or
+// less often than another one.
+func TestChoose(t *testing.T) {
+	const usual = 10 * time.Millisecond
+	near := func(r *Record) Candidate { return Candidate{Record: r, SameDomain: true, Connected: true} }
+	far := func(r *Record) Candidate { return Candidate{Record: r, Connected: true} }
+	stalled := near(learned(usual))
+	stalled.Outstanding, stalled.Oldest = 1, 80*time.Millisecond
+	busy := near(learned(usual))
+	busy.Outstanding = 6
+	grey := learned(usual)
+	for range 10 {
+		grey.Answered(0, usual, false)
+	}
+	for _, c := range []struct {
+		name        string
+		other, best Candidate
+	}{
+		{"same domain first", far(learned(usual)), near(learned(usual))},
+		{"another domain when the own one is slow", near(learned(6 * usual)), far(learned(usual))},
+		{"another domain when the own one is stalled", stalled, far(learned(usual))},
+		{"another domain when the own one is busy", busy, far(learned(usual))},
+		{"another domain when the own one fails", near(grey), far(learned(usual))},
+		{"a warm one before a cold one", Candidate{Record: &Record{}, Cold: true, SameDomain: true, Connected: true}, near(&Record{})},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for range 20 {
+				qt.Assert(t, chosen(t, 0, c.other, c.best), qt.Equals, 1)
+			}
+		})
+	}
+}
+
+// TestBlocked guards against requests to a searcher that can't be reached, and
+// against never trying it again.
+func TestBlocked(t *testing.T) {
+	r := learned(time.Millisecond)
+	c := Candidate{Record: r, SameDomain: true, Connected: true}
+	r.Unreachable(0)
+	qt.Assert(t, chosen(t, minBlock/2, c), qt.Equals, -1)
+	qt.Assert(t, chosen(t, minBlock, c), qt.Equals, 0)
+	c.Outstanding = 1
+	qt.Assert(t, chosen(t, minBlock, c), qt.Equals, -1, qt.Commentf("a second trial at the same time"))
+	r.Unreachable(minBlock)
+	c.Outstanding = 0
+	qt.Assert(t, chosen(t, 2*minBlock, c), qt.Equals, -1, qt.Commentf("the second pause is longer"))
+	r.Answered(3*minBlock, time.Millisecond, true)
+	c.Outstanding = 1
+	qt.Assert(t, chosen(t, 3*minBlock, c), qt.Equals, 0)
+}
+
+// TestFailuresAreForgotten guards against a searcher that failed once getting no
+// request any more.
+func TestFailuresAreForgotten(t *testing.T) {
+	grey := learned(10 * time.Millisecond)
+	for range 20 {
+		grey.Answered(0, 0, false)
+	}
+	bad := Candidate{Record: grey, SameDomain: true, Connected: true}
+	good := Candidate{Record: learned(12 * time.Millisecond), SameDomain: true, Connected: true}
+	qt.Assert(t, chosen(t, 0, bad, good), qt.Equals, 1)
+	qt.Assert(t, chosen(t, 10*failureHalfLife, bad, good), qt.Equals, 0)
+}
--- /dev/null
+++ b/retry/budget_test.go
@@ -0,0 +1,93 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// TestBudgetHolds guards against more repeats in some window than the ratio of
+// the requests in it plus the extra, over all instances, for a load of any shape.
+func TestBudgetHolds(t *testing.T) {
+	const window = 10 * time.Second
+	rapid.Check(t, func(r *rapid.T) {
+		instances := rapid.IntRange(1, 9).Draw(r, "instances")
+		a := Allowance{Ratio: 0.2, Extra: float64(rapid.IntRange(10, 60).Draw(r, "extra")), Sharers: instances}
+		budgets := make([]Budget, instances)
+		var requests, repeats []time.Duration
+		now := time.Duration(0)
+		for range 400 {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(r, "gap ms")) * time.Millisecond
+			b := &budgets[rapid.IntRange(0, instances-1).Draw(r, "instance")]
+			b.Earn(a, 1)
+			requests = append(requests, now)
+			for range rapid.IntRange(0, 3).Draw(r, "wanted") {
+				if b.Take() {
+					repeats = append(repeats, now)
+				}
+			}
+		}
+		for _, from := range repeats {
+			in := func(all []time.Duration) float64 {
+				n := 0
+				for _, at := range all {
+					if at >= from && at < from+window {
+						n++
+					}
+				}
+				return float64(n)
+			}
+			if in(repeats) > a.Ratio*in(requests)+a.Extra {
+				r.Fatalf("%v repeats of %v requests from %s on", in(repeats), in(requests), from)
+			}
+		}
+	})
+}
+
+// TestBudgetIsUsable guards against an instance that may repeat nothing though
+// many instances share a small extra.
+func TestBudgetIsUsable(t *testing.T) {
+	var b Budget
+	a := Allowance{Ratio: 0.2, Extra: 10, Sharers: 50}
+	b.Earn(a, 10)
+	qt.Assert(t, b.Take(), qt.IsTrue)
+	qt.Assert(t, b.Take(), qt.IsFalse)
+	b.Refund()
+	qt.Assert(t, b.Take(), qt.IsTrue)
+}
+
+// TestColdHolds guards against a cold searcher getting more requests in a second
+// than it bears from all instances, also when those sent in one second arrive in
+// the next.
+func TestColdHolds(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		l := ColdLimit{
+			PerSecond: float64(rapid.IntRange(1, 40).Draw(r, "rate")), Overage: 1.5, Slack: 5,
+			Sharers: rapid.IntRange(1, 9).Draw(r, "instances"),
+		}
+		instances := make([]Cold, l.Sharers)
+		var sent []time.Duration
+		now := time.Duration(0)
+		for range 300 {
+			now += time.Duration(rapid.IntRange(0, 20).Draw(r, "gap ms")) * time.Millisecond
+			c := &instances[rapid.IntRange(0, l.Sharers-1).Draw(r, "instance")]
+			if c.Allows(l, now) {
+				c.Sent(now)
+				sent = append(sent, now)
+			}
+		}
+		for i, from := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at < from+time.Second {
+					n++
+				}
+			}
+			if float64(n) > l.PerSecond*l.Overage+l.Slack {
+				r.Fatalf("%d requests within a second", n)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/routing/config_test.go
@@ -0,0 +1,47 @@
+package routing
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestMatch guards against a request going to another route than the longest
+// prefix of its host.
+func TestMatch(t *testing.T) {
+	short := &Route{Name: "short", Host: "a.example", Prefix: "/x/"}
+	long := &Route{Name: "long", Host: "a.example", Prefix: "/x/y/"}
+	other := &Route{Name: "other", Host: "B.example", Prefix: "/x/"}
+	c := NewConfig(1, []*Route{short, other, long}, nil, Limits{})
+	for _, test := range []struct {
+		host, path string
+		want       *Route
+	}{
+		{"a.example", "/x/1", short},
+		{"a.example", "/x/y/1", long},
+		{"A.EXAMPLE:8080", "/x/y/1", long},
+		{"b.example", "/x/y/1", other},
+		{"a.example", "/x", nil},
+		{"a.example", "/z/", nil},
+		{"c.example", "/x/1", nil},
+	} {
+		t.Run(test.host+test.path, func(t *testing.T) {
+			qt.Assert(t, c.Match(test.host, test.path), qt.Equals, test.want)
+		})
+	}
+}
+
+// TestNeeded guards against an answer below the minimum share of shards, and
+// against a share that rounding makes stricter than it is.
+func TestNeeded(t *testing.T) {
+	for _, test := range []struct {
+		shards int
+		share  float64
+		want   int
+	}{
+		{10, 0.89, 9}, {10, 0.75, 8}, {15, 0.89, 14}, {15, 0.75, 12}, {10, 0.9, 9}, {10, 1, 10}, {3, 0, 1}, {10, 0.7, 7},
+	} {
+		r := &Route{Shards: make([]string, test.shards), MinShardShare: test.share}
+		qt.Check(t, r.Needed(), qt.Equals, test.want, qt.Commentf("%v", test))
+	}
+}
