Test the path to searchers against stand-ins of the platform

Found: a gateway that had just started could repeat nothing, since its budget of repeats began empty; one lost answer then failed a request that may be repeated (TestRepeated). It now begins with its part of the extra.

--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,354 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wisteriawharf/wisteriawharf/clock"
+	"github.com/wisteriawharf/wisteriawharf/dispatch"
+	"github.com/wisteriawharf/wisteriawharf/fleet"
+	"github.com/wisteriawharf/wisteriawharf/gather"
+	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/routing"
+	"github.com/wisteriawharf/wisteriawharf/standin/site"
+)
+
+const work = 5 * time.Millisecond
+
+// bench is a gateway before stand-ins of searchers.
+type bench struct {
+	gateway   *Gateway
+	dispatch  *dispatch.Dispatcher
+	server    *httptest.Server
+	ledger    *site.Ledger
+	searchers map[string][]*site.Searcher
+	requests  int
+}
+
+// newBench starts three searchers, in domains a, b and c, for each service.
+func newBench(t *testing.T, services ...string) *bench {
+	t.Helper()
+	b := &bench{ledger: &site.Ledger{}, searchers: make(map[string][]*site.Searcher)}
+	b.dispatch = dispatch.New(dispatch.Config{
+		FailureDomain: "a", Clock: clock.System{}, Sharers: func() int { return 1 },
+		Bounds: platform.Bounds{RetryRatio: 0.2, RetryExtra: 60, WarmupOverage: 1.5, WarmupSlack: 5},
+		Log:    slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+	})
+	b.gateway = New(Config{Dispatcher: b.dispatch, Clock: clock.System{}, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry()})
+	for _, service := range services {
+		for _, domain := range []string{"a", "b", "c"} {
+			s, err := site.StartSearcher(service+"-"+domain, service, domain, work, 3, b.ledger)
+			qt.Assert(t, err, qt.IsNil)
+			t.Cleanup(s.Stop)
+			b.searchers[service] = append(b.searchers[service], s)
+			b.put(s, false)
+		}
+	}
+	b.server = httptest.NewServer(b.gateway)
+	t.Cleanup(b.server.Close)
+	return b
+}
+
+func (b *bench) put(s *site.Searcher, draining bool) {
+	address, _ := s.Entry("ready")["address"].(string)
+	b.dispatch.PutSearcher(fleet.Searcher{ID: s.ID, Service: s.Service, Address: address, FailureDomain: s.Domain, Slots: 3, Draining: draining})
+}
+
+// configure puts a configuration in force with one route, whose requests begin
+// with /r/.
+func (b *bench) configure(version int64, r routing.Route) {
+	r.Name, r.Host, r.Prefix = "r", "a.example", "/r/"
+	if r.Attempts == 0 {
+		r.Attempts = 2
+	}
+	if r.Timeout == 0 {
+		r.Timeout = 2 * time.Second
+	}
+	if r.TargetLatency == 0 {
+		r.TargetLatency = time.Second
+	}
+	var services []*routing.Service
+	for name := range b.searchers {
+		services = append(services, &routing.Service{Name: name, MaxConnections: 40})
+	}
+	c := routing.NewConfig(version, []*routing.Route{&r}, services, routing.Limits{MaxHeaderBytes: 8 << 10, MaxBodyBytes: 64 << 10})
+	b.dispatch.SetConfig(c)
+	b.gateway.SetConfig(c)
+}
+
+type result struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+}
+
+func (b *bench) do(t *testing.T, method, path, body string, deadline time.Duration) result {
+	t.Helper()
+	b.requests++
+	id := fmt.Sprintf("%016x", b.requests)
+	request, err := http.NewRequest(method, b.server.URL+path, strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	request.Host = "a.example"
+	request.Header.Set("Request-Id", id)
+	if deadline > 0 {
+		request.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	}
+	response, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return result{id: id, status: response.StatusCode, header: response.Header, body: string(text)}
+}
+
+func (b *bench) fault(service string, f site.SearcherFaults) {
+	for _, s := range b.searchers[service] {
+		s.SetFaults(f)
+	}
+}
+
+var oneTarget = []routing.Target{{Service: "one", Weight: 1}}
+
+// TestSingle guards against a request or an answer that is changed on the way.
+func TestSingle(t *testing.T) {
+	b := newBench(t, "one")
+	qt.Assert(t, b.do(t, "GET", "/r/x", "", 0).status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("no configuration yet"))
+	b.configure(1, routing.Route{Targets: oneTarget})
+	r := b.do(t, "POST", "/r/x%20y?q=1", "the body", 500*time.Millisecond)
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+	qt.Assert(t, r.body, qt.Equals, string(site.Records("one", "/r/x y")))
+	qt.Assert(t, r.header.Get("Server-Seal"), qt.Equals, site.Seal("one", r.id))
+	qt.Assert(t, r.header.Get("Request-Id"), qt.Equals, r.id)
+	run := b.ledger.Runs()[0]
+	qt.Assert(t, run.Path, qt.Equals, "/r/x%20y?q=1")
+	qt.Assert(t, run.Body, qt.Equals, "the body")
+	qt.Assert(t, run.Left <= 500*time.Millisecond && run.Left > 300*time.Millisecond, qt.IsTrue, qt.Commentf("%s", run.Left))
+	qt.Assert(t, b.do(t, "GET", "/other", "", 0).status, qt.Equals, http.StatusNotFound)
+	qt.Assert(t, b.do(t, "POST", "/r/x", strings.Repeat("x", 65<<10), 0).status, qt.Equals, http.StatusRequestEntityTooLarge)
+}
+
+// TestOlderConfiguration guards against a version being replaced by an older one.
+func TestOlderConfiguration(t *testing.T) {
+	b := newBench(t, "one")
+	b.configure(5, routing.Route{Targets: oneTarget})
+	b.configure(4, routing.Route{Targets: []routing.Target{{Service: "gone", Weight: 1}}})
+	qt.Assert(t, b.gateway.Configuration().Version, qt.Equals, int64(5))
+	qt.Assert(t, b.do(t, "GET", "/r/x", "", 0).status, qt.Equals, http.StatusOK)
+}
+
+// TestNotRepeated guards against a request that must not be repeated running
+// twice, and against a refusal of it that says it has not run though it has.
+func TestNotRepeated(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults site.SearcherFaults
+		status []int
+	}{
+		{"lost answers", site.SearcherFaults{Lose: 1}, []int{http.StatusBadGateway}},
+		{"garbled answers", site.SearcherFaults{Garble: true}, []int{http.StatusBadGateway}},
+		{"failures", site.SearcherFaults{Fail: 1}, []int{http.StatusInternalServerError}},
+		{"refusals", site.SearcherFaults{Shed: 1}, []int{http.StatusServiceUnavailable}},
+		{"some refusals", site.SearcherFaults{Shed: 0.5}, []int{http.StatusOK, http.StatusServiceUnavailable}},
+		{"answers to others first", site.SearcherFaults{Stranger: true}, []int{http.StatusOK}},
+		{"doubled answers", site.SearcherFaults{Extra: true}, []int{http.StatusOK}},
+		{"silence", site.SearcherFaults{Silent: true}, []int{http.StatusGatewayTimeout}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, "one")
+			b.configure(1, routing.Route{Targets: oneTarget, Timeout: 300 * time.Millisecond})
+			b.fault("one", c.faults)
+			for range 20 {
+				r := b.do(t, "POST", "/r/x", "book", 0)
+				qt.Assert(t, slices.Contains(c.status, r.status), qt.IsTrue, qt.Commentf("status %d", r.status))
+				runs := b.ledger.Count(r.id)
+				qt.Assert(t, runs <= 1, qt.IsTrue, qt.Commentf("ran %d times", runs))
+				if r.status == http.StatusServiceUnavailable {
+					qt.Assert(t, runs, qt.Equals, 0)
+					qt.Assert(t, r.header.Get("Retry-After"), qt.Not(qt.Equals), "")
+				}
+				if r.status == http.StatusOK {
+					qt.Assert(t, r.body, qt.Equals, string(site.Records("one", "/r/x")))
+				}
+				if c.faults.Silent {
+					break
+				}
+			}
+		})
+	}
+}
+
+// TestRepeated guards against a request that may be repeated failing while another
+// searcher could answer, and against more attempts than its route allows.
+func TestRepeated(t *testing.T) {
+	b := newBench(t, "one")
+	b.configure(1, routing.Route{Targets: oneTarget, Idempotent: true})
+	b.searchers["one"][0].SetFaults(site.SearcherFaults{Lose: 1})
+	for range 10 {
+		r := b.do(t, "GET", "/r/x", "", 0)
+		qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+		qt.Assert(t, b.ledger.Count(r.id) <= 2, qt.IsTrue)
+	}
+	b.fault("one", site.SearcherFaults{Lose: 1})
+	r := b.do(t, "GET", "/r/x", "", 0)
+	qt.Assert(t, r.status, qt.Equals, http.StatusBadGateway)
+	qt.Assert(t, b.ledger.Count(r.id), qt.Equals, 2)
+}
+
+func shardRoute() (routing.Route, []string) {
+	shards := []string{"s0", "s1", "s2", "s3"}
+	return routing.Route{Shards: shards, TopK: 5, MinShardShare: 0.7, Idempotent: true, TargetLatency: 300 * time.Millisecond}, shards
+}
+
+func wantRecords(services ...string) string {
+	var parts [][]byte
+	for _, s := range services {
+		parts = append(parts, site.Records(s, "/r/x"))
+	}
+	return string(gather.Greatest(parts, 5))
+}
+
+// TestGather guards against an answer that does not say truly which shards it is
+// made of, or holds other records than theirs.
+func TestGather(t *testing.T) {
+	route, shards := shardRoute()
+	b := newBench(t, shards...)
+	b.configure(1, route)
+	r := b.do(t, "GET", "/r/x", "", 0)
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+	qt.Assert(t, r.header.Get("Missing-Parts"), qt.Equals, "0")
+	qt.Assert(t, strings.Split(r.header.Get("Part-Seals"), ", "), qt.HasLen, 4)
+	qt.Assert(t, r.body, qt.Equals, wantRecords(shards...))
+
+	b.fault("s1", site.SearcherFaults{Silent: true})
+	started := time.Now()
+	r = b.do(t, "GET", "/r/x", "", 0)
+	qt.Assert(t, time.Since(started) < time.Second, qt.IsTrue, qt.Commentf("a partial answer waited for the silent shard"))
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+	qt.Assert(t, r.header.Get("Missing-Parts"), qt.Equals, "1")
+	qt.Assert(t, r.header.Get("Part-Seals"), qt.Not(qt.Contains), site.Seal("s1", r.id))
+	qt.Assert(t, r.body, qt.Equals, wantRecords("s0", "s2", "s3"))
+
+	b.fault("s2", site.SearcherFaults{Fail: 1})
+	b.fault("s1", site.SearcherFaults{Fail: 1})
+	r = b.do(t, "GET", "/r/x", "", 0)
+	qt.Assert(t, r.status, qt.Equals, http.StatusBadGateway, qt.Commentf("too few shards are no answer, and did run"))
+}
+
+// TestStraggler guards against an answer that waits for one slow searcher while
+// another one of its shard is free.
+func TestStraggler(t *testing.T) {
+	route, shards := shardRoute()
+	route.MinShardShare = 1
+	b := newBench(t, shards...)
+	b.configure(1, route)
+	b.searchers["s0"][0].SetFaults(site.SearcherFaults{Work: 1500 * time.Millisecond})
+	started := time.Now()
+	r := b.do(t, "GET", "/r/x", "", 0)
+	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+	qt.Assert(t, r.header.Get("Missing-Parts"), qt.Equals, "0")
+	qt.Assert(t, time.Since(started) < 1200*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(started)))
+}
+
+// TestLeaving guards against requests to searchers that drain, are gone, or whose
+// failure domain is out of service.
+func TestLeaving(t *testing.T) {
+	b := newBench(t, "one")
+	b.configure(1, routing.Route{Targets: oneTarget, Idempotent: true})
+	b.put(b.searchers["one"][0], true)
+	b.dispatch.SetOut("b", true)
+	for range 20 {
+		qt.Assert(t, b.do(t, "GET", "/r/x", "", 0).status, qt.Equals, http.StatusOK)
+	}
+	for _, run := range b.ledger.Runs() {
+		qt.Assert(t, run.Searcher, qt.Equals, "one-c")
+	}
+	b.dispatch.RemoveSearcher("one-c")
+	started := time.Now()
+	r := b.do(t, "GET", "/r/x", "", 0)
+	qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, time.Since(started) < time.Second, qt.IsTrue, qt.Commentf("what can't be served is refused at once"))
+	b.dispatch.SetOut("b", false)
+	qt.Assert(t, b.do(t, "GET", "/r/x", "", 0).status, qt.Equals, http.StatusOK)
+}
+
+// TestOtherSearcherAtAddress guards against a request that runs on a searcher it
+// was not meant for, and against losing it when the address was used again.
+func TestOtherSearcherAtAddress(t *testing.T) {
+	b := newBench(t, "one", "two")
+	b.configure(1, routing.Route{Targets: oneTarget})
+	address, _ := b.searchers["two"][0].Entry("ready")["address"].(string)
+	b.dispatch.PutSearcher(fleet.Searcher{ID: "one-a", Service: "one", Address: address, FailureDomain: "a", Slots: 3})
+	for range 10 {
+		r := b.do(t, "POST", "/r/x", "book", 0)
+		qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+		qt.Assert(t, r.header.Get("Server-Seal"), qt.Equals, site.Seal("one", r.id))
+	}
+}
+
+// TestCallerGone guards against searchers that work on for a caller who has left.
+func TestCallerGone(t *testing.T) {
+	b := newBench(t, "one")
+	b.configure(1, routing.Route{Targets: oneTarget, Idempotent: true})
+	b.fault("one", site.SearcherFaults{Work: time.Minute})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, "GET", b.server.URL+"/r/x", nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.Host = "a.example"
+	_, err = http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNotNil)
+	for range 200 {
+		if b.gateway.InFlight() == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, b.gateway.InFlight(), qt.Equals, int64(0))
+	// The slots are free again: another request is served.
+	b.fault("one", site.SearcherFaults{})
+	qt.Assert(t, b.do(t, "GET", "/r/x", "", 0).status, qt.Equals, http.StatusOK)
+}
+
+// TestBudgetOfRepeats guards against repeats that multiply the load of a service
+// whose searchers fail.
+func TestBudgetOfRepeats(t *testing.T) {
+	b := newBench(t, "one")
+	b.configure(1, routing.Route{Targets: oneTarget, Idempotent: true})
+	b.fault("one", site.SearcherFaults{Shed: 1})
+	const requests = 200
+	for range requests {
+		r := b.do(t, "GET", "/r/x", "", 0)
+		qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	extra := b.ledger.Arrivals() - requests
+	qt.Assert(t, extra > 0, qt.IsTrue, qt.Commentf("nothing was tried again"))
+	qt.Assert(t, float64(extra) <= 0.2*requests+60, qt.IsTrue, qt.Commentf("%d repeats of %d requests", extra, requests))
+}
+
+// TestWeights guards against shares of a route's services that are not those of
+// its weights.
+func TestWeights(t *testing.T) {
+	targets := []routing.Target{{Service: "one", Weight: 3}, {Service: "two", Weight: 1}}
+	count := 0
+	const draws = 4000
+	for range draws {
+		if chooseTarget(targets) == "one" {
+			count++
+		}
+	}
+	share := float64(count) / draws
+	qt.Assert(t, share > 0.7 && share < 0.8, qt.IsTrue, qt.Commentf("%.3f", share))
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -10,6 +10,8 @@
 // the ratio, and a burst may use the instance's part of the extra.
 type Budget struct {
 	tokens float64
+	// used says that the budget has its first tokens.
+	used bool
 }
 
 // Allowance is what the instances together may use.
@@ -35,6 +37,9 @@
 
 // Earn notes requests that were sent for the first time.
 func (b *Budget) Earn(a Allowance, requests int) {
+	if !b.used {
+		b.tokens, b.used = a.burst(), true
+	}
 	b.tokens = min(b.tokens+a.Ratio*ratioUsed*float64(requests), a.burst())
 }
 
--- /dev/null
+++ b/standin/site/searcher.go
@@ -0,0 +1,244 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Run is a request that a searcher began to work on.
+type Run struct {
+	RequestID string
+	Searcher  string
+	Path      string
+	Body      string
+	At        time.Time
+	// Left is the time that the request had left.
+	Left time.Duration
+}
+
+// Ledger records what ran, for all searchers of a site.
+type Ledger struct {
+	mu       sync.Mutex
+	runs     []Run
+	arrivals int
+}
+
+// Runs returns what ran so far.
+func (l *Ledger) Runs() []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Run(nil), l.runs...)
+}
+
+// Count returns how often a request ran.
+func (l *Ledger) Count(requestID string) int {
+	n := 0
+	for _, r := range l.Runs() {
+		if r.RequestID == requestID {
+			n++
+		}
+	}
+	return n
+}
+
+// Arrivals returns how many requests reached searchers.
+func (l *Ledger) Arrivals() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.arrivals
+}
+
+func (l *Ledger) arrived() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals++
+}
+
+func (l *Ledger) ran(r Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs = append(l.runs, r)
+}
+
+// SearcherFaults is how a searcher misbehaves.
+type SearcherFaults struct {
+	// Shed is the share of requests that are refused and don't run, Fail of those
+	// that run and fail, Lose of those whose answer is lost after the run.
+	Shed, Fail, Lose float64
+	// Garble makes replies break off, Stranger puts a reply to another request
+	// before the right one, Extra sends each reply twice.
+	Garble, Stranger, Extra bool
+	// Silent makes requests wait until their callers give up.
+	Silent bool
+	// Work is added to the time that a request takes.
+	Work time.Duration
+}
+
+// Searcher is a stand-in of one searcher. It listens on a loopback address.
+type Searcher struct {
+	ID      string
+	Service string
+	Domain  string
+	ledger  *Ledger
+	work    time.Duration
+	slots   chan struct{}
+	server  *http.Server
+	address string
+
+	mu     sync.Mutex
+	faults SearcherFaults
+}
+
+// queueLength is how many requests wait for a slot before more are refused.
+const queueLength = 12
+
+// StartSearcher starts a searcher whose requests take the given time.
+func StartSearcher(id, service, domain string, work time.Duration, slots int, ledger *Ledger) (*Searcher, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Searcher{
+		ID: id, Service: service, Domain: domain, ledger: ledger, work: work,
+		slots: make(chan struct{}, slots), address: listener.Addr().String(),
+	}
+	s.server = &http.Server{Handler: s}
+	go func() { _ = s.server.Serve(listener) }() // ends with Stop
+	return s, nil
+}
+
+// Stop ends the searcher and its connections.
+func (s *Searcher) Stop() { _ = s.server.Close() }
+
+// SetFaults changes how the searcher misbehaves.
+func (s *Searcher) SetFaults(f SearcherFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Entry returns what the searcher says of itself in the store.
+func (s *Searcher) Entry(state string) map[string]any {
+	return map[string]any{
+		"backend": s.Service, "address": s.address, "zone": s.Domain, "version": "v1",
+		"slots": cap(s.slots), "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
+	}
+}
+
+// Records returns the body of the searcher's service for a path: records that
+// differ between services.
+func Records(service, path string) []byte {
+	var b bytes.Buffer
+	for i := range 4 {
+		fmt.Fprintf(&b, "%-16.16s", fmt.Sprintf("%d%s%s", i, service, path))
+	}
+	return b.Bytes()
+}
+
+// ServeHTTP runs one request.
+func (s *Searcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	s.ledger.arrived()
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if target := r.Header.Get("Target-Instance"); target != "" && target != s.ID {
+		w.Header().Set("Instance-Id", s.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	left := s.timeLeft(r)
+	ctx, cancel := context.WithTimeout(r.Context(), left)
+	defer cancel()
+	if rand.Float64() < f.Shed || !s.begin(ctx) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() { <-s.slots }()
+	s.ledger.ran(Run{RequestID: id, Searcher: s.ID, Path: r.RequestURI, Body: string(body), At: time.Now(), Left: left})
+	if f.Silent {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	select {
+	case <-time.After(s.work + f.Work):
+	case <-r.Context().Done():
+		return
+	}
+	s.answer(w, r, id, f)
+}
+
+func (s *Searcher) timeLeft(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms"))
+	if err != nil {
+		return time.Minute
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+func (s *Searcher) begin(ctx context.Context) bool {
+	if len(s.slots) == cap(s.slots)+queueLength {
+		return false
+	}
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Searcher) answer(w http.ResponseWriter, r *http.Request, id string, f SearcherFaults) {
+	if rand.Float64() < f.Lose {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Server-Seal", Seal(s.Service, id))
+	if rand.Float64() < f.Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	body := Records(s.Service, r.URL.Path)
+	switch {
+	case f.Garble:
+		s.raw(w, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nServer-Seal: x\r\nContent-Length: 400\r\n\r\nshort")
+	case f.Stranger:
+		s.raw(w, s.whole("another", "strange")+s.whole(id, string(body)))
+	case f.Extra:
+		s.raw(w, s.whole(id, string(body))+s.whole(id, string(body)))
+	default:
+		_, _ = w.Write(body) // the caller may have gone
+	}
+}
+
+// Seal returns the signature of a searcher's reply to a request.
+func Seal(service, requestID string) string { return service + "." + requestID }
+
+func (s *Searcher) whole(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: %s\r\nContent-Length: %d\r\n\r\n%s",
+		id, Seal(s.Service, id), len(body), body)
+}
+
+// raw writes bytes to the connection and ends it.
+func (s *Searcher) raw(w http.ResponseWriter, text string) {
+	conn, buffer, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = buffer.WriteString(text)
+	_ = buffer.Flush()
+	_ = conn.Close()
+}
