Send second attempts elsewhere, and keep repeats for what failed

Now hedges avoid the searchers that have the request, a part of the budget is kept for failures, a failed part looks again at a spent budget while its answer would be in time, and a refusal bars only the next attempt. A plain request that nobody has run is still refused at once.

Found by the tests on the way: a hedge for a part with nothing running (panic).

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -70,8 +70,12 @@
 	Deadline time.Duration
 	// Avoid holds the searchers that must not get it.
 	Avoid []string
-	// Repeat says that the request was sent to a searcher of the service before.
+	// Repeat says that the request was sent to a searcher of the service before,
+	// Hedge that the searcher which has it may still answer,
+	// Again that an attempt before it was not sent.
 	Repeat bool
+	Hedge  bool
+	Again  bool
 	// Tag is for the caller.
 	Tag int
 	// Ended is called once, unless the attempt is cancelled or abandoned before.
@@ -84,11 +88,9 @@
 	Request
 	d       *Dispatcher
 	service *service
-	// SearcherID names the searcher once it is chosen.
-	SearcherID string
-	target     *target
-	conn       *connection
-	sent       time.Duration
+	target  *target
+	conn    *connection
+	sent    time.Duration
 	// silenced says that nobody waits for the outcome, closed that the attempt has
 	// ended.
 	silenced bool
@@ -101,14 +103,14 @@
 	d.mu.Lock()
 	s := d.service(r.Service)
 	a := &Attempt{Request: r, d: d, service: s}
-	if !r.Repeat {
+	if !r.Repeat && !r.Again {
 		s.budget.Earn(d.allowance(), 1)
 	}
 	launch, err := d.place(a)
 	if err == nil && launch == nil {
 		err = s.enqueue(a, d.connectionLimit(s))
 	}
-	if err == nil && r.Repeat && !s.budget.Take() {
+	if err == nil && r.Repeat && !d.pay(s, r.Hedge) {
 		err = ErrBudget
 	}
 	if err != nil {
@@ -124,6 +126,14 @@
 	return a, nil
 }
 
+// pay takes the price of a repeat from the service's budget.
+func (d *Dispatcher) pay(s *service, hedge bool) bool {
+	if hedge {
+		return s.budget.TakeSpare(d.allowance())
+	}
+	return s.budget.Take()
+}
+
 func (s *service) enqueue(a *Attempt, connectionLimit int) error {
 	if len(s.waiters) >= waitersPerConnection*connectionLimit*max(len(s.targets), 1) {
 		return ErrBusy
@@ -167,7 +177,7 @@
 }
 
 func (d *Dispatcher) bind(a *Attempt, t *target, now time.Duration, wall time.Time) func() {
-	a.target, a.SearcherID, a.sent = t, t.ID, now
+	a.target, a.sent = t, now
 	t.started(a)
 	if now < t.coldUntil {
 		t.cold.Sent(now)
@@ -254,7 +264,7 @@
 	conn.Send(&searcher.Exchange{
 		RequestID: a.RequestID,
 		Method:    a.Method,
-		Wire:      a.Wire(a.SearcherID, left),
+		Wire:      a.Wire(a.target.ID, left),
 		Done:      func(reply *searcher.Reply, err error) { d.replied(a, conn, reply, err) },
 	})
 }
@@ -361,6 +371,16 @@
 	}
 }
 
+// Searcher returns the ID of the searcher, empty while none is chosen.
+func (a *Attempt) Searcher() string {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	if a.target == nil {
+		return ""
+	}
+	return a.target.ID
+}
+
 // Waited returns the time since the searcher was chosen, zero if none is.
 func (a *Attempt) Waited() time.Duration {
 	a.d.mu.Lock()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -167,18 +167,20 @@
 
 func (c *call) now() time.Duration { return c.g.config.Clock.Boottime() }
 
-// start sends the request to a searcher of the service.
-func (c *call) start(service string, tag int, avoid []string, repeat bool) (*dispatch.Attempt, error) {
+// start sends the request to a searcher of the part's service.
+func (c *call) start(p *part, kind attemptKind) (*dispatch.Attempt, error) {
 	return c.g.config.Dispatcher.Start(dispatch.Request{
-		Service:   service,
+		Service:   p.service,
 		Regions:   c.route.Regions,
 		RequestID: c.says.ID,
 		Method:    c.method,
 		Wire:      c.wire,
 		Deadline:  c.deadline,
-		Avoid:     avoid,
-		Repeat:    repeat,
-		Tag:       tag,
+		Avoid:     p.avoided(),
+		Repeat:    kind == repeatAttempt || kind == hedgeAttempt,
+		Again:     kind == againAttempt,
+		Hedge:     kind == hedgeAttempt,
+		Tag:       p.tag,
 		Ended:     func(e dispatch.Event) { c.events <- e },
 	})
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -262,6 +262,25 @@
 	qt.Assert(t, time.Since(started) < 1200*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(started)))
 }
 
+// TestHedgeElsewhere guards against a second attempt that goes to the searcher
+// which is slow with the first.
+func TestHedgeElsewhere(t *testing.T) {
+	b := newBench(t, "one")
+	b.configure(1, routing.Route{Targets: oneTarget, Idempotent: true, TargetLatency: 100 * time.Millisecond})
+	b.fault("one", site.SearcherFaults{Work: 200 * time.Millisecond})
+	for range 5 {
+		r := b.do(t, "GET", "/r/x", "", 0)
+		qt.Assert(t, r.status, qt.Equals, http.StatusOK)
+		ran := make(map[string]int)
+		for _, run := range b.ledger.Runs() {
+			if run.RequestID == r.id {
+				ran[run.Searcher]++
+			}
+		}
+		qt.Assert(t, ran, qt.HasLen, 2, qt.Commentf("%v", ran))
+	}
+}
+
 // TestLeaving guards against requests to searchers that drain, are gone, or whose
 // failure domain is out of service.
 func TestLeaving(t *testing.T) {
@@ -330,14 +349,59 @@
 	b.fault("one", site.SearcherFaults{Shed: 1})
 	const requests = 200
 	for range requests {
+		started := time.Now()
 		r := b.do(t, "GET", "/r/x", "", 0)
 		qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Assert(t, time.Since(started) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("what can't be served is refused at once"))
 	}
 	extra := b.ledger.Arrivals() - requests
 	qt.Assert(t, extra > 0, qt.IsTrue, qt.Commentf("nothing was tried again"))
 	qt.Assert(t, float64(extra) <= 0.2*requests+60, qt.IsTrue, qt.Commentf("%d repeats of %d requests", extra, requests))
 }
 
+// TestSpentBudget guards against a query that fails at once because the budget of
+// repeats has nothing left for one of its shards, though it would have soon.
+func TestSpentBudget(t *testing.T) {
+	route, shards := shardRoute()
+	route.MinShardShare, route.TargetLatency, route.Attempts = 1, 600*time.Millisecond, 5
+	b := newBench(t, shards...)
+	b.configure(1, route)
+	stop := make(chan struct{})
+	fed := make(chan struct{})
+	go func() { // other requests, which earn repeats
+		defer close(fed)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				_, _ = b.dispatch.Start(dispatch.Request{
+					Service: "s0", Method: "GET", Deadline: clock.System{}.Boottime() + time.Second,
+					Wire:  func(string, time.Duration) []byte { return []byte("GET /x HTTP/1.1\r\nHost: a\r\n\r\n") },
+					Ended: func(dispatch.Event) {},
+				})
+			}
+		}
+	}()
+	for range 60 {
+		_, _ = b.dispatch.Start(dispatch.Request{
+			Service: "s0", Repeat: true, Deadline: clock.System{}.Boottime() + time.Second, Method: "GET",
+			Wire:  func(string, time.Duration) []byte { return []byte("GET /x HTTP/1.1\r\nHost: a\r\n\r\n") },
+			Ended: func(dispatch.Event) {},
+		})
+	}
+	b.fault("s0", site.SearcherFaults{Shed: 0.7})
+	served := 0
+	for range 10 {
+		if r := b.do(t, "GET", "/r/x", "", 0); r.status == http.StatusOK {
+			served++
+		}
+	}
+	close(stop)
+	<-fed
+	qt.Assert(t, served >= 8, qt.IsTrue, qt.Commentf("served %d of 10", served))
+}
+
 // TestWeights guards against shares of a route's services that are not those of
 // its weights.
 func TestWeights(t *testing.T) {
--- a/gateway/gather.go
+++ b/gateway/gather.go
@@ -30,7 +30,7 @@
 	for i, service := range c.route.Shards {
 		p := &part{service: service, tag: i}
 		q.parts = append(q.parts, p)
-		if !c.launch(p, false) {
+		if !c.launch(p, firstAttempt) {
 			p.given = true
 			q.given++
 		}
@@ -45,7 +45,7 @@
 			q.letGo(true)
 			return answer{gone: true}
 		case <-timer.C:
-			q.hedgeDue()
+			q.due()
 		}
 		timer.Stop()
 	}
@@ -71,13 +71,13 @@
 		"shards", len(q.parts), "needed", q.needed, "answered", q.answered, "after_ms", q.sinceArrival(), "open", open)
 }
 
-// took passes the end of an attempt to its part and counts what became of it.
-func (q *gathering) took(tag int, take func(*part)) {
-	p := q.parts[tag]
+// took lets a part go on, unless it has ended, and counts what became of it.
+func (q *gathering) took(i int, goOn func(*part)) {
+	p := q.parts[i]
 	if p.ended() {
 		return
 	}
-	take(p)
+	goOn(p)
 	switch {
 	case p.reply != nil:
 		q.answered++
@@ -110,19 +110,18 @@
 		at = q.soft
 	}
 	for _, p := range q.parts {
-		if !p.ended() && p.hedgeAt != 0 && p.hedgeAt < at {
-			at = p.hedgeAt
+		if !p.ended() {
+			at = p.nextDue(at)
 		}
 	}
 	return at - now
 }
 
-func (q *gathering) hedgeDue() {
+// due makes the attempts whose time has come.
+func (q *gathering) due() {
 	now := q.now()
-	for _, p := range q.parts {
-		if !p.ended() && p.hedgeAt != 0 && p.hedgeAt <= now {
-			q.hedge(p)
-		}
+	for i := range q.parts {
+		q.took(i, func(p *part) { q.call.due(p, now) })
 	}
 }
 
@@ -154,7 +153,7 @@
 func (q *gathering) refusal() *refusal {
 	asked := false
 	for _, p := range q.parts {
-		asked = asked || p.ran > 0 || len(p.asked) > p.unsent
+		asked = asked || p.ran > 0
 	}
 	switch {
 	case !asked:
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/searcher"
 )
@@ -14,8 +16,12 @@
 	tag     int
 	// running holds the attempts that have not ended.
 	running []*dispatch.Attempt
-	// asked holds the searchers that the request was sent to.
-	asked []string
+	// avoid holds the searchers that may have run the request, refusedBy the one
+	// that refused it last. Others that refused it may take it later.
+	avoid     []string
+	refusedBy string
+	// asked counts the attempts that reached a searcher.
+	asked int
 	// ran counts the attempts that may have run.
 	ran int
 	// unsent counts the attempts that failed before the request left.
@@ -23,6 +29,9 @@
 	// hedgeAt is when the next attempt is to be started beside those that run, zero
 	// for never.
 	hedgeAt time.Duration
+	// againAt is when an attempt is tried again for which the budget of repeats had
+	// nothing left, zero for never.
+	againAt time.Duration
 	// reply is the searcher's answer, failure its last reply that was none.
 	reply   *searcher.Reply
 	failure *searcher.Reply
@@ -46,13 +55,28 @@
 // maxUnsent bounds the attempts that end before the request leaves.
 const maxUnsent = 4
 
+// attemptKind says what an attempt is made for.
+type attemptKind int
+
+const (
+	// firstAttempt repeats nothing: no searcher has got the request.
+	firstAttempt attemptKind = iota
+	// againAttempt follows one that was not sent.
+	againAttempt
+	// repeatAttempt follows one that failed.
+	repeatAttempt
+	// hedgeAttempt is made beside one that is slow.
+	hedgeAttempt
+)
+
 // launch makes an attempt. It reports whether one was started.
-func (c *call) launch(p *part, repeat bool) bool {
-	a, err := c.start(p.service, p.tag, p.asked, repeat)
+func (c *call) launch(p *part, kind attemptKind) bool {
+	a, err := c.start(p, kind)
 	if err != nil {
-		p.tries = append(p.tries, try{StartedMs: c.sinceArrival(), Outcome: err.Error()})
+		c.notStarted(p, kind, err)
 		return false
 	}
+	p.againAt = 0
 	p.running = append(p.running, a)
 	p.hedgeAt = 0
 	if c.route.Idempotent && p.ran+len(p.running) < c.route.Attempts {
@@ -70,14 +94,20 @@
 			break
 		}
 	}
-	if e.Attempt.SearcherID != "" {
-		p.asked = append(p.asked, e.Attempt.SearcherID)
+	if len(p.running) == 0 {
+		p.hedgeAt = 0
 	}
 	ended := c.sinceArrival()
 	p.tries = append(p.tries, try{
-		Searcher: e.Attempt.SearcherID, StartedMs: ended - e.Latency.Milliseconds(), EndedMs: ended, Outcome: e.Outcome.String(),
+		Searcher: e.Attempt.Searcher(), StartedMs: ended - e.Latency.Milliseconds(), EndedMs: ended, Outcome: e.Outcome.String(),
 	})
-	if e.Outcome.MayHaveRun() {
+	switch {
+	case e.Outcome == dispatch.Refused:
+		p.refusedBy = e.Attempt.Searcher()
+		p.asked++
+	case e.Outcome.MayHaveRun():
+		p.avoid = append(p.avoid, e.Attempt.Searcher())
+		p.asked++
 		p.ran++
 	}
 	switch e.Outcome {
@@ -90,15 +120,59 @@
 	case dispatch.Unsent:
 		p.unsent++
 	}
-	if len(p.running) > 0 || c.next(p, e.Outcome) {
+	if len(p.running) > 0 || c.next(p, e.Outcome) || p.againAt != 0 {
 		return
 	}
 	p.given = true
 }
 
+// againPause is the time between two looks at a budget that is spent.
+const againPause = 12 * time.Millisecond
+
+// notStarted notes why an attempt was not made. A budget that is spent fills up
+// again, so that a request which failed is tried once more while its answer would
+// be in time. A request that no searcher has run is refused instead, since its
+// caller may ask again at once; but a shard that refuses holds up only its part.
+func (c *call) notStarted(p *part, kind attemptKind, err error) {
+	reason := err.Error()
+	if len(p.tries) == 0 || p.tries[len(p.tries)-1].Outcome != reason {
+		p.tries = append(p.tries, try{StartedMs: c.sinceArrival(), Outcome: reason})
+	}
+	p.againAt = 0
+	if kind != repeatAttempt || !errors.Is(err, dispatch.ErrBudget) || (p.ran == 0 && len(c.route.Shards) == 0) {
+		return
+	}
+	if now := c.now(); now < c.arrived+c.aim() {
+		p.againAt = now + againPause
+	}
+}
+
+// due makes the attempts whose time has come.
+func (c *call) due(p *part, now time.Duration) {
+	if p.againAt != 0 && p.againAt <= now {
+		if !c.launch(p, repeatAttempt) && p.againAt == 0 && len(p.running) == 0 {
+			p.given = true
+		}
+	}
+	if p.hedgeAt != 0 && p.hedgeAt <= now {
+		c.hedge(p)
+	}
+}
+
+// nextDue returns when the next attempt is due, at most the given time.
+func (p *part) nextDue(at time.Duration) time.Duration {
+	if p.hedgeAt != 0 {
+		at = min(at, p.hedgeAt)
+	}
+	if p.againAt != 0 {
+		at = min(at, p.againAt)
+	}
+	return at
+}
+
 // next makes the attempt that follows one which ended without an answer.
 func (c *call) next(p *part, last dispatch.Outcome) bool {
-	if p.unsent > maxUnsent || len(p.asked) >= maxEvents-maxUnsent || c.now() >= c.deadline {
+	if p.unsent > maxUnsent || p.asked >= maxEvents-maxUnsent || c.now() >= c.deadline {
 		return false
 	}
 	if p.ran > 0 && (!c.route.Idempotent || p.ran >= c.route.Attempts) {
@@ -106,8 +180,23 @@
 	}
 	// An attempt that was not sent reached no searcher, so that its successor
 	// repeats nothing.
-	repeat := last != dispatch.Unsent || len(p.asked) > p.unsent
-	return c.launch(p, repeat)
+	if last == dispatch.Unsent && p.asked == 0 {
+		return c.launch(p, againAttempt)
+	}
+	return c.launch(p, repeatAttempt)
+}
+
+// avoided returns the searchers that must not get the request now.
+func (p *part) avoided() []string {
+	var ids []string
+	ids = append(ids, p.avoid...)
+	for _, a := range p.running {
+		ids = append(ids, a.Searcher())
+	}
+	if p.refusedBy != "" {
+		ids = append(ids, p.refusedBy)
+	}
+	return ids
 }
 
 // hedge makes the attempt that is due beside those that run.
@@ -115,7 +204,7 @@
 	p.hedgeAt = 0
 	// The attempts that run take at least as long as they have so far.
 	c.latency.add(c.now(), p.running[0].Waited())
-	c.launch(p, true)
+	c.launch(p, hedgeAttempt)
 }
 
 // ended reports whether the part has its outcome.
@@ -126,7 +215,7 @@
 func (p *part) letGo(c *call, gone bool) {
 	p.ran += len(p.running)
 	for _, a := range p.running {
-		p.tries = append(p.tries, try{Searcher: a.SearcherID, StartedMs: c.sinceArrival() - a.Waited().Milliseconds(), Outcome: "let go"})
+		p.tries = append(p.tries, try{Searcher: a.Searcher(), StartedMs: c.sinceArrival() - a.Waited().Milliseconds(), Outcome: "let go"})
 		if gone {
 			a.Cancel()
 		} else {
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -12,11 +12,11 @@
 // runs it.
 func (c *call) single() answer {
 	p := &part{service: chooseTarget(c.route.Targets)}
-	if !c.launch(p, false) {
+	if !c.launch(p, firstAttempt) {
 		return answer{refusal: c.notRun(p)}
 	}
 	for !p.ended() {
-		timer := time.NewTimer(c.untilNext(p))
+		timer := time.NewTimer(p.nextDue(c.deadline) - c.now())
 		select {
 		case e := <-c.events:
 			c.took(p, e)
@@ -28,7 +28,7 @@
 			if c.now() >= c.deadline {
 				return c.outOfTime(p)
 			}
-			c.hedge(p)
+			c.due(p, c.now())
 		}
 		timer.Stop()
 	}
@@ -58,15 +58,6 @@
 	return targets[len(targets)-1].Service
 }
 
-// untilNext returns the time until something is to be done for the part.
-func (c *call) untilNext(p *part) time.Duration {
-	at := c.deadline
-	if p.hedgeAt != 0 && p.hedgeAt < at {
-		at = p.hedgeAt
-	}
-	return at - c.now()
-}
-
 // outOfTime ends a request whose time is over.
 func (c *call) outOfTime(p *part) answer {
 	ran := p.ran > 0 || len(p.running) > 0
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -44,8 +44,17 @@
 }
 
 // Take pays for one repeat and reports whether it may be sent.
-func (b *Budget) Take() bool {
-	if b.tokens < 1 {
+func (b *Budget) Take() bool { return b.takeAbove(0) }
+
+// TakeSpare pays for a repeat that could be done without, as of a request that is
+// only slow. A part of the budget is left for requests that failed.
+func (b *Budget) TakeSpare(a Allowance) bool { return b.takeAbove(a.burst() * reserved) }
+
+// reserved is the share of a full budget that is left for requests that failed.
+const reserved = 0.3
+
+func (b *Budget) takeAbove(rest float64) bool {
+	if b.tokens < 1+rest {
 		return false
 	}
 	b.tokens--
@@ -55,9 +64,6 @@
 // Refund returns the price of a repeat that never reached a searcher.
 func (b *Budget) Refund() { b.tokens++ }
 
-// Tokens returns how many repeats may be sent now.
-func (b *Budget) Tokens() float64 { return b.tokens }
-
 // coldWindow is the time in which the requests of a cold searcher are counted.
 const coldWindow = time.Second
 
