Let few instances ask the store, and the others hear from them

Now only the first instance of each failure domain (two at least) watches; the others fetch what has changed from those who know it, in their own failure domain at once. Instances that start ask the seeds. Heartbeats go to the own failure domain and, from those that lead, to a few instances of each other one, so that they do not grow with the deployment.

--- a/cmd/wharf-gateway/follow.go
+++ b/cmd/wharf-gateway/follow.go
@@ -3,46 +3,69 @@
 import (
 	"time"
 
+	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
-// How long a watch of the store waits. An instance that leads notices in time for
-// all when its watch has silently come to nothing; the others hear from it.
+// How long a watch of the store waits: a watch that has silently come to nothing is
+// noticed when it is over.
 const (
-	leadingWait  = 1200 * time.Millisecond
-	followWait   = 10 * time.Second
+	newsWait     = 1200 * time.Millisecond
 	evacuateWait = 2500 * time.Millisecond
+	instanceWait = 10 * time.Second
+	// settle is the pause after changes of kinds that come in bursts.
+	settle = 100 * time.Millisecond
+	// startTime is how long an instance that starts waits for heartbeats before it
+	// takes itself for one that leads.
+	startTime = 1200 * time.Millisecond
 )
 
-func (s *service) watchWait(kind string) time.Duration {
-	if kind == platform.KindInstances || !s.instances.Leads(s.clock.Boottime()) {
-		return followWait
-	}
-	if kind == platform.KindEvacuations {
+func watchWait(kind string) time.Duration {
+	switch kind {
+	case platform.KindInstances:
+		return instanceWait
+	case platform.KindEvacuations:
 		return evacuateWait
 	}
-	return leadingWait
+	return newsWait
+}
+
+// leads reports whether this instance asks the store for news.
+func (s *service) leads() bool {
+	now := s.clock.Boottime()
+	return now-s.started >= startTime && !s.leaving.Load() && s.instances.Leads(now)
 }
 
 // follow makes the mirrors of the platform's objects.
 func (s *service) follow() {
 	s.mirrors = make(map[string]*mirror.Mirror)
-	outage := &mirror.Outage{}
 	for kind, changed := range map[string]func(platform.Event){
 		platform.KindConfig:      s.configChanged,
 		platform.KindSearchers:   s.searcherChanged,
 		platform.KindEvacuations: s.evacuationChanged,
 		platform.KindInstances:   s.instanceChanged,
 	} {
-		s.mirrors[kind] = mirror.New(mirror.Config{
-			Kind: kind, Source: s.store, Changed: changed, Outage: outage, Log: s.log,
-			Wait:     func() time.Duration { return s.watchWait(kind) },
-			Returned: func() { s.searchers.StoreReturned(s.clock.Boottime()) },
-		})
+		config := mirror.Config{
+			Kind: kind, Source: s.store, Outage: &s.outage, Log: s.log,
+			Wait: func() time.Duration { return watchWait(kind) }, Active: s.leads,
+			Changed: func(e platform.Event) {
+				changed(e)
+				s.exchange.Tell()
+			},
+			Returned: s.storeReturned,
+		}
+		if kind != platform.KindConfig {
+			config.Settle = settle
+		}
+		s.mirrors[kind] = mirror.New(config)
 	}
 }
 
+// storeReturned notes that the store does not answer here, or not where another
+// instance learns its news: entries may lapse that are not gone.
+func (s *service) storeReturned() { s.searchers.StoreReturned(s.clock.Boottime()) }
+
 func (s *service) configChanged(e platform.Event) {
 	if e.Object.Name != platform.ConfigName || e.Deleted {
 		return
@@ -80,7 +103,11 @@
 }
 
 func (s *service) removeSearcher(e platform.Event) {
-	if s.searchers.Remove(e.Object.Name, e.Object.Revision, s.clock.Boottime()) {
+	switch s.searchers.Remove(e.Object.Name, e.Object.Revision, s.clock.Boottime()) {
+	case fleet.Missing:
+		s.log.Info("searcher is missing after an outage", "searcher", e.Object.Name)
+		s.dispatch.SetMissing(e.Object.Name)
+	case fleet.Gone:
 		s.log.Info("searcher is gone", "searcher", e.Object.Name)
 		s.dispatch.RemoveSearcher(e.Object.Name)
 	}
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -45,6 +45,8 @@
 	gateway   *gateway.Gateway
 	exchange  *exchange.Exchange
 	self      fleet.Instance
+	outage    mirror.Outage
+	started   time.Duration
 	// sharers is the number of instances that share budgets and connections.
 	sharers atomic.Int64
 	leaving atomic.Bool
@@ -59,6 +61,7 @@
 			ReadyAddress: node.ReadyAddress, InternalAddress: node.ExchangeAddress, Started: time.Now().UnixMilli(),
 		},
 	}
+	s.started = s.clock.Boottime()
 	s.registry.MustRegister(collectors.NewGoCollector())
 	s.instances = fleet.NewInstances(s.self)
 	s.sharers.Store(initialSharers)
@@ -75,7 +78,8 @@
 	s.follow()
 	s.exchange, err = exchange.Listen(exchange.Config{
 		Self: s.self, HeartbeatAddress: internalAddress(node, heartbeatPort), Seeds: node.Seeds, Instances: s.instances, Mirrors: s.mirrors,
-		Ready: s.ready, Clock: s.clock, Log: log,
+		Ready: s.ready, Leads: s.leads, Clock: s.clock, Log: log,
+		Follows: func() bool { return !s.outage.Failing() }, Outage: s.storeReturned,
 	})
 	return s, errors.Trace(err)
 }
@@ -119,9 +123,12 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for _, m := range s.mirrors {
-		go m.Run(ctx)
-	}
+	go func() {
+		s.exchange.Learn(ctx)
+		for _, m := range s.mirrors {
+			go m.Run(ctx)
+		}
+	}()
 	go s.exchange.Run(ctx)
 	go s.register(ctx)
 	go s.keepTime(ctx)
@@ -158,6 +165,7 @@
 			s.sharers.Store(int64(s.instances.Sharers(now)))
 		default:
 		}
+		s.forget(ctx, now)
 		for _, id := range s.searchers.Expire(now) {
 			s.log.Info("searcher did not come back after the outage", "searcher", id)
 			s.dispatch.RemoveSearcher(id)
@@ -165,6 +173,21 @@
 	}
 }
 
+// forget removes the entries of instances that have long been silent, if this
+// instance leads. Removing one twice does no harm.
+func (s *service) forget(ctx context.Context, now time.Duration) {
+	if !s.leads() {
+		return
+	}
+	for _, i := range s.instances.Forgotten(now) {
+		s.log.Info("entry of a silent instance is removed", "silent", i.Name)
+		if err := s.store.Delete(ctx, platform.KindInstances, i.Name, i.Revision); err != nil {
+			s.log.Warn("entry of a silent instance was not removed", "silent", i.Name, "error", err.Error())
+		}
+		s.instances.Remove(i.Name)
+	}
+}
+
 // register enters the instance in the store, so that the others find it.
 func (s *service) register(ctx context.Context) {
 	for ctx.Err() == nil && !s.leaving.Load() {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -113,6 +113,7 @@
 		d.searchers[s.ID] = t
 	}
 	t.Searcher = s
+	t.missing = false
 	t.coldUntil = now + s.ColdFor
 	if s.Draining {
 		stale = append(stale, t.takeIdle()...)
@@ -123,6 +124,16 @@
 	runAll(ready)
 }
 
+// SetMissing notes that a searcher's entry may have lapsed through the store's
+// fault. It gets requests only while most of its service's searchers are missing.
+func (d *Dispatcher) SetMissing(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t := d.searchers[id]; t != nil {
+		t.missing = true
+	}
+}
+
 // RemoveSearcher forgets a searcher. Requests that it runs go on.
 func (d *Dispatcher) RemoveSearcher(id string) {
 	d.mu.Lock()
@@ -157,7 +168,7 @@
 
 // usable reports whether a searcher may get a request at all.
 func (d *Dispatcher) usable(t *target, regions []string, now time.Duration) bool {
-	if t.removed || t.Draining || t.replaced || d.out[t.FailureDomain] {
+	if t.removed || t.Draining || t.replaced || d.out[t.FailureDomain] || (t.missing && !t.service.mostMissing()) {
 		return false
 	}
 	if len(regions) > 0 && !slices.Contains(regions, d.config.RegionOf[t.FailureDomain]) {
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -23,6 +23,18 @@
 	waiters []*Attempt
 }
 
+// mostMissing reports whether more than half of the searchers are missing from the
+// list at once, which is the store's fault rather than theirs.
+func (s *service) mostMissing() bool {
+	missing := 0
+	for _, t := range s.targets {
+		if t.missing {
+			missing++
+		}
+	}
+	return 2*missing > len(s.targets)
+}
+
 // target is a searcher with its connections.
 type target struct {
 	fleet.Searcher
@@ -34,6 +46,8 @@
 	// one answers at its address.
 	removed  bool
 	replaced bool
+	// missing says that its entry may have lapsed through the store's fault.
+	missing bool
 
 	// idle holds the connections without a request, the last used last; open
 	// counts all of them, those that are being opened included.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,24 +20,25 @@
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
 const (
 	// pullTimeout bounds the transfer of objects, seedTimeout a question to a seed.
 	pullTimeout = 2 * time.Second
-	seedTimeout = 900 * time.Millisecond
-	// seedInterval is the time between two questions to the seeds.
-	seedInterval = 1 * time.Second
+	seedTimeout = 400 * time.Millisecond
 	// maxReplyBytes bounds what another instance may send.
 	maxReplyBytes = 64 << 20
 
 	// newsDelay is how long the store's own news may take after another instance
-	// has them, before the store is asked anew.
+	// has them, before an instance that leads asks the store anew.
 	newsDelay = 120 * time.Millisecond
-	// pullAfter is how long an instance may stay behind another one before it
-	// fetches the objects from there.
-	pullAfter = 1500 * time.Millisecond
+	// farDelay is how long the news may take by a nearer way, before they are
+	// fetched from an instance in another failure domain or in place of the store.
+	farDelay = 600 * time.Millisecond
+	// seedPause and seedPatience bound how long an instance that starts asks the
+	// seeds before it asks the store itself.
+	seedPause    = 100 * time.Millisecond
+	seedPatience = 1 * time.Second
 )
 
 const (
@@ -53,10 +55,15 @@
 	Seeds            []string
 	Instances        *fleet.Instances
 	Mirrors          map[string]*mirror.Mirror
-	// Ready says whether this instance serves callers.
-	Ready func() bool
-	Clock clock.Clock
-	Log   *slog.Logger
+	// Ready says whether this instance serves callers, Follows that it does not find
+	// the store unreachable, Leads that it asks the store for others too.
+	Ready   func() bool
+	Follows func() bool
+	Leads   func() bool
+	// Outage is called when another instance does not reach the store.
+	Outage func()
+	Clock  clock.Clock
+	Log    *slog.Logger
 }
 
 // Exchange tells the other instances what this one knows, and listens to them.
@@ -66,15 +73,13 @@
 	socket *net.UDPConn
 	port   int
 
-	mu sync.Mutex
-	// behindSince is since when this instance is behind another one in a kind.
-	behindSince map[lead]time.Duration
-	pulling     map[string]bool
+	mu      sync.Mutex
+	pulling map[string]bool
+	// told is when the last heartbeat was sent, telling that one is due for news.
+	told    time.Time
+	telling bool
 }
 
-// lead is another instance's newer knowledge of a kind.
-type lead struct{ kind, instance string }
-
 // Listen returns an exchange that receives heartbeats.
 func Listen(config Config) (*Exchange, error) {
 	address, err := net.ResolveUDPAddr("udp4", config.HeartbeatAddress)
@@ -87,9 +92,8 @@
 	}
 	return &Exchange{
 		config: config, socket: socket, port: address.Port,
-		client:      &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
-		behindSince: make(map[lead]time.Duration),
-		pulling:     make(map[string]bool),
+		client:  &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		pulling: make(map[string]bool),
 	}, nil
 }
 
@@ -101,14 +105,17 @@
 		if m == nil {
 			return echo.NewHTTPError(http.StatusNotFound, "no such kind")
 		}
-		return c.JSON(http.StatusOK, m.Listing())
+		after, err := strconv.ParseInt(c.QueryParam("after"), 10, 64)
+		if err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, "after is not a revision")
+		}
+		return c.JSON(http.StatusOK, m.Since(after))
 	})
 }
 
 // Run exchanges heartbeats until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
 	go x.receive()
-	go x.askSeeds(ctx)
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -122,99 +129,116 @@
 	}
 }
 
-// askSeeds fetches objects from the seeds while the store has not told them.
-func (x *Exchange) askSeeds(ctx context.Context) {
-	for {
-		// An instance that starts beside the others gets the objects from the store.
-		if clock.Pause(ctx, seedInterval) != nil || x.filled() {
+// Learn fetches the objects from the seeds, which spares the store the calls of an
+// instance that starts. It returns when they are known, or when the seeds don't
+// know them either.
+func (x *Exchange) Learn(ctx context.Context) {
+	until := time.Now().Add(seedPatience)
+	for time.Now().Before(until) && !x.filled() {
+		if !x.askSeeds(ctx) || clock.Pause(ctx, seedPause) != nil {
 			return
 		}
-		for _, seed := range x.config.Seeds {
-			if seed != x.config.Self.InternalAddress {
-				x.askSeed(ctx, seed)
+	}
+}
+
+// askSeeds asks the seeds in turn for what is not known. It reports whether one of
+// them answered.
+func (x *Exchange) askSeeds(ctx context.Context) bool {
+	for _, seed := range x.config.Seeds {
+		if seed == x.config.Self.InternalAddress {
+			return false // a seed itself asks the store
+		}
+	}
+	answered := false
+	for _, seed := range x.config.Seeds {
+		var h heartbeat
+		if err := x.get(ctx, seed, pathInstance, seedTimeout, &h); err != nil {
+			x.config.Log.Debug("seed does not answer", "address", seed, "error", err.Error())
+			continue
+		}
+		answered = true
+		for kind, m := range x.config.Mirrors {
+			if h.Newest[kind] > m.Newest() || (m.Revision() == 0 && h.Filled) {
+				x.pull(ctx, kind, seed)
 			}
 		}
 	}
+	return answered
 }
 
 func (x *Exchange) filled() bool {
 	for _, m := range x.config.Mirrors {
-		select {
-		case <-m.Filled():
-		default:
+		if m.Revision() == 0 {
 			return false
 		}
 	}
 	return true
 }
 
-func (x *Exchange) askSeed(ctx context.Context, address string) {
-	var h heartbeat
-	if err := x.get(ctx, address, pathInstance, seedTimeout, &h); err != nil {
-		x.config.Log.Debug("seed does not answer", "address", address, "error", err.Error())
+// Tell passes on news at once, but not more often than each newsPause.
+func (x *Exchange) Tell() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.telling {
 		return
 	}
-	for kind, m := range x.config.Mirrors {
-		if h.Newest[kind] > m.Newest() {
-			x.pull(ctx, kind, address)
-		}
-	}
+	x.telling = true
+	time.AfterFunc(max(newsPause-time.Since(x.told), 0), func() {
+		x.mu.Lock()
+		x.telling = false
+		x.mu.Unlock()
+		x.Send()
+	})
 }
 
+// newsPause is the least time between two heartbeats that pass on news.
+const newsPause = 100 * time.Millisecond
+
 // catchUp compares what another instance knows with what this one knows. Where
-// this one is behind, it asks the store anew, and after some time the other
-// instance.
-func (x *Exchange) catchUp(h heartbeat, address string) {
-	now := x.config.Clock.Boottime()
+// this one is behind, it asks the store anew if it leads, or fetches the news from
+// the other one: at once from the same failure domain, else when they have come by
+// no nearer way.
+func (x *Exchange) catchUp(h heartbeat, from fleet.Instance) {
+	leads := x.config.Leads()
 	for kind, m := range x.config.Mirrors {
-		newest, ahead := h.Newest[kind], lead{kind: kind, instance: h.Name}
+		newest := h.Newest[kind]
 		if newest <= m.Newest() {
-			x.settle(ahead)
 			continue
 		}
-		if x.behindFor(ahead, now) > pullAfter {
-			go x.pull(context.Background(), kind, address)
-			continue
+		pullDelay := farDelay
+		if leads {
+			time.AfterFunc(newsDelay, func() {
+				if newest > m.Newest() {
+					m.Refresh()
+				}
+			})
+		} else if from.FailureDomain == x.config.Self.FailureDomain {
+			pullDelay = 0
 		}
-		time.AfterFunc(newsDelay, func() {
+		time.AfterFunc(pullDelay, func() {
 			if newest > m.Newest() {
-				m.Refresh()
+				x.pull(context.Background(), kind, from.InternalAddress)
 			}
 		})
 	}
 }
 
-func (x *Exchange) settle(l lead) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	delete(x.behindSince, l)
-}
-
-func (x *Exchange) behindFor(l lead, now time.Duration) time.Duration {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	since, ok := x.behindSince[l]
-	if !ok {
-		x.behindSince[l] = now
-		return 0
-	}
-	return now - since
-}
-
-// pull fetches all objects of a kind from another instance.
+// pull fetches what has changed in a kind from another instance.
 func (x *Exchange) pull(ctx context.Context, kind, address string) {
 	if !x.beginPull(kind) {
 		return
 	}
 	defer x.endPull(kind)
 	m := x.config.Mirrors[kind]
-	var l platform.Listing
-	if err := x.get(ctx, address, "/v1/objects/"+kind, pullTimeout, &l); err != nil {
+	var d mirror.Delta
+	path := "/v1/objects/" + kind + "?after=" + strconv.FormatInt(m.Revision(), 10)
+	if err := x.get(ctx, address, path, pullTimeout, &d); err != nil {
 		x.config.Log.Warn("objects were not fetched", "kind", kind, "from", address, "error", err.Error())
 		return
 	}
-	x.config.Log.Info("objects fetched from another instance", "kind", kind, "from", address, "revision", l.Revision, "held", m.Revision())
-	m.Reset(l)
+	x.config.Log.Debug("objects fetched", "kind", kind, "from", address, "objects", len(d.Objects),
+		"removed", len(d.Removed), "full", d.Full, "revision", d.Revision)
+	m.Merge(d)
 }
 
 func (x *Exchange) beginPull(kind string) bool {
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/fleet"
 )
 
 const (
@@ -20,6 +22,9 @@
 	Name    string `json:"n"`
 	Started int64  `json:"s"`
 	Ready   bool   `json:"r"`
+	Follows bool   `json:"f"`
+	// Filled says that it holds listings of all kinds.
+	Filled bool `json:"l"`
 	// Newest holds the revision of the newest change that it knows, by kind.
 	Newest map[string]int64 `json:"v"`
 }
@@ -27,7 +32,7 @@
 func (x *Exchange) heartbeat() heartbeat {
 	h := heartbeat{
 		Name: x.config.Self.Name, Started: x.config.Self.Started,
-		Ready: x.config.Ready(), Newest: make(map[string]int64, len(x.config.Mirrors)),
+		Ready: x.config.Ready(), Follows: x.config.Follows(), Filled: x.filled(), Newest: make(map[string]int64, len(x.config.Mirrors)),
 	}
 	for kind, m := range x.config.Mirrors {
 		h.Newest[kind] = m.Newest()
@@ -35,14 +40,17 @@
 	return h
 }
 
-// Send sends a heartbeat to all other instances.
+// Send sends a heartbeat to the other instances that are to get one.
 func (x *Exchange) Send() {
 	text, err := json.Marshal(x.heartbeat())
 	if err != nil {
 		x.config.Log.Error("heartbeat", "error", err.Error())
 		return
 	}
-	for _, i := range x.config.Instances.Others() {
+	x.mu.Lock()
+	x.told = time.Now()
+	x.mu.Unlock()
+	for _, i := range x.config.Instances.Targets(x.config.Leads()) {
 		to, err := netip.ParseAddrPort(i.InternalAddress)
 		if err != nil {
 			continue // the entry was checked when it was taken; others are not reached by heartbeats
@@ -70,8 +78,12 @@
 			x.config.Log.Warn("heartbeat can't be read", "from", from.String(), "error", err.Error())
 			continue
 		}
-		if address, ok := x.config.Instances.Heard(h.Name, h.Started, x.config.Clock.Boottime(), h.Ready); ok {
-			x.catchUp(h, address)
+		says := fleet.Says{Ready: h.Ready, Follows: h.Follows}
+		if from, ok := x.config.Instances.Heard(h.Name, h.Started, x.config.Clock.Boottime(), says); ok {
+			if !h.Follows {
+				x.config.Outage()
+			}
+			x.catchUp(h, from)
 		}
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -15,9 +15,9 @@
 	qt.Assert(t, l.Put(Searcher{ID: "a", Incarnation: 4}, 11), qt.IsFalse)
 	qt.Assert(t, l.Put(Searcher{ID: "a", Incarnation: 6}, 9), qt.IsFalse)
 	qt.Assert(t, l.Put(Searcher{ID: "a", Incarnation: 6}, 12), qt.IsTrue)
-	qt.Assert(t, l.Remove("a", 11, 0), qt.IsFalse, qt.Commentf("a removal that is older than the entry"))
+	qt.Assert(t, l.Remove("a", 11, 0), qt.Equals, Kept, qt.Commentf("a removal that is older than the entry"))
 	qt.Assert(t, l.Len(), qt.Equals, 1)
-	qt.Assert(t, l.Remove("a", 13, 0), qt.IsTrue)
+	qt.Assert(t, l.Remove("a", 13, 0), qt.Equals, Gone)
 }
 
 // TestLapsedEntries guards against losing searchers whose entries lapsed while the
@@ -28,9 +28,9 @@
 		l.Put(Searcher{ID: id, Draining: id == "leaving"}, 1)
 	}
 	l.StoreReturned(time.Second)
-	qt.Assert(t, l.Remove("back", 2, time.Second), qt.IsFalse)
-	qt.Assert(t, l.Remove("gone", 2, time.Second), qt.IsFalse)
-	qt.Assert(t, l.Remove("leaving", 2, time.Second), qt.IsTrue, qt.Commentf("a searcher that drains doesn't come back"))
+	qt.Assert(t, l.Remove("back", 2, time.Second), qt.Equals, Missing)
+	qt.Assert(t, l.Remove("gone", 2, time.Second), qt.Equals, Missing)
+	qt.Assert(t, l.Remove("leaving", 2, time.Second), qt.Equals, Gone, qt.Commentf("a searcher that drains doesn't come back"))
 	l.Put(Searcher{ID: "back"}, 3)
 	qt.Assert(t, l.Expire(time.Second+ReturnTime-1), qt.HasLen, 0)
 	qt.Assert(t, l.Expire(time.Second+ReturnTime), qt.DeepEquals, []string{"gone"})
@@ -53,27 +53,29 @@
 	s := instances(t)
 	qt.Assert(t, s.Addresses("a", 0, true), qt.DeepEquals, []string{"b1"}, qt.Commentf("nothing heard yet"))
 	for _, name := range []string{"a1", "a2", "b2"} {
-		address, ok := s.Heard(name, 1, time.Second, true)
+		i, ok := s.Heard(name, 1, time.Second, Says{Ready: true, Follows: true})
 		qt.Assert(t, ok, qt.IsTrue)
-		qt.Assert(t, address, qt.Equals, "internal "+name)
+		qt.Assert(t, i.InternalAddress, qt.Equals, "internal "+name)
 	}
 	qt.Assert(t, s.Addresses("a", time.Second, true), qt.DeepEquals, []string{"a1", "a2"})
-	s.Heard("a2", 1, time.Second, false)
+	s.Heard("a2", 1, time.Second, Says{Follows: true})
 	qt.Assert(t, s.Addresses("a", time.Second, true), qt.DeepEquals, []string{"a1", "b1", "b2"})
 	qt.Assert(t, s.Addresses("a", time.Second+silentAfter+1, false), qt.HasLen, 0)
-	_, ok := s.Heard("a1", 2, 2*time.Second, true)
+	_, ok := s.Heard("a1", 2, 2*time.Second, Says{Ready: true, Follows: true})
 	qt.Assert(t, ok, qt.IsFalse, qt.Commentf("another start than its entry"))
 	s.Put(Instance{Name: "a1", FailureDomain: "a", Started: 2}, 2*time.Second)
 	qt.Assert(t, s.Addresses("a", 2*time.Second, false), qt.DeepEquals, []string{"b2"})
 }
 
 // TestSharers guards against budgets that grow the moment an instance falls
-// silent: it may still use its part.
+// silent, as it may still use its part, and against those that grow because an
+// instance of another failure domain, from which not all hear, is not heard.
 func TestSharers(t *testing.T) {
 	s := instances(t)
 	qt.Assert(t, s.Sharers(countedFor), qt.Equals, 4)
-	s.Heard("a1", 1, countedFor, true)
-	qt.Assert(t, s.Sharers(countedFor+1), qt.Equals, 2)
+	qt.Assert(t, s.Sharers(countedFor+1), qt.Equals, 3, qt.Commentf("b2 is silent"))
+	s.Heard("b2", 1, countedFor, Says{Ready: true, Follows: true})
+	qt.Assert(t, s.Sharers(countedFor+1), qt.Equals, 4)
 }
 
 // TestLeads guards against a failure domain, or a deployment, in which nobody
@@ -82,14 +84,14 @@
 	s := instances(t)
 	qt.Assert(t, s.Leads(0), qt.IsTrue, qt.Commentf("alone as far as it knows"))
 	for _, name := range []string{"a1", "a2", "b2"} {
-		s.Heard(name, 1, 0, true)
+		s.Heard(name, 1, 0, Says{Ready: true, Follows: true})
 	}
 	qt.Assert(t, s.Leads(0), qt.IsTrue, qt.Commentf("the first of its domain"))
 	s.Put(Instance{Name: "b0", FailureDomain: "b", Started: 1}, 0)
-	s.Heard("b0", 1, 0, true)
+	s.Heard("b0", 1, 0, Says{Ready: true, Follows: true})
 	qt.Assert(t, s.Leads(0), qt.IsFalse)
 	for _, name := range []string{"a1", "a2", "b2"} {
-		s.Heard(name, 1, silentAfter, true)
+		s.Heard(name, 1, silentAfter, Says{Ready: true, Follows: true})
 	}
 	qt.Assert(t, s.Leads(silentAfter+1), qt.IsTrue, qt.Commentf("the one before it has fallen silent"))
 }
--- a/fleet/instances.go
+++ b/fleet/instances.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -36,6 +37,7 @@
 type Instances struct {
 	mu      sync.Mutex
 	self    string
+	domain  string
 	members map[string]*member
 }
 
@@ -45,11 +47,13 @@
 	// ready is what it said of itself then.
 	heard time.Duration
 	ready bool
+	// follows says that it reaches the store, or would if it were to.
+	follows bool
 }
 
 // NewInstances returns a set that holds only the instance itself.
 func NewInstances(self Instance) *Instances {
-	return &Instances{self: self.Name, members: map[string]*member{self.Name: {instance: self}}}
+	return &Instances{self: self.Name, domain: self.FailureDomain, members: map[string]*member{self.Name: {instance: self}}}
 }
 
 // Put takes an entry of the store.
@@ -78,43 +82,75 @@
 	}
 }
 
-// Heard notes a heartbeat. It returns the address at which the instance serves
-// others, and false if the instance is not known or the heartbeat is of another
-// start than its entry.
-func (s *Instances) Heard(name string, started int64, now time.Duration, ready bool) (string, bool) {
+// Heard notes a heartbeat. It returns the instance, and false if it is not known
+// or the heartbeat is of another start than its entry.
+func (s *Instances) Heard(name string, started int64, now time.Duration, says Says) (Instance, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.members[name]
 	if m == nil || name == s.self || m.instance.Started != started {
-		return "", false
+		return Instance{}, false
 	}
 	m.heard = now
-	m.ready = ready
-	return m.instance.InternalAddress, true
+	m.ready = says.Ready
+	m.follows = says.Follows
+	return m.instance, true
 }
 
-// Others returns all instances but the own one, by name.
-func (s *Instances) Others() []Instance {
+// Says is what an instance says of itself in a heartbeat.
+type Says struct {
+	// Ready says that it serves callers, Follows that it does not find the store
+	// unreachable.
+	Ready   bool
+	Follows bool
+}
+
+// randomTargets is how many instances of another failure domain get a heartbeat
+// beside the first ones.
+const randomTargets = 1
+
+// Targets returns the instances that get a heartbeat: all of the own failure
+// domain, and from an instance that leads the first ones of the others, and some
+// drawn at random in case those are gone.
+func (s *Instances) Targets(leads bool) []Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var all []Instance
+	var targets []Instance
+	far := make(map[string][]Instance)
 	for name, m := range s.members {
-		if name != s.self {
-			all = append(all, m.instance)
+		switch i := m.instance; {
+		case name == s.self:
+		case i.FailureDomain == s.domain:
+			targets = append(targets, i)
+		case leads:
+			far[i.FailureDomain] = append(far[i.FailureDomain], i)
 		}
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
-	return all
+	for _, all := range far {
+		sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+		first := min(len(all), firstTargets)
+		targets = append(targets, all[:first]...)
+		if rest := all[first:]; len(rest) > 0 {
+			for range randomTargets {
+				targets = append(targets, rest[rand.IntN(len(rest))])
+			}
+		}
+	}
+	return targets
 }
 
-// Forgotten returns the instances that have been silent for so long that their
-// entries can be removed.
+// firstTargets is how many of another failure domain's instances always get a
+// heartbeat.
+const firstTargets = 2
+
+// Forgotten returns the instances of the own failure domain that have been silent
+// for so long that their entries can be removed.
 func (s *Instances) Forgotten(now time.Duration) []Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var silent []Instance
 	for name, m := range s.members {
-		if name != s.self && now-m.heard > forgottenAfter {
+		if name != s.self && m.instance.FailureDomain == s.domain && now-m.heard > forgottenAfter {
 			silent = append(silent, m.instance)
 		}
 	}
@@ -122,13 +158,14 @@
 }
 
 // Sharers returns how many instances divide the shared budgets among them: all
-// that were heard of lately, ready or not.
+// that are entered, but those of the own failure domain that have been silent for
+// some time. Others are not all heard from, and count until their entries go.
 func (s *Instances) Sharers(now time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
 	for name, m := range s.members {
-		if name == s.self || now-m.heard <= countedFor {
+		if name == s.self || m.instance.FailureDomain != s.domain || now-m.heard <= countedFor {
 			n++
 		}
 	}
@@ -176,20 +213,20 @@
 // minLeaders is how many instances lead at least, if there are as many.
 const minLeaders = 2
 
-// Leads reports whether this instance is one of the few that ask the store often
-// for news, on behalf of all: the first ready one of each failure domain, and the
-// first of all. It needs no agreement: when views differ, more of them lead.
+// Leads reports whether this instance is one of the few that ask the store for
+// news, on behalf of all: the first one of each failure domain that is ready and
+// reaches the store, and the first two that it hears from. It needs no agreement:
+// when views differ, more of them lead.
 func (s *Instances) Leads(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	self := s.members[s.self].instance
 	before, beforeInDomain := 0, 0
 	for name, m := range s.members {
-		if name >= s.self || !m.usable(now) {
+		if name >= s.self || !m.usable(now) || !m.follows {
 			continue
 		}
 		before++
-		if m.instance.FailureDomain == self.FailureDomain {
+		if m.instance.FailureDomain == s.domain {
 			beforeInDomain++
 		}
 	}
--- a/fleet/searchers.go
+++ b/fleet/searchers.go
@@ -78,28 +78,40 @@
 	return true
 }
 
+// Removal says what became of an entry that the store no longer has.
+type Removal int
+
+// Outcomes of Remove.
+const (
+	// Kept: the entry is newer than the removal.
+	Kept Removal = iota
+	// Missing: the entry may have lapsed through the store's fault, and is kept
+	// until Expire.
+	Missing
+	// Gone: the searcher is no longer on the list.
+	Gone
+)
+
 // Remove takes an entry off the list because the store says that it is gone or
-// that it can't be read. While entries may have lapsed through the store's
-// fault, it is kept until Expire. It reports whether the searcher is no longer on
-// the list.
-func (l *Searchers) Remove(id string, revision int64, now time.Duration) bool {
+// that it can't be read.
+func (l *Searchers) Remove(id string, revision int64, now time.Duration) Removal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[id]
 	if e == nil {
-		return true
+		return Gone
 	}
 	if revision != 0 && revision < e.revision {
-		return false
+		return Kept
 	}
 	if now < l.unreliableUntil && !e.searcher.Draining {
 		if e.missingSince == 0 {
 			e.missingSince = now
 		}
-		return false
+		return Missing
 	}
 	delete(l.entries, id)
-	return true
+	return Gone
 }
 
 // Expire removes the entries that were kept and did not come back, and returns
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -303,6 +303,24 @@
 	qt.Assert(t, b.do(t, "GET", "/r/x", "", 0).status, qt.Equals, http.StatusOK)
 }
 
+// TestMissing guards against requests to a searcher whose entry is gone while others
+// are listed, and against a service without searchers because the store lost all
+// its entries.
+func TestMissing(t *testing.T) {
+	b := newBench(t, "one")
+	b.configure(1, routing.Route{Targets: oneTarget, Idempotent: true})
+	b.dispatch.SetMissing("one-a")
+	for range 10 {
+		qt.Assert(t, b.do(t, "GET", "/r/x", "", 0).status, qt.Equals, http.StatusOK)
+	}
+	for _, run := range b.ledger.Runs() {
+		qt.Assert(t, run.Searcher, qt.Not(qt.Equals), "one-a")
+	}
+	b.dispatch.SetMissing("one-b")
+	b.dispatch.SetMissing("one-c")
+	qt.Assert(t, b.do(t, "GET", "/r/x", "", 0).status, qt.Equals, http.StatusOK)
+}
+
 // TestOtherSearcherAtAddress guards against a request that runs on a searcher it
 // was not meant for, and against losing it when the address was used again.
 func TestOtherSearcherAtAddress(t *testing.T) {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -33,6 +33,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	f.Mirror = New(Config{
 		Kind: "things", Source: objects, Wait: func() time.Duration { return wait },
+		Active:  func() bool { return true },
 		Changed: f.changed, Returned: func() {}, Outage: &Outage{}, Log: slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/mirror/outage.go
+++ b/mirror/outage.go
@@ -39,6 +39,13 @@
 	}
 }
 
+// Failing reports whether the store did not answer last.
+func (o *Outage) Failing() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.asks != ""
+}
+
 // wait returns when the kind's mirror may call the store.
 func (o *Outage) wait(ctx context.Context, kind string) {
 	o.mu.Lock()
