Give each instance a subset of searchers when connections are scarce

Cause: with 79 instances and 72 connections a searcher, each instance held one to every searcher; and a part of the budget of repeats that was kept for failures was more than an instance's whole burst there, so that nothing was hedged (1551 of 2313 answers left parts out). Now an instance uses the searchers of its own failure domain first and others in an order of its own, two at least; what is kept for failures is counted above the first repeat; a start takes half a burst.

Ruled out: a quarter of a burst at the start (no hedge until 16 requests later, TestHedgeElsewhere).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -90,8 +90,8 @@
 	r.blockedUntil = now + r.block
 }
 
-// Reset forgets everything, as for a new incarnation of the searcher.
-func (r *Record) Reset() { *r = Record{} }
+// Blocked reports whether the searcher is left alone for now.
+func (r *Record) Blocked(now time.Duration) bool { return now < r.blockedUntil }
 
 func (r *Record) note(now time.Duration, failed bool) {
 	rate := r.failureRate(now)
@@ -127,7 +127,7 @@
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
-		if now < c.Record.blockedUntil || (c.Record.block > 0 && c.Outstanding > 0) {
+		if c.Record.Blocked(now) || (c.Record.block > 0 && c.Outstanding > 0) {
 			continue
 		}
 		// A little chance keeps instances from choosing alike.
--- a/cmd/wharf-gateway/follow.go
+++ b/cmd/wharf-gateway/follow.go
@@ -121,6 +121,7 @@
 func (s *service) instanceChanged(e platform.Event) {
 	if e.Deleted {
 		s.instances.Remove(e.Object.Name)
+		s.countSharers()
 		return
 	}
 	i, err := platform.DecodeInstance(e.Object)
@@ -129,4 +130,5 @@
 		return
 	}
 	s.instances.Put(i, s.clock.Boottime())
+	s.countSharers()
 }
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -71,7 +71,7 @@
 		return nil, errors.Trace(err)
 	}
 	s.dispatch = dispatch.New(dispatch.Config{
-		FailureDomain: node.FailureDomain, RegionOf: node.RegionOf, Bounds: node.Bounds, Clock: s.clock,
+		Instance: node.Name, FailureDomain: node.FailureDomain, RegionOf: node.RegionOf, Bounds: node.Bounds, Clock: s.clock,
 		Sharers: func() int { return int(s.sharers.Load()) }, Log: log, Registry: s.registry,
 	})
 	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry})
@@ -94,7 +94,7 @@
 	return net.JoinHostPort(node.IP, strconv.Itoa(node.InternalPorts[0]+port))
 }
 
-// initialSharers is assumed until the other instances are known: an instance that
+// initialSharers is the least that is assumed until the other instances are known: an instance that
 // starts must not take the whole of what all share.
 const initialSharers = 12
 
@@ -103,12 +103,8 @@
 	if s.leaving.Load() || s.gateway.Configuration() == nil {
 		return false
 	}
-	select {
-	case <-s.mirrors[platform.KindSearchers].Filled():
-		return true
-	default:
-		return false
-	}
+	// Without the other instances its part of the budgets is not known.
+	return s.mirrors[platform.KindSearchers].Revision() > 0 && s.mirrors[platform.KindInstances].Revision() > 0
 }
 
 // serve runs the program until a signal ends it.
@@ -160,11 +156,7 @@
 		case <-ticker.C:
 		}
 		now := s.clock.Boottime()
-		select {
-		case <-s.mirrors[platform.KindInstances].Filled():
-			s.sharers.Store(int64(s.instances.Sharers(now)))
-		default:
-		}
+		s.countSharers()
 		s.forget(ctx, now)
 		for _, id := range s.searchers.Expire(now) {
 			s.log.Info("searcher did not come back after the outage", "searcher", id)
@@ -173,6 +165,16 @@
 	}
 }
 
+// countSharers works out how many instances share the budgets.
+func (s *service) countSharers() {
+	now := s.clock.Boottime()
+	n := s.instances.Sharers(now)
+	if now-s.started < startTime {
+		n = max(n, initialSharers)
+	}
+	s.sharers.Store(int64(n))
+}
+
 // forget removes the entries of instances that have long been silent, if this
 // instance leads. Removing one twice does no harm.
 func (s *service) forget(ctx context.Context, now time.Duration) {
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -150,19 +150,15 @@
 	limit := d.connectionLimit(s)
 	var candidates []balance.Candidate
 	var targets []*target
-	usable := 0
-	for _, t := range s.targets {
-		if !d.usable(t, a.Regions, now) || slices.Contains(a.Avoid, t.ID) {
-			continue
-		}
-		usable++
+	subset := d.subset(s, a, now)
+	for _, t := range subset {
 		if len(t.idle) == 0 && t.open >= limit {
 			continue
 		}
 		targets = append(targets, t)
 		candidates = append(candidates, t.candidate(now, d.config.FailureDomain))
 	}
-	if usable == 0 {
+	if len(subset) == 0 {
 		return nil, ErrNoSearcher
 	}
 	if len(targets) == 0 {
@@ -176,6 +172,29 @@
 	return d.bind(a, targets[chosen], now, wall), nil
 }
 
+// subset returns the searchers that may get the attempt: of the usable ones that
+// can be reached those that this instance keeps connections to.
+func (d *Dispatcher) subset(s *service, a *Attempt, now time.Duration) []*target {
+	var usable []*target
+	var members []balance.Member
+	for _, t := range s.targets {
+		if d.usable(t, a.Regions, now) && !t.record.Blocked(now) {
+			usable = append(usable, t)
+			members = append(members, balance.Member{ID: t.ID, SameDomain: t.FailureDomain == d.config.FailureDomain})
+		}
+	}
+	connections := int(connectionsUsed * float64(s.settings.MaxConnections))
+	size := balance.SubsetSize(len(usable), connections, d.config.Sharers())
+	if size < len(usable) {
+		var chosen []*target
+		for _, i := range balance.Subset(d.config.Instance, members, size) {
+			chosen = append(chosen, usable[i])
+		}
+		usable = chosen
+	}
+	return slices.DeleteFunc(usable, func(t *target) bool { return slices.Contains(a.Avoid, t.ID) })
+}
+
 func (d *Dispatcher) bind(a *Attempt, t *target, now time.Duration, wall time.Time) func() {
 	a.target, a.sent = t, now
 	t.started(a)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -38,6 +38,8 @@
 
 // Config describes a dispatcher.
 type Config struct {
+	// Instance names this instance.
+	Instance      string
 	FailureDomain string
 	RegionOf      map[string]string
 	Bounds        platform.Bounds
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -67,19 +67,15 @@
 	removedSince int64
 	// newest is the highest revision of a change that was taken.
 	newest int64
-	filled chan struct{}
 	// stop ends the present call, so that the next one is made at once.
 	stop context.CancelFunc
 }
 
 // New returns an empty mirror.
 func New(config Config) *Mirror {
-	return &Mirror{config: config, objects: make(map[string]platform.StoredObject), filled: make(chan struct{})}
+	return &Mirror{config: config, objects: make(map[string]platform.StoredObject)}
 }
 
-// Filled is closed once the mirror holds a listing.
-func (m *Mirror) Filled() <-chan struct{} { return m.filled }
-
 // Revision returns the store's revision that the mirror has reached, zero before
 // the first listing.
 func (m *Mirror) Revision() int64 {
@@ -205,14 +201,7 @@
 	m.reach(revision)
 }
 
-func (m *Mirror) reach(revision int64) {
-	m.revision = max(m.revision, revision)
-	select {
-	case <-m.filled:
-	default:
-		close(m.filled)
-	}
-}
+func (m *Mirror) reach(revision int64) { m.revision = max(m.revision, revision) }
 
 func (m *Mirror) put(o platform.StoredObject) {
 	if held, ok := m.objects[o.Name]; ok && held.Revision >= o.Revision {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -27,8 +27,11 @@
 const (
 	// ratioUsed and extraUsed leave room for requests that are counted in another
 	// window than their repeats, and for instances that start anew.
-	ratioUsed = 0.85
-	extraUsed = 0.5
+	ratioUsed = 0.9
+	extraUsed = 0.65
+	// firstPart of its burst is what an instance begins with: many may begin anew at
+	// once, after having used theirs.
+	firstPart = 0.5
 )
 
 func (a Allowance) burst() float64 {
@@ -38,7 +41,7 @@
 // Earn notes requests that were sent for the first time.
 func (b *Budget) Earn(a Allowance, requests int) {
 	if !b.used {
-		b.tokens, b.used = a.burst(), true
+		b.tokens, b.used = a.burst()*firstPart, true
 	}
 	b.tokens = min(b.tokens+a.Ratio*ratioUsed*float64(requests), a.burst())
 }
@@ -48,9 +51,10 @@
 
 // TakeSpare pays for a repeat that could be done without, as of a request that is
 // only slow. A part of the budget is left for requests that failed.
-func (b *Budget) TakeSpare(a Allowance) bool { return b.takeAbove(a.burst() * reserved) }
+func (b *Budget) TakeSpare(a Allowance) bool { return b.takeAbove((a.burst() - 1) * reserved) }
 
-// reserved is the share of a full budget that is left for requests that failed.
+// reserved is the share of a full budget, but for one repeat, that is left for
+// requests that failed.
 const reserved = 0.3
 
 func (b *Budget) takeAbove(rest float64) bool {
