--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build lint test demo capacity clean
+.PHONY: build lint test demo soak capacity clean
 
 build:
 	mkdir -p $(BIN)
@@ -18,6 +18,10 @@
 demo: build
 	$(GO) run ./internal/demo
 
+# Random faults against gateways as processes: fresh seeds, or one with SEED=n.
+soak: build
+	$(GO) run ./internal/soak $(if $(SEED),--seed=$(SEED),--runs=8)
+
 # Figures of docs/CAPACITY.md. Few processors leave the rest of the machine to
 # others; figures are processor time, which does not depend on their number.
 capacity: build
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/clock"
+	"github.com/wisteriawharf/wisteriawharf/standin/site"
+)
+
+// disturb injects faults until ctx ends, and undoes them all.
+func (s *soak) disturb(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	faults := []func(context.Context, time.Duration){
+		s.storeFault, s.linkFault, s.searcherFault, s.searcherFault, s.searcherFault,
+		s.leave, s.crash, s.killProcess, s.pauseProcess, s.stopProcess,
+	}
+	for {
+		pause := time.Duration(300+s.draw(1500)) * time.Millisecond
+		if clock.Pause(ctx, pause) != nil {
+			return
+		}
+		fault := faults[s.draw(len(faults))]
+		length := time.Duration(300+s.draw(4000)) * time.Millisecond
+		s.report.fault()
+		group.Go(func() { fault(ctx, length) })
+	}
+}
+
+// draw returns a number below n.
+func (s *soak) draw(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.IntN(n)
+}
+
+// hold keeps a fault in force.
+func hold(ctx context.Context, length time.Duration) { _ = clock.Pause(ctx, length) } // it ends with the run too
+
+func (s *soak) storeFault(ctx context.Context, length time.Duration) {
+	kind := s.draw(4)
+	s.noteDisturbance(time.Now().Add(length))
+	s.store.SetFaults([]site.StoreFaults{
+		{Down: true}, {Deaf: true}, {LoseWrites: true}, {Delay: 200 * time.Millisecond},
+	}[kind])
+	hold(ctx, length)
+	if kind == 1 {
+		s.store.Forget()
+	}
+	s.store.SetFaults(site.StoreFaults{})
+}
+
+func (s *soak) anyProcess() *process { return s.gateway[s.draw(len(s.gateway))] }
+
+func (s *soak) linkFault(ctx context.Context, length time.Duration) {
+	p := s.anyProcess()
+	s.noteDisturbance(time.Now().Add(length))
+	kind := s.draw(3)
+	switch kind {
+	case 0:
+		p.link.Cut()
+	case 1:
+		p.link.SilenceExisting()
+	default:
+		p.link.Freeze(true)
+		hold(ctx, length)
+		p.link.Freeze(false)
+	}
+}
+
+func (s *soak) anySearcher() *site.Searcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.searchers[s.random.IntN(len(s.searchers))]
+}
+
+func (s *soak) searcherFault(ctx context.Context, length time.Duration) {
+	one := s.anySearcher()
+	f := []site.SearcherFaults{
+		{Shed: 0.6}, {Fail: 0.6}, {Lose: 0.4}, {Garble: true}, {Stranger: true}, {Extra: true},
+		{Silent: true}, {Work: 300 * time.Millisecond},
+	}[s.draw(8)]
+	one.SetFaults(f)
+	hold(ctx, length)
+	one.SetFaults(site.SearcherFaults{})
+}
+
+// takeSearcher takes a searcher off the list, after which another one follows.
+func (s *soak) takeSearcher() *site.Searcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.random.IntN(len(s.searchers))
+	one := s.searchers[i]
+	s.searchers = append(s.searchers[:i], s.searchers[i+1:]...)
+	return one
+}
+
+// leave drains a searcher, which then gets no more requests, and ends it.
+func (s *soak) leave(ctx context.Context, _ time.Duration) {
+	one := s.takeSearcher()
+	defer one.Stop()
+	if err := s.addSearcher(one.Service, one.Domain); err != nil {
+		s.report.violate("harness: %v", err)
+		return
+	}
+	left := time.Now()
+	s.store.Put("servers", one.ID, one.Entry("draining"))
+	hold(ctx, drain+2*time.Second)
+	s.store.Remove("servers", one.ID)
+	bound := stretched
+	if s.calm(left) {
+		bound = drain
+	}
+	for _, r := range s.ledger.Runs() {
+		if r.Searcher == one.ID && r.At.After(left.Add(bound)) {
+			s.report.violate("DRAIN: %s ran %s %s after it said that it leaves", one.ID, r.RequestID, r.At.Sub(left))
+		}
+	}
+}
+
+// crash ends a searcher without a word.
+func (s *soak) crash(ctx context.Context, length time.Duration) {
+	one := s.takeSearcher()
+	one.Stop()
+	hold(ctx, length)
+	s.store.Remove("servers", one.ID)
+	if err := s.addSearcher(one.Service, one.Domain); err != nil {
+		s.report.violate("harness: %v", err)
+	}
+}
+
+// restartTime is how long a process that starts is not held to its promises.
+const restartTime = 2 * time.Second
+
+func (s *soak) killProcess(ctx context.Context, length time.Duration) {
+	p := s.anyProcess()
+	until := time.Now().Add(length + restartTime)
+	p.disturbedUntil(until)
+	s.noteDisturbance(until)
+	p.kill()
+	hold(ctx, length/2)
+	s.restart(p)
+}
+
+func (s *soak) restart(p *process) {
+	if err := p.start(); err != nil {
+		s.report.violate("harness: %v", err)
+	}
+}
+
+func (s *soak) pauseProcess(ctx context.Context, length time.Duration) {
+	p := s.anyProcess()
+	until := time.Now().Add(length + restartTime)
+	p.disturbedUntil(until)
+	s.noteDisturbance(until)
+	p.signal(syscall.SIGSTOP)
+	hold(ctx, length)
+	p.signal(syscall.SIGCONT)
+}
+
+// stopProcess stops a process as planned, which must cut no request.
+func (s *soak) stopProcess(context.Context, time.Duration) {
+	p := s.anyProcess()
+	s.noteDisturbance(time.Now().Add(site.GraceSeconds*time.Second + restartTime))
+	p.signal(syscall.SIGTERM)
+	p.await()
+	s.restart(p)
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/internal/relay"
+	"github.com/wisteriawharf/wisteriawharf/standin/site"
+)
+
+// process is one gateway, which may be started again.
+type process struct {
+	binary string
+	file   string
+	log    string
+	node   site.Node
+	link   *relay.TCP
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	// unplanned is until when the process was killed or paused, planned until when
+	// it stopped on request.
+	unplanned time.Time
+}
+
+func newProcess(binary, dir string, i int, domain string, link *relay.TCP, seeds []string) (*process, error) {
+	ip := fmt.Sprintf("127.88.%d.%d", os.Getpid()%250, i+1)
+	var free []string
+	for range 4 {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		defer func() { _ = l.Close() }()
+		free = append(free, l.Addr().String())
+	}
+	p := &process{
+		binary: binary, link: link,
+		node: site.Node{
+			Name: fmt.Sprintf("gateway-%s-%d", domain, i), IP: ip, Domain: domain,
+			Callers: free[0], Ready: free[1], Directory: free[2], Exchange: free[3],
+			InternalPort: 18740, Store: link.Address(), Seeds: seeds,
+		},
+	}
+	p.file = filepath.Join(dir, p.node.Name+".yaml")
+	p.log = filepath.Join(dir, p.node.Name+".log")
+	return p, errors.Trace(os.WriteFile(p.file, []byte(p.node.File()), 0o644))
+}
+
+func (p *process) start() error {
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = log.Close() }()
+	command := exec.Command(p.binary)
+	command.Env = append(os.Environ(), "WISTERIAWHARF_NODE_FILE="+p.file)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return errors.Trace(err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command = command
+	return nil
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(s) // it may have ended
+	}
+}
+
+// await waits for the process that runs now to end.
+func (p *process) await() {
+	p.mu.Lock()
+	command := p.command
+	p.command = nil
+	p.mu.Unlock()
+	if command != nil {
+		_ = command.Wait() // ended by a signal
+	}
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	p.await()
+}
+
+func (p *process) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + p.node.Ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// disturbedUntil notes that the process is killed or paused until a moment.
+func (p *process) disturbedUntil(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t.After(p.unplanned) {
+		p.unplanned = t
+	}
+}
+
+// sound reports whether the process was neither killed nor paused since a moment.
+func (p *process) sound(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unplanned.Before(since)
+}
--- /dev/null
+++ b/internal/soak/report.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+)
+
+// report is what a run showed.
+type report struct {
+	seed uint64
+
+	mu         sync.Mutex
+	answers    map[string]int
+	good       int
+	partial    int
+	refused    int
+	failed     int
+	unanswered int
+	faults     int
+	violations []string
+}
+
+func (r *report) answer(id string, status, missing int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answers[id] = status
+	switch {
+	case status == http.StatusOK && missing == 0:
+		r.good++
+	case status == http.StatusOK:
+		r.partial++
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		r.refused++
+	default:
+		r.failed++
+	}
+}
+
+func (r *report) cut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unanswered++
+}
+
+func (r *report) fault() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults++
+}
+
+func (r *report) violate(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.violations = append(r.violations, fmt.Sprintf(format, args...))
+}
+
+// String returns the run as a line of the table.
+func (r *report) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := r.good + r.partial + r.refused + r.failed + r.unanswered
+	return fmt.Sprint(r.seed, " ", total, " ", r.good, " ", r.partial, " ", r.refused, " ", r.failed, " ", r.unanswered, " ", r.faults, " ", len(r.violations))
+}
+
+// checkRuns compares what ran with what the callers were told.
+func (s *soak) checkRuns() {
+	ran := make(map[string]int)
+	for _, run := range s.ledger.Runs() {
+		if run.Path == "/book/x" {
+			ran[run.RequestID]++
+		}
+	}
+	for id, n := range ran {
+		if n > 1 {
+			s.report.violate("TWICE: booking %s ran %d times", id, n)
+		}
+		if s.report.answers[id] == http.StatusServiceUnavailable {
+			s.report.violate("REFUSED: booking %s ran, though it was refused as not run", id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/internal/relay"
+	"github.com/wisteriawharf/wisteriawharf/standin/site"
+)
+
+var (
+	domains = []string{"a", "b", "c"}
+	shards  = []string{"s0", "s1", "s2", "s3", "s4"}
+)
+
+const (
+	bookings  = "book"
+	perDomain = 2
+	callers   = 10
+	// configApply and drain are the promised bounds, settled how long nothing must
+	// have been disturbed for them to hold, and stretched what holds otherwise.
+	configApply = 3 * time.Second
+	drain       = 3 * time.Second
+	settled     = 4 * time.Second
+	stretched   = 15 * time.Second
+	// startTime is how long the processes may take until they serve.
+	startTime = 20 * time.Second
+)
+
+// soak is one run.
+type soak struct {
+	random  *rand.Rand
+	store   *site.Store
+	server  *http.Server
+	ledger  *site.Ledger
+	gateway []*process
+	report  *report
+
+	mu        sync.Mutex
+	searchers []*site.Searcher
+	started   int
+	version   int
+	// disturbed is when a fault that touches the store, a link or a process last
+	// was in force.
+	disturbed time.Time
+}
+
+// run plays one seed.
+func run(binary, out string, seed uint64, duration time.Duration) (*report, error) {
+	dir, err := filepath.Abs(filepath.Join(out, fmt.Sprint(seed)))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, errors.Trace(err)
+	}
+	s := &soak{
+		random: rand.New(rand.NewPCG(seed, 0)), store: site.NewStore(), ledger: &site.Ledger{},
+		report: &report{seed: seed, answers: make(map[string]int)},
+	}
+	defer s.stop()
+	if err := s.start(binary, dir); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() { s.call(ctx, i) })
+	}
+	group.Go(func() { s.disturb(ctx) })
+	group.Go(func() { s.configure(ctx) })
+	group.Wait()
+	s.checkRuns()
+	return s.report, nil
+}
+
+func (s *soak) start(binary, dir string) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.server = &http.Server{Handler: s.store}
+	go func() { _ = s.server.Serve(listener) }() // ends with stop
+	for _, service := range append(shards, bookings) {
+		for _, domain := range domains {
+			if err := s.addSearcher(service, domain); err != nil {
+				return err
+			}
+		}
+	}
+	s.publish()
+	var seeds []string
+	for i := range len(domains) * perDomain {
+		link, err := relay.NewTCP(listener.Addr().String())
+		if err != nil {
+			return errors.Trace(err)
+		}
+		p, err := newProcess(binary, dir, i, domains[i/perDomain], link, seeds)
+		if err != nil {
+			return err
+		}
+		if len(seeds) < 3 {
+			seeds = append(seeds, p.node.Exchange)
+		}
+		s.gateway = append(s.gateway, p)
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return s.awaitReady()
+}
+
+func (s *soak) awaitReady() error {
+	until := time.Now().Add(startTime)
+	for _, p := range s.gateway {
+		for !p.ready() {
+			if time.Now().After(until) {
+				return errors.Errorf("%s does not serve", p.node.Name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (s *soak) stop() {
+	for _, p := range s.gateway {
+		p.kill()
+		_ = p.link.Close() // nothing uses it any more
+	}
+	for _, one := range s.searchers {
+		one.Stop()
+	}
+	if s.server != nil {
+		_ = s.server.Close() // its connections are gone
+	}
+}
+
+// addSearcher starts a searcher with an ID that was not used before.
+func (s *soak) addSearcher(service, domain string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started++
+	one, err := site.StartSearcher(fmt.Sprintf("%s-%s-%d", service, domain, s.started), service, domain, 8*time.Millisecond, 4, s.ledger)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.searchers = append(s.searchers, one)
+	s.store.Put("servers", one.ID, one.Entry("ready"))
+	return nil
+}
+
+// publish writes the next configuration. Its version shows in a route of its own.
+func (s *soak) publish() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.store.Put("config", "main", site.Configuration(s.version, append(shards, bookings), []site.Route{
+		{Prefix: "/search/", Shards: shards, Idempotent: true, TargetMs: 200},
+		{Prefix: "/book/", Service: bookings, TargetMs: 300},
+		{Prefix: probePath(s.version), Service: bookings, Idempotent: true, TargetMs: 300},
+	}))
+	return s.version
+}
+
+func probePath(version int) string { return fmt.Sprintf("/only-%d/", version) }
+
+func (s *soak) noteDisturbance(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if until.After(s.disturbed) {
+		s.disturbed = until
+	}
+}
+
+// calm reports whether nothing that matters was disturbed from some time before a
+// moment until now.
+func (s *soak) calm(since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.disturbed.Before(since.Add(-settled))
+}
--- /dev/null
+++ b/standin/site/node.go
@@ -0,0 +1,93 @@
+package site
+
+import "fmt"
+
+// Node describes an instance in a settings file as the platform writes it.
+type Node struct {
+	Name, IP, Domain string
+	// Callers, Ready, Directory and Exchange are addresses that the instance serves.
+	Callers, Ready, Directory, Exchange string
+	// InternalPort is the first port for traffic between instances.
+	InternalPort int
+	Store        string
+	Seeds        []string
+}
+
+// GraceSeconds is the time from SIGTERM to SIGKILL in the settings file.
+const GraceSeconds = 3
+
+// File returns the text of the settings file.
+func (n Node) File() string {
+	text := fmt.Sprintf(`node_name: %q
+ip: %q
+zone: %q
+region: "r"
+zones: {a: "r", b: "r", c: "r"}
+listen_addrs: {front: %q, ready_addr: %q, directory: %q, control: %q}
+internal_port_range: [%d, %d]
+heartbeat_ms: 1000
+bounds:
+  drain_ms: 3000
+  config_apply_ms: 3000
+  grace_s: %d
+  evacuate_ms: 5000
+  retry_budget_ratio: 0.2
+  retry_budget_extra: 50
+  retry_window_s: 10
+  warmup_overage: 1.5
+  warmup_slack: 5
+  ttl_max_s: 2
+platform: {address: %q}
+seeds:
+`, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, GraceSeconds, n.Store)
+	for _, s := range n.Seeds {
+		text += fmt.Sprintf("  - %q\n", s)
+	}
+	return text
+}
+
+// Route is a route of a configuration, with either Service or Shards.
+type Route struct {
+	Prefix     string
+	Service    string
+	Shards     []string
+	Idempotent bool
+	TargetMs   int
+}
+
+// Host is the host of all routes.
+const Host = "a.example"
+
+// Configuration returns the content of a configuration object.
+func Configuration(version int, services []string, routes []Route) map[string]any {
+	var listed, named []any
+	for i, r := range routes {
+		kind := "non_idempotent"
+		if r.Idempotent {
+			kind = "idempotent"
+		}
+		body := map[string]any{
+			"name": fmt.Sprintf("r%d", i), "host": Host, "path_prefix": r.Prefix, "route_type": kind,
+			"timeout_ms": 3000, "target_latency_ms": r.TargetMs, "attempts": 2, "priority": 1,
+		}
+		if len(r.Shards) > 0 {
+			body["gather"], body["top_k"], body["min_shard_share"] = r.Shards, TopK, MinShare
+		} else {
+			body["backend"] = r.Service
+		}
+		listed = append(listed, body)
+	}
+	for _, s := range services {
+		named = append(named, map[string]any{"name": s, "health_path": "/health", "max_connections": 60})
+	}
+	return map[string]any{
+		"version": version, "routes": listed, "services": named,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 5000},
+	}
+}
+
+// TopK and MinShare are those of all routes with shards.
+const (
+	TopK     = 6
+	MinShare = 0.7
+)
