Let searchers that drain stay for longer than any bound in the soak

Cause: a gateway that goes on using draining searchers was not noticed in 12 faults, as they ended after 5 s and the short bound held only on calm.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -108,7 +108,7 @@
 	}
 	left := time.Now()
 	s.store.Put("servers", one.ID, one.Entry("draining"))
-	hold(ctx, drain+2*time.Second)
+	hold(ctx, stretched+2*time.Second)
 	s.store.Remove("servers", one.ID)
 	bound := stretched
 	if s.calm(left) {
