Let missing searchers expire, and forget outages of a store nobody asks

An instance that stopped leading while its call had failed went on saying that it does not reach the store; others then took entries that vanished for lapsed, and each new word of it gave them more time.

Ruled out: late news (all six instances knew within 25 ms).

--- a/fleet/searchers.go
+++ b/fleet/searchers.go
@@ -31,8 +31,9 @@
 	searcher Searcher
 	// revision is that of the store's object.
 	revision int64
-	// missingSince is when the entry was first missing from the list while that
-	// may be the store's fault, and zero while it is listed.
+	// missing says that the entry is no longer listed, which may be the store's
+	// fault, and missingSince since when.
+	missing      bool
 	missingSince time.Duration
 }
 
@@ -105,8 +106,8 @@
 		return Kept
 	}
 	if now < l.unreliableUntil && !e.searcher.Draining {
-		if e.missingSince == 0 {
-			e.missingSince = now
+		if !e.missing {
+			e.missing, e.missingSince = true, now
 		}
 		return Missing
 	}
@@ -114,17 +115,14 @@
 	return Gone
 }
 
-// Expire removes the entries that were kept and did not come back, and returns
+// Expire removes the entries that have been missing for ReturnTime, and returns
 // their IDs.
 func (l *Searchers) Expire(now time.Duration) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now < l.unreliableUntil {
-		return nil
-	}
 	var expired []string
 	for id, e := range l.entries {
-		if e.missingSince != 0 {
+		if e.missing && now-e.missingSince >= ReturnTime {
 			delete(l.entries, id)
 			expired = append(expired, id)
 		}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -287,6 +287,8 @@
 	if m.Revision() == 0 || m.config.Active() {
 		return ctx.Err() == nil
 	}
+	// What this instance does not ask it knows nothing bad of.
+	m.config.Outage.over()
 	_ = clock.Pause(ctx, activePause) // the error is that of ctx, which the loop checks
 	return false
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -124,6 +125,40 @@
 	slow.await(t, "a", "2")
 }
 
+// TestOutageOfInactive guards against an instance that counts the store as away for
+// ever, because it stopped asking while it was.
+func TestOutageOfInactive(t *testing.T) {
+	var active atomic.Bool
+	active.Store(true)
+	store := site.NewStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	objects, err := platform.NewObjects(strings.TrimPrefix(server.URL, "http://"), prometheus.NewRegistry())
+	qt.Assert(t, err, qt.IsNil)
+	outage := &Outage{}
+	m := New(Config{
+		Kind: "things", Source: objects, Wait: func() time.Duration { return 50 * time.Millisecond }, Active: active.Load,
+		Changed: func(platform.Event) {}, Returned: func() {}, Outage: outage, Log: slog.New(slog.DiscardHandler),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go m.Run(ctx)
+	until := func(what string, holds func() bool) {
+		for range 500 {
+			if holds() {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Fatal(what)
+	}
+	until("nothing is listed", func() bool { return m.Revision() > 0 })
+	store.SetFaults(site.StoreFaults{Down: true})
+	until("the outage is not noticed", outage.Failing)
+	active.Store(false)
+	until("the outage does not end", func() bool { return !outage.Failing() })
+}
+
 // TestPages guards against objects beyond the first page of a listing being
 // missed.
 func TestPages(t *testing.T) {
