Bound the log of single requests, and ask the store anew less often

Lines about single requests now have a budget, say how many were left out, and tell the course of each attempt. A call is given up for a new one only after 0.4 s.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -31,7 +31,7 @@
 
 	// newsDelay is how long the store's own news may take after another instance
 	// has them, before an instance that leads asks the store anew.
-	newsDelay = 120 * time.Millisecond
+	newsDelay = 250 * time.Millisecond
 	// farDelay is how long the news may take by a nearer way, before they are
 	// fetched from an instance in another failure domain or in place of the store.
 	farDelay = 600 * time.Millisecond
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	routes   atomic.Pointer[routing.Config]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
+	log      *requestLog
 	// latencies are learned from the attempts of each route.
 	latencies latencies
 }
@@ -38,7 +39,7 @@
 // New returns a gateway without configuration, which refuses all requests.
 func New(config Config) *Gateway {
 	return &Gateway{
-		config: config, metrics: newMetrics(config.Registry),
+		config: config, metrics: newMetrics(config.Registry), log: newRequestLog(config.Log),
 		latencies: latencies{routes: make(map[string]*latency)},
 	}
 }
@@ -151,9 +152,9 @@
 		platform.SetRetryAfter(w.Header(), f.retryAfter)
 	}
 	g.metrics.refusals.WithLabelValues(f.reason).Inc()
-	if f.status >= http.StatusInternalServerError {
+	if f.status >= http.StatusInternalServerError && g.log.allow() {
 		says, _ := platform.ReadCallerRequest(r.Header) // its error was a reason to refuse
-		g.config.Log.Info("not answered", "request", says.ID, "path", r.URL.Path, "status", f.status, "reason", f.reason)
+		g.log.info("not answered", "request", says.ID, "path", r.URL.Path, "status", f.status, "reason", f.reason)
 	}
 	http.Error(w, f.reason, f.status)
 }
--- a/gateway/gather.go
+++ b/gateway/gather.go
@@ -54,10 +54,11 @@
 	return q.answer()
 }
 
-// logUnmet tells why an answer is late, or missing: what became of the parts that
-// were not answered in time.
+// logUnmet tells why an answer is late, partial or missing: what became of the
+// parts that were not answered in time.
 func (q *gathering) logUnmet() {
-	if q.answered >= q.needed && q.now() < q.arrived+q.route.TargetLatency {
+	late := q.now() >= q.arrived+q.route.TargetLatency
+	if (q.answered == len(q.parts) && !late) || !q.g.log.allow() {
 		return
 	}
 	open := make(map[string][]try)
@@ -67,7 +68,7 @@
 			open[p.service] = p.tries
 		}
 	}
-	q.g.config.Log.Info("answer is late or missing", "request", q.says.ID, "route", q.route.Name,
+	q.g.log.info("answer is not whole in time", "request", q.says.ID, "route", q.route.Name,
 		"shards", len(q.parts), "needed", q.needed, "answered", q.answered, "after_ms", q.sinceArrival(), "open", open)
 }
 
@@ -157,7 +158,7 @@
 	}
 	switch {
 	case !asked:
-		return q.notRun(nil)
+		return q.notRun(q.parts[0])
 	case q.now() >= q.deadline:
 		return &refusal{status: http.StatusGatewayTimeout, reason: "too few shards in time"}
 	}
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -33,12 +33,22 @@
 		timer.Stop()
 	}
 	p.letGo(c, false)
+	c.logUnmet(p)
 	if p.reply != nil {
 		return answer{status: p.reply.Status, header: p.reply.Header, body: p.reply.Body}
 	}
 	return c.failed(p)
 }
 
+// logUnmet tells why there is no answer, or not in time.
+func (c *call) logUnmet(p *part) {
+	late := c.now() >= c.arrived+c.route.TargetLatency
+	if (p.reply == nil || late) && c.g.log.allow() {
+		c.g.log.info("no answer in time", "request", c.says.ID, "route", c.route.Name, "service", p.service,
+			"after_ms", c.sinceArrival(), "tries", p.tries)
+	}
+}
+
 // chooseTarget draws one of the services by weight.
 func chooseTarget(targets []routing.Target) string {
 	total := 0.0
@@ -62,6 +72,7 @@
 func (c *call) outOfTime(p *part) answer {
 	ran := p.ran > 0 || len(p.running) > 0
 	p.letGo(c, true)
+	c.logUnmet(p)
 	if !ran {
 		return answer{refusal: c.notRun(p)}
 	}
@@ -80,12 +91,12 @@
 }
 
 // notRun refuses a request that no searcher has run or will run.
-func (c *call) notRun(*part) *refusal {
-	left := c.deadline - c.now()
-	return &refusal{
-		status: http.StatusServiceUnavailable, reason: "no searcher could run the request",
-		retryAfter: retryAfter(left),
+func (c *call) notRun(p *part) *refusal {
+	reason := "not run"
+	if last := len(p.tries) - 1; last >= 0 {
+		reason = "not run: " + p.tries[last].Outcome
 	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter(c.deadline - c.now())}
 }
 
 const (
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -69,6 +69,8 @@
 	newest int64
 	// stop ends the present call, so that the next one is made at once.
 	stop context.CancelFunc
+	// began is when that call was made.
+	began time.Time
 }
 
 // New returns an empty mirror.
@@ -229,16 +231,21 @@
 func (m *Mirror) Refresh() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stop != nil {
-		m.config.Log.Info("store is asked anew", "kind", m.config.Kind, "revision", m.revision)
-		m.stop()
+	if m.stop == nil || time.Since(m.began) < refreshPause {
+		return
 	}
+	m.config.Log.Info("store is asked anew", "kind", m.config.Kind, "revision", m.revision)
+	m.stop()
 }
 
+// refreshPause is how long a call may take before it is given up for another one.
+const refreshPause = 400 * time.Millisecond
+
 func (m *Mirror) setStop(stop context.CancelFunc) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.stop = stop
+	m.began = time.Now()
 }
 
 // Run follows the store until ctx ends.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -121,6 +121,7 @@
 	slow.store.SetFaults(site.StoreFaults{Deaf: true})
 	slow.store.Put("things", "a", 2)
 	slow.store.SetFaults(site.StoreFaults{Deaf: false})
+	time.Sleep(refreshPause)
 	slow.Refresh()
 	slow.await(t, "a", "2")
 }
