--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -138,7 +138,9 @@
 		return
 	}
 	c.pending = e
-	c.written = false
+	// A short request leaves in one piece, so that a reply to it can't come before its
+	// end.
+	c.written = len(e.Wire) <= maxInlineWrite
 	c.mu.Unlock()
 	if len(e.Wire) > maxInlineWrite {
 		go c.write(e)
--- a/searcher/conn_test.go
+++ b/searcher/conn_test.go
@@ -119,6 +119,25 @@
 	}
 }
 
+// TestQuickReply guards against a connection being given up because the reply came
+// before the writer of the request went on.
+func TestQuickReply(t *testing.T) {
+	conn, far, _ := pair(t)
+	go func() {
+		reader := bufio.NewReader(far)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(far, whole("a", "text"))
+		}
+	}()
+	for range 2000 {
+		o := <-send(conn, "a")
+		qt.Assert(t, o.err, qt.IsNil)
+	}
+}
+
 // TestLateStranger guards against a second reply that comes when the connection is
 // idle being taken for the next one.
 func TestLateStranger(t *testing.T) {
