--- a/booking/booking.go
+++ b/booking/booking.go
@@ -16,8 +16,8 @@
 	"github.com/wisteriawharf/wisteriawharf/claim"
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/result"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -46,7 +46,7 @@
 	// ID is the incarnation of this process.
 	ID       string
 	State    *control.State
-	Store    platform.Store
+	Store    objectstore.Store
 	Clock    clock.Clock
 	Log      *slog.Logger
 	Registry prometheus.Registerer
--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -19,8 +19,8 @@
 	"github.com/wisteriawharf/wisteriawharf/claim"
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/result"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -38,23 +38,23 @@
 
 // store is an object service in memory whose writes can lose their replies.
 type store struct {
-	platform.Store
+	objectstore.Store
 	mu          sync.Mutex
-	objects     map[string]platform.Object
+	objects     map[string]objectstore.Object
 	version     uint64
 	loseReplies int
 	away        bool
 }
 
-func (s *store) Get(_ context.Context, name string) (platform.Object, error) {
+func (s *store) Get(_ context.Context, name string) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	o, ok := s.objects[name]
 	if !ok {
-		return o, platform.ErrNotFound
+		return o, objectstore.ErrNotFound
 	}
 	return o, nil
 }
@@ -67,13 +67,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	}
 	if s.objects[name].Version != version {
-		return 0, platform.ErrConflict
+		return 0, objectstore.ErrConflict
 	}
 	s.version++
-	s.objects[name] = platform.Object{Name: name, Version: s.version, Value: value}
+	s.objects[name] = objectstore.Object{Name: name, Version: s.version, Value: value}
 	if s.loseReplies > 0 {
 		s.loseReplies--
 		return 0, errors.New("connection was closed")
@@ -123,7 +123,7 @@
 
 func newFixture(c *qt.C) *fixture {
 	f := &fixture{
-		store: &store{objects: make(map[string]platform.Object)},
+		store: &store{objects: make(map[string]objectstore.Object)},
 		ups:   &upstreams{runs: make(map[string]int)},
 		state: control.NewState(),
 	}
--- a/booking/bucket.go
+++ b/booking/bucket.go
@@ -8,8 +8,8 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/claim"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/queue"
 	"github.com/wisteriawharf/wisteriawharf/result"
 )
@@ -164,8 +164,8 @@
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	o, err := b.service.config.Store.Get(ctx, b.name)
-	if errors.Is(err, platform.ErrNotFound) {
-		o, err = platform.Object{}, nil
+	if errors.Is(err, objectstore.ErrNotFound) {
+		o, err = objectstore.Object{}, nil
 	}
 	if err != nil {
 		b.act(b.claims.Refuse(result.NotRun(result.PlatformAway, "claims cannot be read")))
@@ -196,7 +196,7 @@
 	case err == nil:
 		b.claims.Confirm(w, version)
 		b.act(b.claims.Decide(b.now()))
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		b.claims.Forget()
 		b.act(b.claims.Refuse(result.NotRun(result.PlatformAway, "claims cannot be written")))
 	default:
--- a/cmd/wharfctl/exit.go
+++ b/cmd/wharfctl/exit.go
@@ -6,8 +6,8 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
 
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/operator"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/publish"
 	"github.com/wisteriawharf/wisteriawharf/result"
 	"github.com/wisteriawharf/wisteriawharf/settings"
@@ -95,7 +95,7 @@
 		return exitNotFound
 	case errors.Is(err, publish.ErrUnknown), errors.Is(err, operator.ErrUnknown):
 		return exitUnknown
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		return exitPlatform
 	}
 	if e, ok := errors.AsType[*result.Error](err); ok {
--- a/cmd/wharfctl/main_test.go
+++ b/cmd/wharfctl/main_test.go
@@ -18,28 +18,28 @@
 
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/identity"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/operator"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/publish"
 )
 
 // memory is a platform in memory. away makes every call fail; before runs
 // before a write.
 type memory struct {
-	platform.Store
-	objects map[string]platform.Object
+	objectstore.Store
+	objects map[string]objectstore.Object
 	away    bool
 	before  func()
 }
 
-func (m *memory) Get(_ context.Context, name string) (platform.Object, error) {
+func (m *memory) Get(_ context.Context, name string) (objectstore.Object, error) {
 	if m.away {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	if o, ok := m.objects[name]; ok {
 		return o, nil
 	}
-	return platform.Object{}, platform.ErrNotFound
+	return objectstore.Object{}, objectstore.ErrNotFound
 }
 
 func (m *memory) Create(ctx context.Context, name string, value []byte) (uint64, error) {
@@ -48,24 +48,24 @@
 
 func (m *memory) Update(_ context.Context, name string, version uint64, value []byte) (uint64, error) {
 	if m.away {
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	}
 	if before := m.before; before != nil {
 		m.before = nil
 		before()
 	}
 	if m.objects[name].Version != version {
-		return 0, platform.ErrConflict
+		return 0, objectstore.ErrConflict
 	}
-	m.objects[name] = platform.Object{Name: name, Version: version + 1, Value: value}
+	m.objects[name] = objectstore.Object{Name: name, Version: version + 1, Value: value}
 	return version + 1, nil
 }
 
-func (m *memory) List(_ context.Context, prefix string) ([]platform.Object, error) {
+func (m *memory) List(_ context.Context, prefix string) ([]objectstore.Object, error) {
 	if m.away {
-		return nil, platform.ErrUnavailable
+		return nil, objectstore.ErrUnavailable
 	}
-	var all []platform.Object
+	var all []objectstore.Object
 	for name, o := range m.objects {
 		if strings.HasPrefix(name, prefix) {
 			all = append(all, o)
@@ -83,7 +83,7 @@
 }
 
 func newConsole(t *testing.T) *console {
-	c := &console{t: t, dir: t.TempDir(), store: &memory{objects: make(map[string]platform.Object)}, state: control.NewState()}
+	c := &console{t: t, dir: t.TempDir(), store: &memory{objects: make(map[string]objectstore.Object)}, state: control.NewState()}
 	pems := filepath.Join(c.dir, "pems")
 	_, code := c.run("dev-ca", pems, "--instance", "one", "--operator", "ana", "--operator", "ivo")
 	qt.Assert(t, code, qt.Equals, exitOK)
@@ -122,7 +122,7 @@
 func (c *console) run(args ...string) (string, int) {
 	var out bytes.Buffer
 	code := run(args, &environment{stdout: &out, stderr: &out,
-		openStore: func(string, time.Duration) (platform.Store, error) { return c.store, nil }})
+		openStore: func(string, time.Duration) (objectstore.Store, error) { return c.store, nil }})
 	return out.String(), code
 }
 
--- a/cmd/wharfctl/options.go
+++ b/cmd/wharfctl/options.go
@@ -10,7 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wisteriawharf/wisteriawharf/identity"
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/result"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -28,11 +28,11 @@
 }
 
 // storeOpener connects to the platform.
-type storeOpener func(address string, timeout time.Duration) (platform.Store, error)
+type storeOpener func(address string, timeout time.Duration) (objectstore.Store, error)
 
 // openStore returns the HTTP adapter of the platform.
-func openStore(address string, timeout time.Duration) (platform.Store, error) {
-	return platform.NewHTTP(platform.HTTPConfig{Address: address, Timeout: timeout, Registry: prometheus.NewRegistry()})
+func openStore(address string, timeout time.Duration) (objectstore.Store, error) {
+	return objectstore.NewHTTP(objectstore.HTTPConfig{Address: address, Timeout: timeout, Registry: prometheus.NewRegistry()})
 }
 
 // resolve joins flags and settings file.
@@ -85,7 +85,7 @@
 }
 
 // store connects to the platform of the operator settings.
-func (a *app) store() (platform.Store, error) {
+func (a *app) store() (objectstore.Store, error) {
 	s, err := a.options.resolve()
 	if err != nil {
 		return nil, err
--- a/cmd/wharfctl/orders.go
+++ b/cmd/wharfctl/orders.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/operator"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/publish"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -78,7 +78,7 @@
 
 // optionalStore returns nil if no platform address is set, because orders can
 // be given without the platform.
-func (a *app) optionalStore() (platform.Store, error) {
+func (a *app) optionalStore() (objectstore.Store, error) {
 	s, err := a.options.resolve()
 	if err != nil || s.PlatformAddress == "" {
 		return nil, err
@@ -92,7 +92,7 @@
 
 // checkName refuses a name that the newest settings do not have. While they
 // are not readable, the instances check it.
-func checkName(ctx context.Context, store platform.Store, o control.Order) error {
+func checkName(ctx context.Context, store objectstore.Store, o control.Order) error {
 	if store == nil {
 		return nil
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,8 +20,8 @@
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/identity"
 	"github.com/wisteriawharf/wisteriawharf/member"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/operator"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
@@ -54,7 +54,7 @@
 	Self     control.Instance
 	Identity *identity.Identity
 	State    *control.State
-	Store    platform.Store
+	Store    objectstore.Store
 	Clock    clock.Clock
 	Registry *prometheus.Registry
 	Log      *slog.Logger
@@ -134,7 +134,7 @@
 	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	store, err := platform.NewHTTP(platform.HTTPConfig{Address: p.PlatformAddress, Timeout: platformTimeout, Registry: registry})
+	store, err := objectstore.NewHTTP(objectstore.HTTPConfig{Address: p.PlatformAddress, Timeout: platformTimeout, Registry: registry})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/capacity/exchange.go
+++ b/internal/capacity/exchange.go
@@ -9,8 +9,8 @@
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/internal/slope"
 	"github.com/wisteriawharf/wisteriawharf/member"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
@@ -26,7 +26,7 @@
 
 func (b *bench) newPair() *pair {
 	p := &pair{server: control.NewState(), client: control.NewState()}
-	m := must(member.New(memberConfig("x", "127.0.0.1:1", p.server, struct{ platform.Store }{})))
+	m := must(member.New(memberConfig("x", "127.0.0.1:1", p.server, struct{ objectstore.Store }{})))
 	for _, handlers := range []map[peer.Kind]peer.Handler{m.Handlers(), nil} {
 		p.nodes = append(p.nodes, b.network.listen(handlers))
 	}
--- a/internal/capacity/heartbeat.go
+++ b/internal/capacity/heartbeat.go
@@ -10,8 +10,8 @@
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/internal/slope"
 	"github.com/wisteriawharf/wisteriawharf/member"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/standin"
 )
 
@@ -28,7 +28,7 @@
 		Address: "127.0.0.1:0", Control: "127.0.0.1:0", WriteBudget: 1000, ReadBudget: 1000, Log: quiet,
 	}))
 	defer service.Close()
-	store := must(platform.NewHTTP(platform.HTTPConfig{Address: service.Address(), Timeout: time.Second, Registry: prometheus.NewRegistry()}))
+	store := must(objectstore.NewHTTP(objectstore.HTTPConfig{Address: service.Address(), Timeout: time.Second, Registry: prometheus.NewRegistry()}))
 	cost := &slope.Table{
 		Title: "Heartbeats at a coordinator (processor time of both ends; bytes of both directions)", Size: "process",
 		Columns: []string{"us/heartbeat", "frame bytes/heartbeat", "UDP bytes/heartbeat"},
@@ -45,7 +45,7 @@
 	show(cost, held)
 }
 
-func (b *bench) heartbeatRun(store platform.Store, size, run int, cost, held *slope.Table) {
+func (b *bench) heartbeatRun(store objectstore.Store, size, run int, cost, held *slope.Table) {
 	domain := fmt.Sprintf("domain-%d-%d", size, run)
 	c := b.startCoordinator(domain, store)
 	defer c.stop()
@@ -101,7 +101,7 @@
 	return fmt.Sprintf("broker-domain-%04d-0198f3c2-7f6e-7b1a-9d35-%012d", i, i)
 }
 
-func (b *bench) startCoordinator(domain string, store platform.Store) *coordinator {
+func (b *bench) startCoordinator(domain string, store objectstore.Store) *coordinator {
 	c := &coordinator{state: control.NewState()}
 	// The member needs its address before the node has its handlers.
 	handlers := make(map[peer.Kind]peer.Handler)
--- a/internal/capacity/network.go
+++ b/internal/capacity/network.go
@@ -13,8 +13,8 @@
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/identity"
 	"github.com/wisteriawharf/wisteriawharf/member"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
 // quiet discards logs, which would be measured otherwise.
@@ -36,7 +36,7 @@
 }
 
 // memberConfig describes a broker of a failure domain at an address.
-func memberConfig(domain, address string, state *control.State, store platform.Store) member.Config {
+func memberConfig(domain, address string, state *control.State, store objectstore.Store) member.Config {
 	return member.Config{
 		Self:  control.Instance{ID: "self", Role: control.RoleBroker, FailureDomain: domain, PeerAddress: address},
 		State: state, Store: store, Clock: clock.System{}, Log: quiet, Registry: prometheus.NewRegistry(),
--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -14,8 +14,8 @@
 	"github.com/wisteriawharf/wisteriawharf/identity"
 	"github.com/wisteriawharf/wisteriawharf/internal/deployment"
 	"github.com/wisteriawharf/wisteriawharf/internal/slope"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/operator"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/publish"
 )
 
@@ -131,7 +131,7 @@
 	for _, i := range d.Instances {
 		fleet.Addresses = append(fleet.Addresses, i.BrokerOperatorAddress(), i.EntryOperatorAddress())
 	}
-	store := must(platform.NewHTTP(platform.HTTPConfig{Address: d.PlatformAddress(), Timeout: 2 * time.Second, Registry: prometheus.NewRegistry()}))
+	store := must(objectstore.NewHTTP(objectstore.HTTPConfig{Address: d.PlatformAddress(), Timeout: 2 * time.Second, Registry: prometheus.NewRegistry()}))
 	ctx, cancel := timeout(time.Minute)
 	defer cancel()
 	// A first question opens the connections.
@@ -153,7 +153,7 @@
 	}
 }
 
-func publishChange(ctx context.Context, store platform.Store, dir string, i int) {
+func publishChange(ctx context.Context, store objectstore.Store, dir string, i int) {
 	files := must(publish.Collect(dir, publish.DefaultPattern))
 	for j := range files {
 		files[j].Text = strings.ReplaceAll(files[j].Text, "queue_limit: 64", fmt.Sprintf("queue_limit: %d", 65+i))
--- a/internal/capacity/spread.go
+++ b/internal/capacity/spread.go
@@ -11,8 +11,8 @@
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/internal/slope"
 	"github.com/wisteriawharf/wisteriawharf/member"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 	"github.com/wisteriawharf/wisteriawharf/standin"
 )
@@ -48,7 +48,7 @@
 		Address: "127.0.0.1:0", Control: "127.0.0.1:0", WriteBudget: 1000, ReadBudget: 1000, Log: quiet,
 	}))
 	defer service.Close()
-	store := must(platform.NewHTTP(platform.HTTPConfig{Address: service.Address(), Timeout: time.Second, Registry: prometheus.NewRegistry()}))
+	store := must(objectstore.NewHTTP(objectstore.HTTPConfig{Address: service.Address(), Timeout: time.Second, Registry: prometheus.NewRegistry()}))
 	const domain = "x"
 	number := uint64(0)
 	publish := func() float64 {
@@ -89,7 +89,7 @@
 	t.Add(float64(size), rosterVersion(all, domain)-versions, (sentItems(all)-sent)/float64(size), value)
 }
 
-func (b *bench) participate(domain string, i int, seeds []string, store platform.Store) (*participant, string, func()) {
+func (b *bench) participate(domain string, i int, seeds []string, store objectstore.Store) (*participant, string, func()) {
 	p := &participant{state: control.NewState()}
 	handlers := make(map[peer.Kind]peer.Handler)
 	node := b.network.listen(handlers)
--- a/member/adopt.go
+++ b/member/adopt.go
@@ -10,7 +10,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/assign"
 	"github.com/wisteriawharf/wisteriawharf/control"
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 )
 
 // renewal is the newest renewal seen of a domain's record and when it was seen.
@@ -138,7 +138,7 @@
 func (m *membership) take(ctx context.Context) {
 	known, _ := m.record()
 	err := m.readRecord(ctx)
-	if known == nil && errors.Is(err, platform.ErrNotFound) {
+	if known == nil && errors.Is(err, objectstore.ErrNotFound) {
 		m.bootstrap(ctx)
 		return
 	}
--- a/member/config.go
+++ b/member/config.go
@@ -13,8 +13,8 @@
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
@@ -36,7 +36,7 @@
 	// State receives all control state.
 	State *control.State
 	// Store is the platform.
-	Store platform.Store
+	Store objectstore.Store
 	// Holder takes part in handovers; nil for an entry.
 	Holder   Holder
 	Clock    clock.Clock
--- a/member/coordinator.go
+++ b/member/coordinator.go
@@ -12,8 +12,8 @@
 
 	"github.com/wisteriawharf/wisteriawharf/assign"
 	"github.com/wisteriawharf/wisteriawharf/control"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
 // probers is how many other processes test one that fell silent.
@@ -166,7 +166,7 @@
 // bootstrap reads the record and creates it if the domain has none.
 func (m *membership) bootstrap(ctx context.Context) {
 	err := m.readRecord(ctx)
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, objectstore.ErrNotFound) {
 		return
 	}
 	record := assign.Next(m.domain, control.Record{}, m.change(&control.Record{}))
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -23,8 +23,8 @@
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/identity"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/result"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -33,7 +33,7 @@
 type store struct {
 	mu      sync.Mutex
 	version uint64
-	objects map[string][]platform.Object
+	objects map[string][]objectstore.Object
 	away    bool
 	// lose is the number of writes that take effect without a reply.
 	lose int
@@ -45,7 +45,7 @@
 }
 
 func newStore() *store {
-	return &store{objects: make(map[string][]platform.Object), writes: make(map[string]int), listed: make(map[string]int)}
+	return &store{objects: make(map[string][]objectstore.Object), writes: make(map[string]int), listed: make(map[string]int)}
 }
 
 func (s *store) set(change func(*store)) {
@@ -55,10 +55,10 @@
 }
 
 // current returns an object as readers see it; the caller holds the lock.
-func (s *store) current(name string) (platform.Object, bool) {
+func (s *store) current(name string) (objectstore.Object, bool) {
 	versions := s.objects[name]
 	if len(versions) == 0 {
-		return platform.Object{}, false
+		return objectstore.Object{}, false
 	}
 	if s.stale {
 		return versions[0], true
@@ -66,16 +66,16 @@
 	return versions[len(versions)-1], true
 }
 
-func (s *store) Get(_ context.Context, name string) (platform.Object, error) {
+func (s *store) Get(_ context.Context, name string) (objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectstore.Object{}, objectstore.ErrUnavailable
 	}
 	if o, ok := s.current(name); ok {
 		return o, nil
 	}
-	return platform.Object{}, platform.ErrNotFound
+	return objectstore.Object{}, objectstore.ErrNotFound
 }
 
 func (s *store) Create(ctx context.Context, name string, value []byte) (uint64, error) {
@@ -86,18 +86,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return 0, platform.ErrUnavailable
+		return 0, objectstore.ErrUnavailable
 	}
 	var newest uint64
 	if versions := s.objects[name]; len(versions) > 0 {
 		newest = versions[len(versions)-1].Version
 	}
 	if newest != version {
-		return 0, platform.ErrConflict
+		return 0, objectstore.ErrConflict
 	}
 	s.version++
 	s.writes[name]++
-	s.objects[name] = append(s.objects[name], platform.Object{Name: name, Version: s.version, Value: bytes.Clone(value)})
+	s.objects[name] = append(s.objects[name], objectstore.Object{Name: name, Version: s.version, Value: bytes.Clone(value)})
 	if s.lose > 0 {
 		s.lose--
 		return 0, io.ErrUnexpectedEOF
@@ -107,27 +107,27 @@
 
 func (s *store) Delete(context.Context, string, uint64) error { return nil }
 
-func (s *store) List(_ context.Context, prefix string) ([]platform.Object, error) {
+func (s *store) List(_ context.Context, prefix string) ([]objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return nil, platform.ErrUnavailable
+		return nil, objectstore.ErrUnavailable
 	}
-	var found []platform.Object
+	var found []objectstore.Object
 	for name := range s.objects {
 		if o, ok := s.current(name); ok && strings.HasPrefix(name, prefix) {
-			found = append(found, platform.Object{Name: name, Version: o.Version})
+			found = append(found, objectstore.Object{Name: name, Version: o.Version})
 			s.listed[prefix]++
 		}
 	}
 	return found, nil
 }
 
-func (s *store) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Object, error) {
+func (s *store) Watch(ctx context.Context, prefix string, after uint64) ([]objectstore.Object, error) {
 	for {
 		s.mu.Lock()
 		away := s.away
-		var found []platform.Object
+		var found []objectstore.Object
 		for name := range s.objects {
 			if o, _ := s.current(name); strings.HasPrefix(name, prefix) && o.Version > after {
 				found = append(found, o)
@@ -135,7 +135,7 @@
 		}
 		s.mu.Unlock()
 		if away {
-			return nil, platform.ErrUnavailable
+			return nil, objectstore.ErrUnavailable
 		}
 		if len(found) > 0 {
 			return found, nil
@@ -148,7 +148,7 @@
 	}
 }
 
-func (s *store) Instances(context.Context) ([]platform.Instance, error) { return nil, nil }
+func (s *store) Instances(context.Context) ([]objectstore.Instance, error) { return nil, nil }
 
 // publish creates a settings revision with n searchers in the domain "x".
 func (s *store) publish(c *qt.C, number uint64) {
--- a/member/order.go
+++ b/member/order.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/control"
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 )
 
 // maxOrderHistory bounds the object of an order. A direct order that is not
@@ -36,7 +36,7 @@
 func (m *Member) recordOrder(ctx context.Context, order control.Order) error {
 	name := prefixOrders + string(order.Kind) + "/" + order.Name
 	object, err := m.get(ctx, name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectstore.ErrNotFound) {
 		return err
 	}
 	exists := err == nil
--- a/member/parts.go
+++ b/member/parts.go
@@ -6,8 +6,8 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/peer"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
@@ -102,7 +102,7 @@
 	for _, digest := range m.config.State.MissingParts() {
 		group.Go(func() error {
 			object, err := m.get(ctx, settings.PartName(digest))
-			if errors.Is(err, platform.ErrNotFound) {
+			if errors.Is(err, objectstore.ErrNotFound) {
 				m.config.Log.Warn("part of settings is not stored", "digest", digest)
 			}
 			if err != nil {
--- a/member/platform.go
+++ b/member/platform.go
@@ -12,7 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/control"
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/publish"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -68,7 +68,7 @@
 
 // answered reports whether the error is an answer of the platform.
 func answered(err error) bool {
-	return err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict)
+	return err == nil || errors.Is(err, objectstore.ErrNotFound) || errors.Is(err, objectstore.ErrConflict)
 }
 
 func (m *Member) noteCall(call string, err error) {
@@ -76,7 +76,7 @@
 	m.contact.note(answered(err), m.config.Clock.Boottime(), m.config.Timing.OutageSpread)
 }
 
-func (m *Member) get(ctx context.Context, name string) (platform.Object, error) {
+func (m *Member) get(ctx context.Context, name string) (objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Timing.PlatformCall)
 	defer cancel()
 	object, err := m.config.Store.Get(ctx, name)
@@ -100,7 +100,7 @@
 	return written, err
 }
 
-func (m *Member) list(ctx context.Context, prefix string) ([]platform.Object, error) {
+func (m *Member) list(ctx context.Context, prefix string) ([]objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.config.Timing.PlatformCall)
 	defer cancel()
 	objects, err := m.config.Store.List(ctx, prefix)
@@ -125,7 +125,7 @@
 }
 
 // offerObject takes an object of the platform into the control state.
-func (m *Member) offerObject(object platform.Object) {
+func (m *Member) offerObject(object objectstore.Object) {
 	item, err := itemOf(object)
 	if err != nil {
 		m.config.Log.Warn("object does not parse, the last good one is kept", "object", object.Name, "error", err)
@@ -137,7 +137,7 @@
 	}
 }
 
-func itemOf(object platform.Object) (control.Item, error) {
+func itemOf(object objectstore.Object) (control.Item, error) {
 	item := control.Item{Minor: object.Version, Value: object.Value}
 	switch {
 	case strings.HasPrefix(object.Name, prefixDomains):
@@ -198,7 +198,7 @@
 	}
 	for _, object := range objects {
 		full, err := m.get(ctx, object.Name)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, objectstore.ErrNotFound) {
 			continue
 		}
 		if err != nil {
@@ -214,7 +214,7 @@
 
 // listNewer lists the objects with the prefix; of the revisions only the last
 // ones.
-func (m *Member) listNewer(ctx context.Context, prefix string) ([]platform.Object, error) {
+func (m *Member) listNewer(ctx context.Context, prefix string) ([]objectstore.Object, error) {
 	if prefix == prefixRevisions {
 		return publish.Newest(ctx, reader{m}, m.config.State.View().Revision)
 	}
@@ -225,18 +225,18 @@
 type reader struct{ member *Member }
 
 // Get returns the object.
-func (r reader) Get(ctx context.Context, name string) (platform.Object, error) {
+func (r reader) Get(ctx context.Context, name string) (objectstore.Object, error) {
 	return r.member.get(ctx, name)
 }
 
 // List returns the objects whose names start with prefix, without values.
-func (r reader) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+func (r reader) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
 	return r.member.list(ctx, prefix)
 }
 
 // newestRevision returns the object with the greatest name, as revision numbers
 // have a fixed width.
-func newestRevision(objects []platform.Object) []platform.Object {
+func newestRevision(objects []objectstore.Object) []objectstore.Object {
 	if len(objects) == 0 {
 		return nil
 	}
@@ -246,7 +246,7 @@
 			newest = object
 		}
 	}
-	return []platform.Object{newest}
+	return []objectstore.Object{newest}
 }
 
 // watcher returns a step that watches one prefix while this process
--- a/platform/http.go
+++ b/objectstore/http.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"bytes"
--- a/platform/http_test.go
+++ b/objectstore/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"bufio"
@@ -15,13 +15,13 @@
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 )
 
-func newHTTP(t *testing.T, address string, timeout time.Duration) (*platform.HTTP, *prometheus.Registry) {
+func newHTTP(t *testing.T, address string, timeout time.Duration) (*objectstore.HTTP, *prometheus.Registry) {
 	t.Helper()
 	registry := prometheus.NewRegistry()
-	h, err := platform.NewHTTP(platform.HTTPConfig{Address: address, Timeout: timeout, Registry: registry})
+	h, err := objectstore.NewHTTP(objectstore.HTTPConfig{Address: address, Timeout: timeout, Registry: registry})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(h.Close)
 	return h, registry
@@ -72,13 +72,13 @@
 }
 
 // writes are the calls that change objects.
-var writes = map[string]func(platform.Store) error{
-	"create": func(s platform.Store) error { _, err := s.Create(context.Background(), "a", nil); return err },
-	"update": func(s platform.Store) error {
+var writes = map[string]func(objectstore.Store) error{
+	"create": func(s objectstore.Store) error { _, err := s.Create(context.Background(), "a", nil); return err },
+	"update": func(s objectstore.Store) error {
 		_, err := s.Update(context.Background(), "a", 1, []byte("v"))
 		return err
 	},
-	"delete": func(s platform.Store) error { return s.Delete(context.Background(), "a", 1) },
+	"delete": func(s objectstore.Store) error { return s.Delete(context.Background(), "a", 1) },
 }
 
 // TestWritesAreSentOnce guards against writes that the transport resends after
@@ -102,8 +102,8 @@
 			qt.Assert(t, write(h), qt.IsNil)
 			err = write(h)
 			qt.Assert(t, err, qt.IsNotNil)
-			qt.Assert(t, errors.Is(err, platform.ErrUnavailable), qt.IsFalse)
-			qt.Assert(t, errors.Is(err, platform.ErrConflict), qt.IsFalse)
+			qt.Assert(t, errors.Is(err, objectstore.ErrUnavailable), qt.IsFalse)
+			qt.Assert(t, errors.Is(err, objectstore.ErrConflict), qt.IsFalse)
 			qt.Assert(t, s.seen(), qt.HasLen, 3)
 		})
 	}
@@ -159,7 +159,7 @@
 				h, registry := newHTTP(t, test.address, test.timeout)
 				err := write(h)
 				qt.Assert(t, err, qt.IsNotNil)
-				qt.Assert(t, errors.Is(err, platform.ErrUnavailable), qt.Equals, test.unavailable)
+				qt.Assert(t, errors.Is(err, objectstore.ErrUnavailable), qt.Equals, test.unavailable)
 				outcome := map[bool]string{true: "unavailable", false: "error"}[test.unavailable]
 				qt.Assert(t, counted(t, registry, kind, outcome), qt.Equals, 1.0)
 			})
@@ -185,20 +185,20 @@
 
 // TestHTTPConfig guards against settings that fail only at the first call.
 func TestHTTPConfig(t *testing.T) {
-	valid := platform.HTTPConfig{Address: "127.0.0.1:1", Timeout: time.Second, Registry: prometheus.NewRegistry()}
+	valid := objectstore.HTTPConfig{Address: "127.0.0.1:1", Timeout: time.Second, Registry: prometheus.NewRegistry()}
 	qt.Assert(t, valid.Validate(), qt.IsNil)
-	for name, change := range map[string]func(*platform.HTTPConfig){
-		"no address":   func(c *platform.HTTPConfig) { c.Address = "" },
-		"host name":    func(c *platform.HTTPConfig) { c.Address = "localhost:80" },
-		"no port":      func(c *platform.HTTPConfig) { c.Address = "127.0.0.1" },
-		"port zero":    func(c *platform.HTTPConfig) { c.Address = "127.0.0.1:0" },
-		"no timeout":   func(c *platform.HTTPConfig) { c.Timeout = 0 },
-		"long timeout": func(c *platform.HTTPConfig) { c.Timeout = time.Minute },
-		"no registry":  func(c *platform.HTTPConfig) { c.Registry = nil },
+	for name, change := range map[string]func(*objectstore.HTTPConfig){
+		"no address":   func(c *objectstore.HTTPConfig) { c.Address = "" },
+		"host name":    func(c *objectstore.HTTPConfig) { c.Address = "localhost:80" },
+		"no port":      func(c *objectstore.HTTPConfig) { c.Address = "127.0.0.1" },
+		"port zero":    func(c *objectstore.HTTPConfig) { c.Address = "127.0.0.1:0" },
+		"no timeout":   func(c *objectstore.HTTPConfig) { c.Timeout = 0 },
+		"long timeout": func(c *objectstore.HTTPConfig) { c.Timeout = time.Minute },
+		"no registry":  func(c *objectstore.HTTPConfig) { c.Registry = nil },
 	} {
 		wrong := valid
 		change(&wrong)
-		_, err := platform.NewHTTP(wrong)
+		_, err := objectstore.NewHTTP(wrong)
 		qt.Assert(t, err, qt.IsNotNil, qt.Commentf(name))
 	}
 }
--- a/platform/store.go
+++ b/objectstore/store.go
@@ -1,6 +1,6 @@
-// Package platform talks to the platform's object service, which keeps all
+// Package objectstore talks to the platform's object service, which keeps all
 // state that outlives an instance.
-package platform
+package objectstore
 
 import (
 	"context"
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -12,7 +12,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/control"
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 )
 
 // Port is the operator port of any process, as Client implements it.
@@ -210,7 +210,7 @@
 
 // Give records an order on the platform. If the platform does not confirm it,
 // every process that is reached receives the order directly.
-func (f Fleet) Give(ctx context.Context, store platform.Store, o control.Order) (Given, error) {
+func (f Fleet) Give(ctx context.Context, store objectstore.Store, o control.Order) (Given, error) {
 	if err := CheckOrder(o); err != nil {
 		return Given{}, err
 	}
@@ -241,9 +241,9 @@
 	return given, nil
 }
 
-func (f Fleet) record(ctx context.Context, store platform.Store, o control.Order, direct []control.Order) (*control.RecordedOrder, error) {
+func (f Fleet) record(ctx context.Context, store objectstore.Store, o control.Order, direct []control.Order) (*control.RecordedOrder, error) {
 	if store == nil {
-		return nil, errors.WithType(errors.New("no platform address is set"), platform.ErrUnavailable)
+		return nil, errors.WithType(errors.New("no platform address is set"), objectstore.ErrUnavailable)
 	}
 	ctx, cancel := context.WithTimeout(ctx, recordSteps*f.step())
 	defer cancel()
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/control"
 	"github.com/wisteriawharf/wisteriawharf/identity"
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/result"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -182,13 +182,13 @@
 // fakeStore keeps objects in memory; the hooks run before and after a write
 // takes effect.
 type fakeStore struct {
-	platform.Store
-	objects       map[string]platform.Object
+	objectstore.Store
+	objects       map[string]objectstore.Object
 	before, after func() error
 	get           func() error
 }
 
-func newStore() *fakeStore { return &fakeStore{objects: make(map[string]platform.Object)} }
+func newStore() *fakeStore { return &fakeStore{objects: make(map[string]objectstore.Object)} }
 
 func call(hook func() error) error {
 	if hook == nil {
@@ -197,14 +197,14 @@
 	return hook()
 }
 
-func (s *fakeStore) Get(_ context.Context, name string) (platform.Object, error) {
+func (s *fakeStore) Get(_ context.Context, name string) (objectstore.Object, error) {
 	if err := call(s.get); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	if o, ok := s.objects[name]; ok {
 		return o, nil
 	}
-	return platform.Object{}, platform.ErrNotFound
+	return objectstore.Object{}, objectstore.ErrNotFound
 }
 
 func (s *fakeStore) Create(ctx context.Context, name string, value []byte) (uint64, error) {
@@ -216,9 +216,9 @@
 		return 0, err
 	}
 	if s.objects[name].Version != version {
-		return 0, platform.ErrConflict
+		return 0, objectstore.ErrConflict
 	}
-	s.objects[name] = platform.Object{Name: name, Version: version + 1, Value: value}
+	s.objects[name] = objectstore.Object{Name: name, Version: version + 1, Value: value}
 	return version + 1, call(s.after)
 }
 
@@ -298,7 +298,7 @@
 	qt.Assert(t, err, qt.IsNil)
 
 	store := newStore()
-	store.get = func() error { return platform.ErrUnavailable }
+	store.get = func() error { return objectstore.ErrUnavailable }
 	fleet := Fleet{Port: c, Addresses: []string{one.Address(), gone.Address()}, Step: 10 * time.Second}
 	given, err := fleet.Give(ctx, store, order("split", false))
 	qt.Assert(t, err, qt.IsNil)
@@ -320,7 +320,7 @@
 	qt.Assert(t, stateTwo.View().Out(control.OrderDomain, "split"), qt.IsFalse)
 	qt.Assert(t, stateTwo.View().Direct, qt.HasLen, 0)
 	_, err = Fleet{Port: c, Addresses: []string{gone.Address()}}.Give(ctx, nil, order("split", true))
-	qt.Assert(t, errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, objectstore.ErrUnavailable), qt.IsTrue)
 }
 
 // TestProcessEnded guards against the statement that a process has ended while
--- a/operator/record.go
+++ b/operator/record.go
@@ -11,7 +11,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/control"
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/result"
 )
 
@@ -56,7 +56,7 @@
 //
 // An order that takes its subject out is tried again after another write, one
 // that puts it back is given up in favour of an "out" that came in between.
-func Record(ctx context.Context, store platform.Store, o control.Order, direct []control.Order) (*control.RecordedOrder, error) {
+func Record(ctx context.Context, store objectstore.Store, o control.Order, direct []control.Order) (*control.RecordedOrder, error) {
 	name := ObjectName(o.Kind, o.Name)
 	var seen *control.RecordedOrder
 	var cause error
@@ -84,9 +84,9 @@
 		next := successor(former, o, direct)
 		if err := writeRecord(ctx, store, name, version, next); err == nil {
 			return next, nil
-		} else if errors.Is(err, platform.ErrUnavailable) && cause == nil {
+		} else if errors.Is(err, objectstore.ErrUnavailable) && cause == nil {
 			return nil, err
-		} else if !errors.Is(err, platform.ErrConflict) {
+		} else if !errors.Is(err, objectstore.ErrConflict) {
 			cause = err
 		}
 	}
@@ -97,9 +97,9 @@
 }
 
 // readRecord returns the record and its version, both zero if there is none.
-func readRecord(ctx context.Context, store platform.Store, name string) (*control.RecordedOrder, uint64, error) {
+func readRecord(ctx context.Context, store objectstore.Store, name string) (*control.RecordedOrder, uint64, error) {
 	object, err := store.Get(ctx, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return &control.RecordedOrder{}, 0, nil
 	}
 	if err != nil {
@@ -112,7 +112,7 @@
 	return &r, object.Version, nil
 }
 
-func writeRecord(ctx context.Context, store platform.Store, name string, version uint64, r *control.RecordedOrder) error {
+func writeRecord(ctx context.Context, store objectstore.Store, name string, version uint64, r *control.RecordedOrder) error {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return errors.Trace(err)
--- a/publish/history.go
+++ b/publish/history.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/result"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -23,7 +23,7 @@
 
 // History reads published revisions.
 type History struct {
-	Store platform.Store
+	Store objectstore.Store
 }
 
 // Numbers returns the numbers of all revisions, rising. A reading of the
@@ -37,7 +37,7 @@
 }
 
 // numbersOf returns the numbers of revisions by their objects, rising.
-func numbersOf(objects []platform.Object) []uint64 {
+func numbersOf(objects []objectstore.Object) []uint64 {
 	numbers := make([]uint64, 0, len(objects))
 	for _, o := range objects {
 		n, err := strconv.ParseUint(strings.TrimPrefix(o.Name, prefix), 10, 64)
@@ -62,7 +62,7 @@
 // get returns one revision without the texts of its files.
 func (h History) get(ctx context.Context, number uint64) (*settings.Revision, error) {
 	object, err := h.Store.Get(ctx, ObjectName(number))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil, result.NotRun(result.NoRevision, "revision %d", number)
 	}
 	if err != nil {
--- a/publish/newest.go
+++ b/publish/newest.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 )
 
 const (
@@ -22,8 +22,8 @@
 
 // Reader is the part of the platform that Newest needs.
 type Reader interface {
-	Get(ctx context.Context, name string) (platform.Object, error)
-	List(ctx context.Context, prefix string) ([]platform.Object, error)
+	Get(ctx context.Context, name string) (objectstore.Object, error)
+	List(ctx context.Context, prefix string) ([]objectstore.Object, error)
 }
 
 // rangePrefix returns the prefix of the names of all revisions in the range of
@@ -37,7 +37,7 @@
 // 99 others, without values and in no order; none if there are no revisions.
 // known is a revision that is published, or zero. All revisions are listed only
 // if neither it nor the platform says where to look. The errors are those of r.
-func Newest(ctx context.Context, r Reader, known uint64) ([]platform.Object, error) {
+func Newest(ctx context.Context, r Reader, known uint64) ([]objectstore.Object, error) {
 	if known == 0 {
 		number, _, err := floor(ctx, r)
 		if err != nil {
@@ -58,8 +58,8 @@
 
 // newestFrom lists one range after another until one is empty, and returns the
 // last that is not.
-func newestFrom(ctx context.Context, r Reader, number uint64) ([]platform.Object, error) {
-	var newest []platform.Object
+func newestFrom(ctx context.Context, r Reader, number uint64) ([]objectstore.Object, error) {
+	var newest []objectstore.Object
 	for number > 0 {
 		found, err := r.List(ctx, rangePrefix(number))
 		if err != nil {
@@ -78,7 +78,7 @@
 // number of zero if it holds none.
 func floor(ctx context.Context, r Reader) (number, version uint64, err error) {
 	object, err := r.Get(ctx, floorName)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return 0, 0, nil
 	}
 	if err != nil {
--- a/publish/parts.go
+++ b/publish/parts.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
 
@@ -55,21 +55,21 @@
 		}
 		_, err := h.readPart(ctx, part.Digest)
 		switch {
-		case err == nil || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, errDamaged):
+		case err == nil || errors.Is(err, objectstore.ErrUnavailable) || errors.Is(err, errDamaged):
 			return err
-		case !errors.Is(err, platform.ErrNotFound):
+		case !errors.Is(err, objectstore.ErrNotFound):
 			cause = err
 			continue
 		}
 		_, cause = h.Store.Create(ctx, settings.PartName(part.Digest), part.Packed)
-		if cause == nil || errors.Is(cause, platform.ErrUnavailable) {
+		if cause == nil || errors.Is(cause, objectstore.ErrUnavailable) {
 			break
 		}
 	}
 	return errors.Annotatef(cause, "store part %s", part.Digest)
 }
 
-// readPart returns the text of a part. It fails with platform.ErrNotFound or
+// readPart returns the text of a part. It fails with objectstore.ErrNotFound or
 // errDamaged if the part is not stored as it has to be.
 func (h History) readPart(ctx context.Context, digest string) (string, error) {
 	object, err := h.Store.Get(ctx, settings.PartName(digest))
@@ -119,7 +119,7 @@
 		checked[f.Digest] = true
 		_, err := h.readPart(ctx, f.Digest)
 		switch {
-		case errors.Is(err, platform.ErrNotFound) || errors.Is(err, errDamaged):
+		case errors.Is(err, objectstore.ErrNotFound) || errors.Is(err, errDamaged):
 			faults = append(faults, fmt.Sprintf("revision %d: the content of file %s is not readable: %v", r.Number, f.Path, err))
 		case err != nil:
 			return nil, err
--- a/publish/publish.go
+++ b/publish/publish.go
@@ -13,7 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/result"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -77,7 +77,7 @@
 }
 
 // New returns a Publisher.
-func New(store platform.Store, c clock.Clock) *Publisher {
+func New(store objectstore.Store, c clock.Clock) *Publisher {
 	return &Publisher{history: History{Store: store}, clock: c}
 }
 
@@ -211,7 +211,7 @@
 	switch {
 	case err == nil:
 		return outcome, nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectstore.ErrUnavailable):
 		return Outcome{}, errors.Annotatef(err, "publish revision %d", next.Number)
 	}
 	return p.readBack(ctx, head, outcome, value, err)
@@ -245,7 +245,7 @@
 		if err == nil {
 			return Outcome{}, p.race(ctx, head, there)
 		}
-		if result.From(err).Code == result.NoRevision && !errors.Is(cause, platform.ErrConflict) {
+		if result.From(err).Code == result.NoRevision && !errors.Is(cause, objectstore.ErrConflict) {
 			if _, cause = p.history.Store.Create(ctx, ObjectName(number), value); cause == nil {
 				return outcome, nil
 			}
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -12,7 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/result"
 	"github.com/wisteriawharf/wisteriawharf/settings"
 )
@@ -36,12 +36,12 @@
 	return Request{Files: f, Author: author, Reason: "because " + author + " said so", ChangeID: id}
 }
 
-func publish(t *testing.T, s platform.Store, q Request) (Outcome, error) {
+func publish(t *testing.T, s objectstore.Store, q Request) (Outcome, error) {
 	t.Helper()
 	return New(s, clock.System{}).Publish(context.Background(), q)
 }
 
-func mustPublish(t *testing.T, s platform.Store, f []settings.File) Outcome {
+func mustPublish(t *testing.T, s objectstore.Store, f []settings.File) Outcome {
 	t.Helper()
 	o, err := publish(t, s, request(t, "ana", f))
 	qt.Assert(t, err, qt.IsNil)
@@ -175,9 +175,9 @@
 // that was never sent.
 func TestUnavailable(t *testing.T) {
 	s := newStore()
-	s.before = func(string) error { return platform.ErrUnavailable }
+	s.before = func(string) error { return objectstore.ErrUnavailable }
 	_, err := publish(t, s, request(t, "ana", files()))
-	qt.Assert(t, errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, objectstore.ErrUnavailable), qt.IsTrue)
 	qt.Assert(t, errors.Is(err, ErrUnknown), qt.IsFalse)
 }
 
@@ -193,7 +193,7 @@
 		"request lost":  {func(s *fakeStore) { s.before = func(string) error { s.before = nil; return errLost } }, ""},
 		"stored before": {func(s *fakeStore) { mustPublish(t, s, files()); delete(s.objects, ObjectName(1)) }, ""},
 		"never stored":  {func(s *fakeStore) { s.before = func(string) error { return errLost } }, ".*reply was lost"},
-		"away":          {func(s *fakeStore) { s.before = func(string) error { return platform.ErrUnavailable } }, ".*not reachable"},
+		"away":          {func(s *fakeStore) { s.before = func(string) error { return objectstore.ErrUnavailable } }, ".*not reachable"},
 		"damaged":       {func(s *fakeStore) { s.objects[part] = []byte("x") }, ".*part .*"},
 	} {
 		s := newStore()
--- a/publish/store_test.go
+++ b/publish/store_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 )
 
 var errLost = errors.New("reply was lost")
@@ -18,7 +18,7 @@
 // an object whose name starts with faulty takes effect; an error of either is
 // what the caller sees.
 type fakeStore struct {
-	platform.Store
+	objectstore.Store
 	mu            sync.Mutex
 	objects       map[string][]byte
 	version       uint64
@@ -65,33 +65,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.objects[name]; ok {
-		return platform.ErrConflict
+		return objectstore.ErrConflict
 	}
 	s.version++
 	s.objects[name] = value
 	return nil
 }
 
-func (s *fakeStore) Get(_ context.Context, name string) (platform.Object, error) {
+func (s *fakeStore) Get(_ context.Context, name string) (objectstore.Object, error) {
 	if err := s.call(s.get, name); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	value, ok := s.objects[name]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
-	return platform.Object{Name: name, Version: 1, Value: value}, nil
+	return objectstore.Object{Name: name, Version: 1, Value: value}, nil
 }
 
-func (s *fakeStore) List(_ context.Context, prefix string) ([]platform.Object, error) {
+func (s *fakeStore) List(_ context.Context, prefix string) ([]objectstore.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var all []platform.Object
+	var all []objectstore.Object
 	for name := range s.objects {
 		if strings.HasPrefix(name, prefix) && name != s.hidden {
-			all = append(all, platform.Object{Name: name})
+			all = append(all, objectstore.Object{Name: name})
 		}
 	}
 	s.listed += len(all)
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 )
 
 // Faults are the faults in force at a platform stand-in.
@@ -106,7 +106,7 @@
 		writeJSON(w, http.StatusOK, faults)
 	})
 	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) {
-		var list []platform.Instance
+		var list []objectstore.Instance
 		if !readJSON(w, r, &list) {
 			return
 		}
@@ -118,7 +118,7 @@
 
 // readJSON reads the body strictly and answers 400 if it does not parse.
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, objectstore.MaxValueBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -135,21 +135,21 @@
 
 type timedInstances struct {
 	since     time.Time
-	instances []platform.Instance
+	instances []objectstore.Instance
 }
 
 func newInstanceList() *instanceList {
-	return &instanceList{lists: []timedInstances{{instances: []platform.Instance{}}}}
+	return &instanceList{lists: []timedInstances{{instances: []objectstore.Instance{}}}}
 }
 
-func (l *instanceList) set(now time.Time, instances []platform.Instance) {
+func (l *instanceList) set(now time.Time, instances []objectstore.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lists = append(l.lists, timedInstances{since: now, instances: instances})
 }
 
 // at returns the list that was in force lag ago.
-func (l *instanceList) at(now time.Time, lag time.Duration) []platform.Instance {
+func (l *instanceList) at(now time.Time, lag time.Duration) []objectstore.Instance {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i := len(l.lists) - 1; i > 0; i-- {
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -5,13 +5,13 @@
 	"strings"
 	"sync"
 
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 )
 
 // object is a stored value with the one before it, which stale reads return.
 type object struct {
-	current  platform.Object
-	previous *platform.Object
+	current  objectstore.Object
+	previous *objectstore.Object
 }
 
 // objects is the store behind the platform stand-in.
@@ -28,17 +28,17 @@
 
 // get returns the object. A stale reading is of the version before the present
 // one, if there was one.
-func (o *objects) get(name string, stale bool) (platform.Object, bool) {
+func (o *objects) get(name string, stale bool) (objectstore.Object, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	stored, ok := o.byName[name]
 	if !ok {
-		return platform.Object{}, false
+		return objectstore.Object{}, false
 	}
 	return stored.read(stale), true
 }
 
-func (o *object) read(stale bool) platform.Object {
+func (o *object) read(stale bool) objectstore.Object {
 	if stale && o.previous != nil {
 		return *o.previous
 	}
@@ -59,7 +59,7 @@
 		return 0, false
 	}
 	o.version++
-	next := &object{current: platform.Object{Name: name, Version: o.version, Value: value}}
+	next := &object{current: objectstore.Object{Name: name, Version: o.version, Value: value}}
 	if stored != nil {
 		previous := stored.current
 		next.previous = &previous
@@ -95,10 +95,10 @@
 
 // after returns the objects with the prefix whose versions are greater than
 // version, sorted by name, and a channel that is closed at the next change.
-func (o *objects) after(prefix string, version uint64, stale bool) ([]platform.Object, <-chan struct{}) {
+func (o *objects) after(prefix string, version uint64, stale bool) ([]objectstore.Object, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var found []platform.Object
+	var found []objectstore.Object
 	for name, stored := range o.byName {
 		if !strings.HasPrefix(name, prefix) {
 			continue
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -17,7 +17,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 )
 
 // longestWatch is how long a watch waits for a change.
@@ -156,11 +156,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValueBytes+1))
 	if err != nil {
 		return
 	}
-	if len(value) > platform.MaxValueBytes {
+	if len(value) > objectstore.MaxValueBytes {
 		http.Error(w, "value is too large", http.StatusRequestEntityTooLarge)
 		return
 	}
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -14,20 +14,20 @@
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/objectstore"
 	"github.com/wisteriawharf/wisteriawharf/standin"
 )
 
 var ctx = context.Background()
 
-func startPlatform(t *testing.T) (*standin.Platform, *platform.HTTP) {
+func startPlatform(t *testing.T) (*standin.Platform, *objectstore.HTTP) {
 	t.Helper()
 	p, err := standin.StartPlatform(standin.PlatformConfig{
 		Address: "127.0.0.1:0", Control: "127.0.0.1:0", WriteBudget: 1000, ReadBudget: 1000, Log: slog.New(slog.DiscardHandler),
 	})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(p.Close)
-	h, err := platform.NewHTTP(platform.HTTPConfig{Address: p.Address(), Timeout: 10 * time.Second, Registry: prometheus.NewRegistry()})
+	h, err := objectstore.NewHTTP(objectstore.HTTPConfig{Address: p.Address(), Timeout: 10 * time.Second, Registry: prometheus.NewRegistry()})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(h.Close)
 	return p, h
@@ -55,7 +55,7 @@
 		qt.Assert(t, err, qt.IsNil, qt.Commentf(name))
 		got, err := h.Get(ctx, name)
 		qt.Assert(t, err, qt.IsNil, qt.Commentf(name))
-		qt.Assert(t, got, qt.DeepEquals, platform.Object{Name: name, Version: version, Value: []byte(name)})
+		qt.Assert(t, got, qt.DeepEquals, objectstore.Object{Name: name, Version: version, Value: []byte(name)})
 	}
 	listed, err := h.List(ctx, "a/")
 	qt.Assert(t, err, qt.IsNil)
@@ -66,27 +66,27 @@
 func TestConditions(t *testing.T) {
 	_, h := startPlatform(t)
 	_, err := h.Get(ctx, "a")
-	qt.Assert(t, errors.Is(err, platform.ErrNotFound), qt.IsTrue)
-	qt.Assert(t, errors.Is(h.Delete(ctx, "a", 1), platform.ErrNotFound), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, objectstore.ErrNotFound), qt.IsTrue)
+	qt.Assert(t, errors.Is(h.Delete(ctx, "a", 1), objectstore.ErrNotFound), qt.IsTrue)
 	first, err := h.Create(ctx, "a", []byte("1"))
 	qt.Assert(t, err, qt.IsNil)
 	other, err := h.Create(ctx, "b", []byte("1"))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, other > first, qt.IsTrue)
 	_, err = h.Create(ctx, "a", []byte("2"))
-	qt.Assert(t, errors.Is(err, platform.ErrConflict), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, objectstore.ErrConflict), qt.IsTrue)
 	_, err = h.Update(ctx, "a", other, []byte("2"))
-	qt.Assert(t, errors.Is(err, platform.ErrConflict), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, objectstore.ErrConflict), qt.IsTrue)
 	_, err = h.Update(ctx, "none", 1, []byte("2"))
-	qt.Assert(t, errors.Is(err, platform.ErrConflict), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, objectstore.ErrConflict), qt.IsTrue)
 	second, err := h.Update(ctx, "a", first, []byte("2"))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, second > other, qt.IsTrue)
-	qt.Assert(t, errors.Is(h.Delete(ctx, "a", first), platform.ErrConflict), qt.IsTrue)
+	qt.Assert(t, errors.Is(h.Delete(ctx, "a", first), objectstore.ErrConflict), qt.IsTrue)
 	qt.Assert(t, h.Delete(ctx, "a", second), qt.IsNil)
-	_, err = h.Create(ctx, "large", make([]byte, platform.MaxValueBytes+1))
-	qt.Assert(t, errors.Is(err, platform.ErrTooLarge), qt.IsTrue)
-	large, err := h.Create(ctx, "large", make([]byte, platform.MaxValueBytes))
+	_, err = h.Create(ctx, "large", make([]byte, objectstore.MaxValueBytes+1))
+	qt.Assert(t, errors.Is(err, objectstore.ErrTooLarge), qt.IsTrue)
+	large, err := h.Create(ctx, "large", make([]byte, objectstore.MaxValueBytes))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, large > second, qt.IsTrue)
 }
@@ -96,7 +96,7 @@
 	p, h := startPlatform(t)
 	before, err := h.Create(ctx, "domains/a", []byte("1"))
 	qt.Assert(t, err, qt.IsNil)
-	seen := make(chan []platform.Object, 1)
+	seen := make(chan []objectstore.Object, 1)
 	go func() {
 		objects, _ := h.Watch(ctx, "domains/", before)
 		seen <- objects
@@ -109,7 +109,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	version, err := h.Update(ctx, "domains/a", before, []byte("2"))
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, <-seen, qt.DeepEquals, []platform.Object{{Name: "domains/a", Version: version, Value: []byte("2")}})
+	qt.Assert(t, <-seen, qt.DeepEquals, []objectstore.Object{{Name: "domains/a", Version: version, Value: []byte("2")}})
 	call(t, "GET", p.ControlAddress()+"/stats", "", &stats)
 	qt.Assert(t, []int{stats.Reads, stats.Writes, stats.Watches}, qt.DeepEquals, []int{1, 3, 1})
 }
@@ -125,7 +125,7 @@
 	faults(`{"lose_replies":1}`)
 	_, err := h.Create(ctx, "a", []byte("1"))
 	qt.Assert(t, err, qt.IsNotNil)
-	qt.Assert(t, errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrConflict), qt.IsFalse)
+	qt.Assert(t, errors.Is(err, objectstore.ErrUnavailable) || errors.Is(err, objectstore.ErrConflict), qt.IsFalse)
 	first, err := h.Get(ctx, "a")
 	qt.Assert(t, err, qt.IsNil)
 
@@ -138,16 +138,16 @@
 
 	faults(`{"stale_reads":false,"hidden":"a"}`)
 	_, err = h.Get(ctx, "a")
-	qt.Assert(t, errors.Is(err, platform.ErrNotFound), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, objectstore.ErrNotFound), qt.IsTrue)
 	listed, err := h.List(ctx, "")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, listed, qt.HasLen, 0)
 	_, err = h.Create(ctx, "a", nil)
-	qt.Assert(t, errors.Is(err, platform.ErrConflict), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, objectstore.ErrConflict), qt.IsTrue)
 
 	faults(`{"down":true,"hidden":""}`)
 	_, err = h.Create(ctx, "b", nil)
-	qt.Assert(t, errors.Is(err, platform.ErrUnavailable), qt.IsTrue)
+	qt.Assert(t, errors.Is(err, objectstore.ErrUnavailable), qt.IsTrue)
 	faults(`{"down":false,"delay_ms":50}`)
 	start := time.Now()
 	got, err := h.Get(ctx, "a")
@@ -160,7 +160,7 @@
 // TestInstanceLag guards against an instance list that does not lag.
 func TestInstanceLag(t *testing.T) {
 	p, h := startPlatform(t)
-	list := []platform.Instance{{ID: "a", Address: "127.0.0.1:1", FailureDomain: "split", State: "live"}}
+	list := []objectstore.Instance{{ID: "a", Address: "127.0.0.1:1", FailureDomain: "split", State: "live"}}
 	text, err := json.Marshal(list)
 	qt.Assert(t, err, qt.IsNil)
 	call(t, "PUT", p.ControlAddress()+"/faults", `{"lag_ms":3600000}`, nil)
