--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/balance"
+)
+
+// Start chooses a searcher and sends the request, or lets it wait for a
+// connection. If an error is returned, nothing was or will be sent.
+func (d *Dispatcher) Start(r Request) (*Attempt, error) {
+	d.mu.Lock()
+	s := d.service(r.Service)
+	a := &Attempt{Request: r, d: d, service: s}
+	if !r.Repeat && !r.Again {
+		s.budget.Earn(d.allowance(), 1)
+	}
+	launch, err := d.place(a)
+	if err == nil && launch == nil {
+		err = s.enqueue(a, d.connectionLimit(s))
+	}
+	if err == nil && r.Repeat && !d.pay(s, r.Hedge) {
+		err = ErrBudget
+	}
+	if err != nil {
+		d.unplace(a)
+		d.mu.Unlock()
+		d.metrics.notStarted(err)
+		return nil, err
+	}
+	d.mu.Unlock()
+	if launch != nil {
+		launch()
+	}
+	return a, nil
+}
+
+// pay takes the price of a repeat from the service's budget.
+func (d *Dispatcher) pay(s *service, hedge bool) bool {
+	if hedge {
+		return s.budget.TakeSpare(d.allowance())
+	}
+	return s.budget.Take()
+}
+
+func (s *service) enqueue(a *Attempt, connectionLimit int) error {
+	if len(s.waiters) >= waitersPerConnection*connectionLimit*max(len(s.targets), 1) {
+		return ErrBusy
+	}
+	s.waiters = append(s.waiters, a)
+	return nil
+}
+
+// place binds the attempt to a searcher and returns what sends it, to be called
+// without the lock. It returns nil if all connections are in use.
+func (d *Dispatcher) place(a *Attempt) (func(), error) {
+	now, wall := d.config.Clock.Boottime(), time.Now()
+	s := a.service
+	limit := d.connectionLimit(s)
+	var candidates []balance.Candidate
+	var targets []*target
+	subset := d.subset(s, a, now)
+	for _, t := range subset {
+		if len(t.idle) == 0 && t.open >= limit {
+			continue
+		}
+		targets = append(targets, t)
+		candidates = append(candidates, t.candidate(now, d.config.FailureDomain))
+	}
+	if len(subset) == 0 {
+		return nil, ErrNoSearcher
+	}
+	if len(targets) == 0 {
+		return nil, nil
+	}
+	latency, _ := s.latency.At(0.5)
+	chosen := balance.Choose(now, candidates, latency)
+	if chosen < 0 {
+		return nil, ErrNoSearcher
+	}
+	return d.bind(a, targets[chosen], now, wall), nil
+}
+
+// subset returns the searchers that may get the attempt: of the usable ones that
+// can be reached those that this instance keeps connections to.
+func (d *Dispatcher) subset(s *service, a *Attempt, now time.Duration) []*target {
+	var usable []*target
+	var members []balance.Member
+	for _, t := range s.targets {
+		if d.usable(t, a.Regions, now) && !t.record.Blocked(now) {
+			usable = append(usable, t)
+			members = append(members, balance.Member{ID: t.ID, SameDomain: t.FailureDomain == d.config.FailureDomain})
+		}
+	}
+	connections := int(connectionsUsed * float64(s.settings.MaxConnections))
+	size := balance.SubsetSize(len(usable), connections, d.config.Sharers())
+	if size < len(usable) {
+		var chosen []*target
+		for _, i := range balance.Subset(d.config.Instance, members, size) {
+			chosen = append(chosen, usable[i])
+		}
+		usable = chosen
+	}
+	return slices.DeleteFunc(usable, func(t *target) bool { return slices.Contains(a.Avoid, t.ID) })
+}
+
+func (d *Dispatcher) bind(a *Attempt, t *target, now time.Duration, wall time.Time) func() {
+	a.target, a.sent = t, now
+	t.started(a)
+	if now < t.coldUntil {
+		t.cold.Sent(now)
+	}
+	conn, old := t.takeUsable(wall)
+	if conn == nil {
+		t.open++
+		return func() {
+			closeAll(old)
+			go d.dial(a, t)
+		}
+	}
+	a.conn = conn
+	return func() {
+		closeAll(old)
+		d.send(a, conn)
+	}
+}
+
+// unplace undoes place for an attempt that is not started after all.
+func (d *Dispatcher) unplace(a *Attempt) {
+	if a.target == nil {
+		a.service.removeWaiter(a)
+		return
+	}
+	a.target.ended(a)
+	if a.conn != nil {
+		a.target.idle = append(a.target.idle, a.conn)
+	} else {
+		a.target.open--
+	}
+}
+
+func (s *service) removeWaiter(a *Attempt) {
+	for i := range s.waiters {
+		if s.waiters[i] == a {
+			s.waiters = append(s.waiters[:i], s.waiters[i+1:]...)
+			return
+		}
+	}
+}
