Hedge only while the service has room

Now an instance makes none for requests that are only slow while its share of the running requests stands for more than 0.7 of the slots.

Ruled out: latency against a remembered one, which forgets in a long burst.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -15,6 +15,7 @@
 	a := &Attempt{Request: r, d: d, service: s}
 	if !r.Repeat && !r.Again {
 		s.budget.Earn(d.allowance(), 1)
+		s.busy.Add(float64(s.running()))
 	}
 	launch, err := d.place(a)
 	if err == nil && launch == nil {
@@ -38,6 +39,9 @@
 
 // pay takes the price of a repeat from the service's budget.
 func (d *Dispatcher) pay(s *service, hedge bool) bool {
+	if hedge && !balance.Roomy(s.busy, d.config.Sharers(), s.slots()) {
+		return false
+	}
 	if hedge {
 		return s.budget.TakeSpare(d.allowance())
 	}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -19,10 +19,32 @@
 	targets  []*target
 	budget   retry.Budget
 	latency  hedge.Quantile
+	// busy is the moving average of the requests that this instance has running.
+	busy balance.Average
 	// waiters are attempts that wait for a connection, the first in line first.
 	waiters []*Attempt
 }
 
+// running returns the number of requests of this instance that have no reply.
+func (s *service) running() int {
+	n := len(s.waiters)
+	for _, t := range s.targets {
+		n += len(t.running)
+	}
+	return n
+}
+
+// slots returns how many requests the searchers run at once.
+func (s *service) slots() int {
+	n := 0
+	for _, t := range s.targets {
+		if !t.Draining {
+			n += t.Slots
+		}
+	}
+	return n
+}
+
 // mostMissing reports whether more than half of the searchers are missing from the
 // list at once, which is the store's fault rather than theirs.
 func (s *service) mostMissing() bool {
