--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 demo: build
 	$(GO) run ./internal/demo
+	$(GO) run ./internal/soak --seed=7 --duration=10s
 
 # Random faults against gateways as processes: fresh seeds, or one with SEED=n.
 soak: build
