--- a/cmd/wharf-gateway/follow.go
+++ b/cmd/wharf-gateway/follow.go
@@ -53,7 +53,7 @@
 				changed(e)
 				s.exchange.Tell()
 			},
-			Returned: s.storeReturned,
+			Failed: s.storeAway,
 		}
 		if kind != platform.KindConfig {
 			config.Settle = settle
@@ -62,9 +62,9 @@
 	}
 }
 
-// storeReturned notes that the store does not answer here, or not where another
+// storeAway notes that the store does not answer here, or not where another
 // instance learns its news: entries may lapse that are not gone.
-func (s *service) storeReturned() { s.searchers.StoreReturned(s.clock.Boottime()) }
+func (s *service) storeAway() { s.searchers.StoreAway(s.clock.Boottime()) }
 
 func (s *service) configChanged(e platform.Event) {
 	if e.Object.Name != platform.ConfigName || e.Deleted {
--- a/cmd/wharf-gateway/service_test.go
+++ b/cmd/wharf-gateway/service_test.go
@@ -239,6 +239,23 @@
 	eventually(t, "an instance that starts without the store learns nothing", func() bool { return b.status("/old/x") == http.StatusOK })
 }
 
+// TestLateSeed guards against an instance that gives up its seeds: when these know
+// the objects only later, and it can't reach the store itself, it must learn them
+// all the same.
+func TestLateSeed(t *testing.T) {
+	d := newDeployment(t)
+	a := d.start("a")
+	a.cut.Store(true)
+	b := d.start("b")
+	b.cut.Store(true)
+	d.searchers(&site.Ledger{}, time.Millisecond)
+	d.configure(1, "/old/")
+	time.Sleep(2 * time.Second)
+	qt.Assert(t, b.status("/old/x"), qt.Equals, http.StatusServiceUnavailable)
+	a.cut.Store(false)
+	eventually(t, "what its seed learned late does not reach an instance", func() bool { return b.status("/old/x") == http.StatusOK })
+}
+
 // TestPlannedStop guards against a planned stop that cuts a request, whether it
 // came before the stop or while address answers are still in use.
 func TestPlannedStop(t *testing.T) {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 	// seeds before it asks the store itself.
 	seedPause    = 100 * time.Millisecond
 	seedPatience = 1 * time.Second
+	// seedInterval is the time between two questions to the seeds after that.
+	seedInterval = 700 * time.Millisecond
 )
 
 const (
@@ -131,26 +134,35 @@
 
 // Learn fetches the objects from the seeds, which spares the store the calls of an
 // instance that starts. It returns when they are known, or when the seeds don't
-// know them either.
+// know them either; then it goes on to ask them beside the store.
 func (x *Exchange) Learn(ctx context.Context) {
 	until := time.Now().Add(seedPatience)
-	for time.Now().Before(until) && !x.filled() {
+	for !x.isSeed() && time.Now().Before(until) && !x.filled() {
 		if !x.askSeeds(ctx) || clock.Pause(ctx, seedPause) != nil {
-			return
+			break
 		}
 	}
+	go func() {
+		for !x.filled() && clock.Pause(ctx, seedInterval) == nil {
+			x.askSeeds(ctx)
+		}
+	}()
+}
+
+// isSeed reports whether this instance is one of its own seeds: those ask the store
+// at once.
+func (x *Exchange) isSeed() bool {
+	return slices.Contains(x.config.Seeds, x.config.Self.InternalAddress)
 }
 
 // askSeeds asks the seeds in turn for what is not known. It reports whether one of
 // them answered.
 func (x *Exchange) askSeeds(ctx context.Context) bool {
+	answered := false
 	for _, seed := range x.config.Seeds {
 		if seed == x.config.Self.InternalAddress {
-			return false // a seed itself asks the store
+			continue
 		}
-	}
-	answered := false
-	for _, seed := range x.config.Seeds {
 		var h heartbeat
 		if err := x.get(ctx, seed, pathInstance, seedTimeout, &h); err != nil {
 			x.config.Log.Debug("seed does not answer", "address", seed, "error", err.Error())
--- a/fleet/searchers.go
+++ b/fleet/searchers.go
@@ -53,9 +53,9 @@
 // NewSearchers returns an empty list.
 func NewSearchers() *Searchers { return &Searchers{entries: make(map[string]*entry)} }
 
-// StoreReturned notes that the store answers again after an outage: until
+// StoreAway notes that the store answers again after an outage: until
 // ReturnTime has passed, entries that are missing are kept.
-func (l *Searchers) StoreReturned(now time.Duration) {
+func (l *Searchers) StoreAway(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unreliableUntil = now + ReturnTime
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -35,7 +35,7 @@
 	f.Mirror = New(Config{
 		Kind: "things", Source: objects, Wait: func() time.Duration { return wait },
 		Active:  func() bool { return true },
-		Changed: f.changed, Returned: func() {}, Outage: &Outage{}, Log: slog.New(slog.DiscardHandler),
+		Changed: f.changed, Failed: func() {}, Outage: &Outage{}, Log: slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -139,7 +139,7 @@
 	outage := &Outage{}
 	m := New(Config{
 		Kind: "things", Source: objects, Wait: func() time.Duration { return 50 * time.Millisecond }, Active: active.Load,
-		Changed: func(platform.Event) {}, Returned: func() {}, Outage: outage, Log: slog.New(slog.DiscardHandler),
+		Changed: func(platform.Event) {}, Failed: func() {}, Outage: outage, Log: slog.New(slog.DiscardHandler),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
