--- a/cmd/wharf-gateway/follow.go
+++ b/cmd/wharf-gateway/follow.go
@@ -120,7 +120,7 @@
 
 func (s *service) instanceChanged(e platform.Event) {
 	if e.Deleted {
-		s.instances.Remove(e.Object.Name)
+		s.instances.Remove(e.Object.Name, s.clock.Boottime())
 		s.countSharers()
 		return
 	}
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -186,7 +186,7 @@
 		if err := s.store.Delete(ctx, platform.KindInstances, i.Name, i.Revision); err != nil {
 			s.log.Warn("entry of a silent instance was not removed", "silent", i.Name, "error", err.Error())
 		}
-		s.instances.Remove(i.Name)
+		s.instances.Remove(i.Name, now)
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -77,6 +77,11 @@
 	qt.Assert(t, s.Sharers(countedFor+1), qt.Equals, 3, qt.Commentf("b2 is silent"))
 	s.Heard("b2", 1, countedFor, Says{Ready: true, Follows: true})
 	qt.Assert(t, s.Sharers(countedFor+1), qt.Equals, 4)
+	s.Remove("a1", countedFor+1)
+	qt.Assert(t, s.Sharers(2*countedFor), qt.Equals, 4, qt.Commentf("it may still serve"))
+	s.Heard("b2", 1, 2*countedFor, Says{Ready: true, Follows: true})
+	qt.Assert(t, s.Sharers(2*countedFor+2), qt.Equals, 3)
+	qt.Assert(t, s.Addresses("a", countedFor+1, false), qt.HasLen, 1, qt.Commentf("callers are not sent there"))
 }
 
 // TestLeads guards against a failure domain, or a deployment, in which nobody
--- a/fleet/instances.go
+++ b/fleet/instances.go
@@ -39,6 +39,8 @@
 	self    string
 	domain  string
 	members map[string]*member
+	// left holds when instances left that may still use their part of the budgets.
+	left map[string]time.Duration
 }
 
 type member struct {
@@ -53,7 +55,7 @@
 
 // NewInstances returns a set that holds only the instance itself.
 func NewInstances(self Instance) *Instances {
-	return &Instances{self: self.Name, domain: self.FailureDomain, members: map[string]*member{self.Name: {instance: self}}}
+	return &Instances{self: self.Name, domain: self.FailureDomain, members: map[string]*member{self.Name: {instance: self}}, left: make(map[string]time.Duration)}
 }
 
 // Put takes an entry of the store.
@@ -61,6 +63,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.members[i.Name]
+	delete(s.left, i.Name)
 	if i.Name == s.self {
 		// The instance knows itself better than an entry of an earlier start.
 		m.instance.Revision = i.Revision
@@ -73,12 +76,14 @@
 	m.instance = i
 }
 
-// Remove takes an instance off the set because its entry is gone.
-func (s *Instances) Remove(name string) {
+// Remove takes an instance off the set because its entry is gone. It counts among
+// the sharers for some time: a planned stop goes on serving.
+func (s *Instances) Remove(name string, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if name != s.self {
+	if name != s.self && s.members[name] != nil {
 		delete(s.members, name)
+		s.left[name] = now
 	}
 }
 
@@ -169,6 +174,13 @@
 			n++
 		}
 	}
+	for name, at := range s.left {
+		if now-at <= countedFor {
+			n++
+		} else {
+			delete(s.left, name)
+		}
+	}
 	return n
 }
 
