Disturb each process of the soak by one fault at a time

Two faults at once on one process had started it twice, and the first was never ended. A fault of the soak, not of the gateway.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -137,6 +137,10 @@
 
 func (s *soak) killProcess(ctx context.Context, length time.Duration) {
 	p := s.anyProcess()
+	if !p.fault.TryLock() {
+		return
+	}
+	defer p.fault.Unlock()
 	until := time.Now().Add(length + restartTime)
 	p.disturbedUntil(until)
 	s.noteDisturbance(until)
@@ -153,6 +157,10 @@
 
 func (s *soak) pauseProcess(ctx context.Context, length time.Duration) {
 	p := s.anyProcess()
+	if !p.fault.TryLock() {
+		return
+	}
+	defer p.fault.Unlock()
 	until := time.Now().Add(length + restartTime)
 	p.disturbedUntil(until)
 	s.noteDisturbance(until)
@@ -164,6 +172,10 @@
 // stopProcess stops a process as planned, which must cut no request.
 func (s *soak) stopProcess(context.Context, time.Duration) {
 	p := s.anyProcess()
+	if !p.fault.TryLock() {
+		return
+	}
+	defer p.fault.Unlock()
 	s.noteDisturbance(time.Now().Add(site.GraceSeconds*time.Second + restartTime))
 	p.signal(syscall.SIGTERM)
 	p.await()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -24,11 +24,13 @@
 	log    string
 	node   site.Node
 	link   *relay.TCP
+	// fault is held while the process is killed, paused or stopped: two at once would
+	// start it twice, and leave one running.
+	fault sync.Mutex
 
 	mu      sync.Mutex
 	command *exec.Cmd
-	// unplanned is until when the process was killed or paused, planned until when
-	// it stopped on request.
+	// unplanned is until when the process was killed or paused.
 	unplanned time.Time
 }
 
