Pay for a repeat before a searcher is chosen

Cause, found in reading: a repeat that was chosen a searcher and then found the budget spent was undone, but idle connections that were too old and had been taken out on the way were neither closed nor counted off. Each took one of the few connections that an instance may have to a searcher, until the searcher closed it (TestSpentBudgetKeepsConnections fails without the change). Now nothing has to be undone.

--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -94,8 +94,8 @@
 	return net.JoinHostPort(node.IP, strconv.Itoa(node.InternalPorts[0]+port))
 }
 
-// initialSharers is the least that is assumed until the other instances are known: an instance that
-// starts must not take the whole of what all share.
+// initialSharers is the least that is assumed until the other instances are known:
+// an instance that starts must not take the whole of what all share.
 const initialSharers = 12
 
 // ready reports whether callers may be sent here.
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"bufio"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wisteriawharf/wisteriawharf/clock"
+	"github.com/wisteriawharf/wisteriawharf/fleet"
+	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/routing"
+)
+
+// shortLived serves requests and says that idle connections are closed after a
+// second, but never closes one.
+func shortLived(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			go func() {
+				reader := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n"))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestSpentBudgetKeepsConnections guards against connections that are lost from
+// count because an attempt was not made: each would take a place among the few that
+// an instance may have to a searcher.
+func TestSpentBudgetKeepsConnections(t *testing.T) {
+	d := New(Config{
+		Clock: clock.System{}, Sharers: func() int { return 1 }, Log: slog.New(slog.DiscardHandler),
+		Bounds: platform.Bounds{RetryRatio: 0.2, RetryExtra: 4}, Registry: prometheus.NewRegistry(),
+	})
+	d.SetConfig(routing.NewConfig(1, nil, []*routing.Service{{Name: "s", MaxConnections: 10}}, routing.Limits{}))
+	d.PutSearcher(fleet.Searcher{ID: "i", Service: "s", Address: shortLived(t), Slots: 2})
+	start := func(repeat bool) error {
+		done := make(chan Event, 1)
+		_, err := d.Start(Request{
+			Service: "s", Method: http.MethodGet, Repeat: repeat, Deadline: clock.System{}.Boottime() + time.Minute,
+			Wire:  func(string, time.Duration) []byte { return []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n") },
+			Ended: func(e Event) { done <- e },
+		})
+		if err == nil {
+			qt.Assert(t, (<-done).Outcome, qt.Equals, Answered)
+		}
+		return err
+	}
+	qt.Assert(t, start(false), qt.IsNil)
+	for start(true) == nil { // until the budget is spent
+		continue
+	}
+	time.Sleep(time.Second) // the idle connection is now too old to be used
+	qt.Assert(t, errors.Is(start(true), ErrBudget), qt.IsTrue)
+	d.mu.Lock()
+	one := d.searchers["i"]
+	open, idle, running := one.open, len(one.idle), len(one.running)
+	d.mu.Unlock()
+	qt.Assert(t, open, qt.Equals, idle, qt.Commentf("a connection is neither idle nor in use"))
+	qt.Assert(t, running, qt.Equals, 0)
+	qt.Assert(t, start(false), qt.IsNil)
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,20 +17,23 @@
 		s.budget.Earn(d.allowance(), 1)
 		s.busy.Add(float64(s.running()))
 	}
+	if r.Repeat && !d.pay(s, r.Hedge) {
+		d.mu.Unlock()
+		d.metrics.notStarted(ErrBudget)
+		return nil, ErrBudget
+	}
 	launch, err := d.place(a)
 	if err == nil && launch == nil {
 		err = s.enqueue(a, d.connectionLimit(s))
 	}
-	if err == nil && r.Repeat && !d.pay(s, r.Hedge) {
-		err = ErrBudget
+	if err != nil && r.Repeat {
+		s.budget.Refund()
 	}
+	d.mu.Unlock()
 	if err != nil {
-		d.unplace(a)
-		d.mu.Unlock()
 		d.metrics.notStarted(err)
 		return nil, err
 	}
-	d.mu.Unlock()
 	if launch != nil {
 		launch()
 	}
@@ -130,20 +133,6 @@
 	}
 }
 
-// unplace undoes place for an attempt that is not started after all.
-func (d *Dispatcher) unplace(a *Attempt) {
-	if a.target == nil {
-		a.service.removeWaiter(a)
-		return
-	}
-	a.target.ended(a)
-	if a.conn != nil {
-		a.target.idle = append(a.target.idle, a.conn)
-	} else {
-		a.target.open--
-	}
-}
-
 func (s *service) removeWaiter(a *Attempt) {
 	for i := range s.waiters {
 		if s.waiters[i] == a {
