Take a member out of the record once it says that it has drained

Cause: a broker that stops as planned writes itself out of its domain's record over the version that it knows.

Ruled out: waiting longer (the version stays unknown as long as readings are old), and exchange of renewals by push (state grows with every renewal).

Change: the heartbeat of a member says that it dispatches nothing any more. The coordinator, which knows the version, takes it out with its next renewal, and its reply says that the record names the sender no more.

Before: TestLeaveWithStaleReads failed (the stop did not end within 10 s).

--- a/member/adopt.go
+++ b/member/adopt.go
@@ -161,7 +161,8 @@
 }
 
 // takesPart reports whether this process sends heartbeats to the record's
-// coordinator: in another domain only as a member or to become one.
+// coordinator: in another domain only as a member or to become one, and after it
+// has drained until the record names it no more.
 func (m *membership) takesPart(record *control.Record) bool {
 	if !m.adopted() {
 		return true
@@ -169,7 +170,10 @@
 	_, member := record.Member(m.config.Self.ID)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.gone && !m.leaving && (member || m.adopts(record))
+	if m.gone || m.leaving {
+		return member && m.gone
+	}
+	return member || m.adopts(record)
 }
 
 // returnHome leaves the record of another domain once a broker of that domain
@@ -203,7 +207,7 @@
 	if _, member := record.Member(m.config.Self.ID); member || !m.adopted() || m.leaving {
 		return
 	}
-	m.gone, m.settled = false, settlement{}
+	m.gone, m.left, m.settled = false, false, settlement{}
 	clear(m.given)
 	clear(m.used)
 	clear(m.handed)
--- a/member/coordinator.go
+++ b/member/coordinator.go
@@ -40,7 +40,15 @@
 		m.config.Log.Debug("heartbeat failed", "coordinator", record.Coordinator, "error", err)
 		return
 	}
-	if !reply.Coordinator || reply.GrantedNs <= 0 {
+	if !reply.Coordinator {
+		return
+	}
+	if beat.Drained && reply.Left {
+		m.mu.Lock()
+		m.left = true
+		m.mu.Unlock()
+	}
+	if reply.GrantedNs <= 0 {
 		return
 	}
 	granted := time.Duration(reply.GrantedNs)
@@ -60,7 +68,7 @@
 	return peer.Heartbeat{
 		ID: self.ID, Role: string(self.Role), Domain: self.FailureDomain, Record: m.domain,
 		PeerAddress: self.PeerAddress, CallerAddress: self.CallerAddress, OperatorAddress: self.OperatorAddress,
-		Leaving: m.leaving, BoottimeNs: int64(now), Epoch: m.takeover.Epoch(),
+		Leaving: m.leaving, Drained: m.gone, BoottimeNs: int64(now), Epoch: m.takeover.Epoch(),
 	}
 }
 
@@ -105,9 +113,9 @@
 	reply := peer.HeartbeatReply{Coordinator: seat.takeHeartbeat(beat)}
 	if record, _ := seat.record(); record != nil {
 		reply.Epoch = record.Epoch
-		if member, ok := record.Member(beat.ID); ok {
-			reply.GrantedNs = member.GrantedNs
-		}
+		member, ok := record.Member(beat.ID)
+		reply.Left = !ok
+		reply.GrantedNs = member.GrantedNs
 	}
 	return reply
 }
@@ -217,6 +225,14 @@
 	}
 	for id, h := range m.heard {
 		_, member := record.Member(id)
+		if h.Drained {
+			// It may not get through itself: it writes only over the version that it
+			// knows.
+			if member && id != self.ID {
+				c.Left = append(c.Left, id)
+			}
+			continue
+		}
 		fresh := now < h.at+m.config.Timing.Removal
 		if id != self.ID && control.Role(h.Role) == control.RoleBroker && fresh && (member || !h.Leaving) {
 			c.Heard = append(c.Heard, assign.Heard{
--- a/member/handover.go
+++ b/member/handover.go
@@ -188,8 +188,9 @@
 		return errors.Annotate(ctx.Err(), "searchers not drained")
 	}
 	for {
+		m.sendHeartbeat(ctx)
 		left, err := m.leaveRecord(ctx)
-		if left {
+		if left || m.hasLeft() {
 			m.config.Log.Info("left the record", "id", m.config.Self.ID, "domain", m.domain)
 			return nil
 		}
@@ -201,6 +202,13 @@
 	}
 }
 
+// hasLeft reports whether the coordinator has taken this process out of the record.
+func (m *membership) hasLeft() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.left
+}
+
 // handAllOver drains each searcher and releases it to the member that owns it
 // once this process has left.
 func (m *membership) handAllOver(ctx context.Context) {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -199,6 +199,8 @@
 	stop   func()
 	// unheard is the process whose heartbeats do not arrive here.
 	unheard atomic.Pointer[string]
+	// isolated makes exchanges of control state with this process fail.
+	isolated atomic.Bool
 }
 
 // handlers returns the member's handlers without heartbeats that do not arrive.
@@ -215,6 +217,13 @@
 		reply := p.answerHeartbeat(beat)
 		return s.Send(&reply)
 	}
+	exchange := handlers[peer.KindExchange]
+	handlers[peer.KindExchange] = func(ctx context.Context, s *peer.Stream) error {
+		if p.isolated.Load() {
+			return io.ErrUnexpectedEOF
+		}
+		return exchange(ctx, s)
+	}
 	return handlers
 }
 
@@ -541,3 +550,29 @@
 	c.Assert(started[1].holder.takenCount()-before, qt.Equals, held)
 	c.Assert(started[1].state.View().Records["x"].Departed, qt.HasLen, 0)
 }
+
+// TestLeaveWithStaleReads guards against a planned stop that does not end while
+// readings of the platform are old: the process that leaves then never knows the
+// version of the record that the coordinator renewed last.
+func TestLeaveWithStaleReads(t *testing.T) {
+	c := newCluster(t)
+	c.store.publish(c.C, 1)
+	started := c.brokers("a", "b")
+	c.eventually("shared", func() bool {
+		return started[0].grants(full) > 0 && started[0].grants(full)+started[1].grants(full) == len(testSearchers)
+	})
+	leaver, stays := started[0], started[1]
+	if leaver.state.View().Records["x"].Coordinator == "a" {
+		leaver, stays = stays, leaver
+	}
+	c.store.set(func(s *store) { s.stale = true })
+	leaver.isolated.Store(true)
+	stays.isolated.Store(true)
+	renewals := stays.state.View().Records["x"].Renewal
+	c.eventually("renewed", func() bool { return stays.state.View().Records["x"].Renewal > renewals })
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	c.Assert(leaver.Leave(ctx), qt.IsNil)
+	c.eventually("taken over", func() bool { return stays.grants(full) == len(testSearchers) })
+	c.Assert(stays.state.View().Records["x"].Departed, qt.HasLen, 0)
+}
--- a/member/membership.go
+++ b/member/membership.go
@@ -39,8 +39,10 @@
 	used   map[string]bool
 	// settled is the state for which every release was accepted.
 	settled settlement
-	// gone is set once this process dispatches nothing any more.
+	// gone is set once this process dispatches nothing any more, left once the
+	// coordinator has said that its record names this process no more.
 	gone bool
+	left bool
 }
 
 // heartbeat is one received heartbeat with the time of its arrival.
--- a/peer/frames.go
+++ b/peer/frames.go
@@ -127,7 +127,10 @@
 	CallerAddress   string `msg:"c"`
 	OperatorAddress string `msg:"o"`
 	Leaving         bool   `msg:"l"`
-	BoottimeNs      int64  `msg:"t"`
+	// Drained says that the sender dispatches nothing any more to searchers of the
+	// record's domain, so that it can be taken out of the record at once.
+	Drained    bool  `msg:"z"`
+	BoottimeNs int64 `msg:"t"`
 	// Epoch is the newest epoch of the domain's record that the sender knows.
 	Epoch uint64 `msg:"e"`
 }
@@ -135,9 +138,11 @@
 // HeartbeatReply grants a lease counted from GrantedNs, on the clock of the
 // heartbeat's sender. A GrantedNs of zero grants nothing.
 type HeartbeatReply struct {
-	Coordinator bool   `msg:"c"`
-	Epoch       uint64 `msg:"e"`
-	GrantedNs   int64  `msg:"g"`
+	Coordinator bool `msg:"c"`
+	// Left says that the coordinator's record does not name the sender.
+	Left      bool   `msg:"x"`
+	Epoch     uint64 `msg:"e"`
+	GrantedNs int64  `msg:"g"`
 }
 
 // Probe asks the receiver to test whether it reaches Address.
--- a/peer/frames_gen.go
+++ b/peer/frames_gen.go
@@ -2625,6 +2625,12 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "z":
+			z.Drained, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Drained")
+				return
+			}
 		case "t":
 			z.BoottimeNs, err = dc.ReadInt64()
 			if err != nil {
@@ -2650,9 +2656,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
+	// map header, size 11
 	// write "i"
-	err = en.Append(0x8a, 0xa1, 0x69)
+	err = en.Append(0x8b, 0xa1, 0x69)
 	if err != nil {
 		return
 	}
@@ -2731,6 +2737,16 @@
 		err = msgp.WrapError(err, "Leaving")
 		return
 	}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Drained)
+	if err != nil {
+		err = msgp.WrapError(err, "Drained")
+		return
+	}
 	// write "t"
 	err = en.Append(0xa1, 0x74)
 	if err != nil {
@@ -2757,9 +2773,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "i"
-	o = append(o, 0x8a, 0xa1, 0x69)
+	o = append(o, 0x8b, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -2782,6 +2798,9 @@
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendBool(o, z.Leaving)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendBool(o, z.Drained)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.BoottimeNs)
@@ -2857,6 +2876,12 @@
 				err = msgp.WrapError(err, "Leaving")
 				return
 			}
+		case "z":
+			z.Drained, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Drained")
+				return
+			}
 		case "t":
 			z.BoottimeNs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -2883,7 +2908,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.StringPrefixSize + len(z.Record) + 2 + msgp.StringPrefixSize + len(z.PeerAddress) + 2 + msgp.StringPrefixSize + len(z.CallerAddress) + 2 + msgp.StringPrefixSize + len(z.OperatorAddress) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Domain) + 2 + msgp.StringPrefixSize + len(z.Record) + 2 + msgp.StringPrefixSize + len(z.PeerAddress) + 2 + msgp.StringPrefixSize + len(z.CallerAddress) + 2 + msgp.StringPrefixSize + len(z.OperatorAddress) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
 	return
 }
 
@@ -2911,6 +2936,12 @@
 				err = msgp.WrapError(err, "Coordinator")
 				return
 			}
+		case "x":
+			z.Left, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Left")
+				return
+			}
 		case "e":
 			z.Epoch, err = dc.ReadUint64()
 			if err != nil {
@@ -2935,10 +2966,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z HeartbeatReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *HeartbeatReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "c"
-	err = en.Append(0x83, 0xa1, 0x63)
+	err = en.Append(0x84, 0xa1, 0x63)
 	if err != nil {
 		return
 	}
@@ -2947,6 +2978,16 @@
 		err = msgp.WrapError(err, "Coordinator")
 		return
 	}
+	// write "x"
+	err = en.Append(0xa1, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Left)
+	if err != nil {
+		err = msgp.WrapError(err, "Left")
+		return
+	}
 	// write "e"
 	err = en.Append(0xa1, 0x65)
 	if err != nil {
@@ -2971,12 +3012,15 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z HeartbeatReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *HeartbeatReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "c"
-	o = append(o, 0x83, 0xa1, 0x63)
+	o = append(o, 0x84, 0xa1, 0x63)
 	o = msgp.AppendBool(o, z.Coordinator)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBool(o, z.Left)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendUint64(o, z.Epoch)
@@ -3010,6 +3054,12 @@
 				err = msgp.WrapError(err, "Coordinator")
 				return
 			}
+		case "x":
+			z.Left, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Left")
+				return
+			}
 		case "e":
 			z.Epoch, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -3035,8 +3085,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z HeartbeatReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+func (z *HeartbeatReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
 	return
 }
 
