Give searchers only what they answer in time, in one order at all shards

Each shard then chose for itself which queries got a late or no part, so that hardly any query got all.

Conclusion: where shards are short of room or budget, they must be short for the same queries.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -93,6 +93,12 @@
 // Blocked reports whether the searcher is left alone for now.
 func (r *Record) Blocked(now time.Duration) bool { return now < r.blockedUntil }
 
+// Sound reports whether the searcher answers most of what it gets.
+func (r *Record) Sound(now time.Duration) bool { return r.failureRate(now) <= soundFailures }
+
+// soundFailures is the failure rate above which a searcher is no longer sound.
+const soundFailures = 0.25
+
 func (r *Record) note(now time.Duration, failed bool) {
 	rate := r.failureRate(now)
 	outcome := 0.0
@@ -162,5 +168,5 @@
 		cost += float64(dialPenalty)
 	}
 	works := 1 - min(c.Record.failureRate(now), maxFailureRate)
-	return cost / (works * works)
+	return cost / (works * works * works * works)
 }
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -17,7 +17,7 @@
 const (
 	// lateShare is the share of the time in which an answer is due that a reply may
 	// take before its searcher counts as overloaded.
-	lateShare = 0.6
+	lateShare = 0.4
 	// lowerTo is the part of the bound that is left when replies come late.
 	lowerTo = 0.75
 	// minLimit keeps a searcher in use, so that its recovery shows.
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -53,13 +53,19 @@
 	Wire func(searcherID string, left time.Duration) []byte
 	// Deadline is when the request is of no more use.
 	Deadline time.Duration
+	// Due is the time within which the answer is to be given, from the arrival of the
+	// request, DueBy when that time ends.
+	Due   time.Duration
+	DueBy time.Duration
+	// Rank orders requests that wait, the lowest first.
+	Rank float64
 	// Avoid holds the searchers that must not get it.
 	Avoid []string
-	// Repeat says that the request was sent to a searcher of the service before,
-	// Hedge that the searcher which has it may still answer,
-	// Again that an attempt before it was not sent.
+	// Repeat says that the request was sent to a searcher of the service before, Spare
+	// that this attempt could be done without, as of a request that is only slow or that
+	// is late anyway, Again that an attempt before it was not sent.
 	Repeat bool
-	Hedge  bool
+	Spare  bool
 	Again  bool
 	// Tag is for the caller.
 	Tag int
@@ -76,6 +82,9 @@
 	target  *target
 	conn    *connection
 	sent    time.Duration
+	// outstanding is the number of requests that the searcher had when this one was
+	// sent, itself included.
+	outstanding int
 	// silenced says that nobody waits for the outcome, closed that the attempt has
 	// ended.
 	silenced bool
--- a/dispatch/course.go
+++ b/dispatch/course.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/wisteriawharf/wisteriawharf/balance"
 	"github.com/wisteriawharf/wisteriawharf/searcher"
 )
 
@@ -71,6 +73,7 @@
 	switch e.Outcome {
 	case Answered:
 		t.record.Answered(now, now-a.sent, true)
+		t.limit.Replied(now, now-a.sent, a.Due, a.outstanding)
 		a.service.latency.Add(now, now-a.sent)
 	case Failed, Refused:
 		t.record.Answered(now, now-a.sent, false)
@@ -93,6 +96,9 @@
 	}
 	a.closed = true
 	a.target.ended(a)
+	if e.Outcome == Answered && len(a.service.waiters) == 0 {
+		a.service.cut.Room()
+	}
 	if e.Outcome == Unsent && a.Repeat {
 		a.service.budget.Refund()
 	}
@@ -134,12 +140,14 @@
 func (s *service) launchWaiters(d *Dispatcher) []func() {
 	var ready []func()
 	for len(s.waiters) > 0 {
-		a := s.waiters[0]
+		now := d.config.Clock.Boottime()
+		i := s.nextWaiter(now)
+		a := s.waiters[i]
 		launch, err := d.place(a)
 		if err == nil && launch == nil {
 			return ready
 		}
-		s.waiters = s.waiters[1:]
+		s.waiters = slices.Delete(s.waiters, i, i+1)
 		if err != nil {
 			ready = append(ready, func() { d.endWaiter(a) })
 			continue
@@ -149,6 +157,16 @@
 	return ready
 }
 
+// nextWaiter returns the index of the attempt that is placed next.
+func (s *service) nextWaiter(now time.Duration) int {
+	line := make([]balance.Waiting, len(s.waiters))
+	for i, a := range s.waiters {
+		line[i] = balance.Waiting{Rank: a.Rank, DueBy: a.DueBy}
+	}
+	usual, _ := s.latency.At(0.5)
+	return balance.Next(now, usual, line)
+}
+
 // endWaiter ends an attempt that waited in vain.
 func (d *Dispatcher) endWaiter(a *Attempt) {
 	d.mu.Lock()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -163,6 +163,20 @@
 	return t.takeIdle()
 }
 
+// HasRoom reports whether a service is expected to have room for a request of the rank.
+func (d *Dispatcher) HasRoom(service string, rank float64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.service(service).cut.Admits(rank)
+}
+
+// CanRepeat reports whether the budget of a service has a repeat left.
+func (d *Dispatcher) CanRepeat(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.service(service).budget.Affords()
+}
+
 // allowance is what the instances together may repeat.
 func (d *Dispatcher) allowance() retry.Allowance {
 	return retry.Allowance{Ratio: d.config.Bounds.RetryRatio, Extra: d.config.Bounds.RetryExtra, Sharers: d.config.Sharers()}
--- a/dispatch/giveup.go
+++ b/dispatch/giveup.go
@@ -51,6 +51,7 @@
 	if a.target == nil {
 		a.closed = true
 		a.service.removeWaiter(a)
+		a.service.cut.Missed()
 		if a.Repeat {
 			a.service.budget.Refund()
 		}
@@ -96,5 +97,6 @@
 		return
 	}
 	a.target.record.Slow(waited)
+	a.target.limit.Replied(now, waited, a.Due, a.outstanding)
 	a.service.latency.Add(now, waited)
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,13 +17,17 @@
 		s.budget.Earn(d.allowance(), 1)
 		s.busy.Add(float64(s.running()))
 	}
-	if r.Repeat && !d.pay(s, r.Hedge) {
+	if r.Repeat && !d.pay(s, r.Spare) {
 		d.mu.Unlock()
 		d.metrics.notStarted(ErrBudget)
 		return nil, ErrBudget
 	}
 	launch, err := d.place(a)
-	if err == nil && launch == nil {
+	switch {
+	case err != nil || launch != nil:
+	case r.Spare:
+		err = ErrBusy
+	default:
 		err = s.enqueue(a, d.connectionLimit(s))
 	}
 	if err != nil && r.Repeat {
@@ -41,11 +45,11 @@
 }
 
 // pay takes the price of a repeat from the service's budget.
-func (d *Dispatcher) pay(s *service, hedge bool) bool {
-	if hedge && !balance.Roomy(s.busy, d.config.Sharers(), s.slots()) {
+func (d *Dispatcher) pay(s *service, spare bool) bool {
+	if spare && !balance.Roomy(s.busy, d.config.Sharers(), s.slots()) {
 		return false
 	}
-	if hedge {
+	if spare {
 		return s.budget.TakeSpare(d.allowance())
 	}
 	return s.budget.Take()
@@ -69,7 +73,7 @@
 	var targets []*target
 	subset := d.subset(s, a, now)
 	for _, t := range subset {
-		if len(t.idle) == 0 && t.open >= limit {
+		if t.limit.Full(len(t.running)) || (len(t.idle) == 0 && t.open >= limit) {
 			continue
 		}
 		targets = append(targets, t)
@@ -78,10 +82,14 @@
 	if len(subset) == 0 {
 		return nil, ErrNoSearcher
 	}
+	latency, _ := s.latency.At(0.5)
+	admitted := s.cut.Admits(a.Rank)
+	if len(targets) == 0 && !admitted {
+		return nil, ErrBusy
+	}
 	if len(targets) == 0 {
 		return nil, nil
 	}
-	latency, _ := s.latency.At(0.5)
 	chosen := balance.Choose(now, candidates, latency)
 	if chosen < 0 {
 		return nil, ErrNoSearcher
@@ -115,6 +123,7 @@
 func (d *Dispatcher) bind(a *Attempt, t *target, now time.Duration, wall time.Time) func() {
 	a.target, a.sent = t, now
 	t.started(a)
+	a.outstanding = len(t.running)
 	if now < t.coldUntil {
 		t.cold.Sent(now)
 	}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -21,6 +21,8 @@
 	latency  hedge.Quantile
 	// busy is the moving average of the requests that this instance has running.
 	busy balance.Average
+	// cut is the share of the requests that its searchers have room for.
+	cut balance.Cut
 	// waiters are attempts that wait for a connection, the first in line first.
 	waiters []*Attempt
 }
@@ -62,6 +64,7 @@
 	fleet.Searcher
 	service   *service
 	record    balance.Record
+	limit     balance.Limit
 	cold      retry.Cold
 	coldUntil time.Duration
 	// removed says that the searcher is no longer listed, replaced that another
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -34,6 +34,11 @@
 	events   chan dispatch.Event
 	// latency is what the attempts of the route usually take.
 	latency *latency
+	// rank orders the requests that wait at a shard, the lowest first.
+	rank float64
+	// holdsBack reports whether a failed part is not to be repeated now, because
+	// others of the same request could not be. It is nil without other parts.
+	holdsBack func(*part) bool
 }
 
 // admit reads a request and finds its route, or says why it is refused.
@@ -176,10 +181,13 @@
 		Method:    c.method,
 		Wire:      c.wire,
 		Deadline:  c.deadline,
+		Due:       c.aim(),
+		DueBy:     c.arrived + c.aim(),
+		Rank:      c.rank,
 		Avoid:     p.avoided(),
-		Repeat:    kind == repeatAttempt || kind == hedgeAttempt,
+		Repeat:    kind != firstAttempt && kind != againAttempt,
+		Spare:     kind == hedgeAttempt || kind == lateAttempt,
 		Again:     kind == againAttempt,
-		Hedge:     kind == hedgeAttempt,
 		Tag:       p.tag,
 		Ended:     func(e dispatch.Event) { c.events <- e },
 	})
--- a/gateway/gather.go
+++ b/gateway/gather.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/gather"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/retry"
 )
 
 // gathering is a request to all shards of a route.
@@ -27,6 +29,11 @@
 		needed: c.route.Needed(),
 		soft:   c.arrived + c.aim(),
 	}
+	c.rank = rand.Float64()
+	c.holdsBack = func(p *part) bool { return !q.shards(p).Worthwhile() }
+	if full := q.full(); len(c.route.Shards)-full < q.needed {
+		return answer{refusal: c.notRun(&part{tries: []try{{Outcome: "shards have no room"}}})}
+	}
 	for i, service := range c.route.Shards {
 		p := &part{service: service, tag: i}
 		q.parts = append(q.parts, p)
@@ -54,6 +61,17 @@
 	return q.answer()
 }
 
+// full counts the shards that are not expected to have room for the request.
+func (q *gathering) full() int {
+	n := 0
+	for _, service := range q.route.Shards {
+		if !q.g.config.Dispatcher.HasRoom(service, q.rank) {
+			n++
+		}
+	}
+	return n
+}
+
 // logUnmet tells why an answer is late, partial or missing: what became of the
 // parts that were not answered in time.
 func (q *gathering) logUnmet() {
@@ -91,6 +109,17 @@
 	}
 }
 
+// shards returns how the request stands for a repeat of the part.
+func (q *gathering) shards(failed *part) retry.Shards {
+	s := retry.Shards{Total: len(q.parts), Needed: q.needed, Lost: q.given}
+	for _, p := range q.parts {
+		if p != failed && !p.ended() && !q.g.config.Dispatcher.CanRepeat(p.service) {
+			s.Exposed++
+		}
+	}
+	return s
+}
+
 // done reports whether waiting longer is of no use.
 func (q *gathering) done() bool {
 	switch {
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -65,6 +65,8 @@
 	againAttempt
 	// repeatAttempt follows one that failed.
 	repeatAttempt
+	// lateAttempt follows one that failed, when the answer comes late anyway.
+	lateAttempt
 	// hedgeAttempt is made beside one that is slow.
 	hedgeAttempt
 )
@@ -150,7 +152,7 @@
 // due makes the attempts whose time has come.
 func (c *call) due(p *part, now time.Duration) {
 	if p.againAt != 0 && p.againAt <= now {
-		if !c.launch(p, repeatAttempt) && p.againAt == 0 && len(p.running) == 0 {
+		if !c.repeat(p) && p.againAt == 0 && len(p.running) == 0 {
 			p.given = true
 		}
 	}
@@ -183,6 +185,18 @@
 	if last == dispatch.Unsent && p.asked == 0 {
 		return c.launch(p, againAttempt)
 	}
+	return c.repeat(p)
+}
+
+// repeat sends a failed part once more, or notes when to look at it again.
+func (c *call) repeat(p *part) bool {
+	if c.holdsBack != nil && c.holdsBack(p) {
+		c.notStarted(p, repeatAttempt, dispatch.ErrBudget)
+		return false
+	}
+	if c.now() >= c.arrived+c.aim() {
+		return c.launch(p, lateAttempt)
+	}
 	return c.launch(p, repeatAttempt)
 }
 
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -96,18 +96,22 @@
 	if last := len(p.tries) - 1; last >= 0 {
 		reason = "not run: " + p.tries[last].Outcome
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter(c.deadline - c.now())}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter(c.deadline-c.now(), c.aim())}
 }
 
 const (
-	// Callers come back after a part of the time that they have left, spread so
-	// that they do not come all at once.
-	retryPart = 0.15
-	maxRetry  = 1 * time.Second
-	minRetry  = 20 * time.Millisecond
+	// Callers come back after a part of the time that they have left, or sooner if the
+	// answer can then still be in time; spread so that they do not come all at once.
+	retryPart    = 0.15
+	retryAimPart = 0.5
+	maxRetry     = 1 * time.Second
+	minRetry     = 20 * time.Millisecond
 )
 
-func retryAfter(left time.Duration) time.Duration {
-	d := min(max(time.Duration(retryPart*float64(left)), minRetry), maxRetry)
+// retryAfter returns when a caller should ask again that waits for a time yet and
+// wants its answer within the aim.
+func retryAfter(left, aim time.Duration) time.Duration {
+	part := min(retryPart*float64(left), retryAimPart*float64(aim))
+	d := min(max(time.Duration(part), minRetry), maxRetry)
 	return d/2 + rand.N(d)
 }
