--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,6 +30,9 @@
 	farPenalty = 3 * time.Millisecond
 	// dialPenalty is the time that a new connection takes.
 	dialPenalty = 6 * time.Millisecond
+	// guestPenalty keeps requests with the searchers that have a connection for them,
+	// unless those are slow or fail.
+	guestPenalty = 20 * time.Millisecond
 	// coldFactor is how much slower a cold searcher is taken to be.
 	coldFactor = 1.6
 
@@ -48,6 +51,8 @@
 	measured bool
 	failures float64
 	noted    time.Duration
+	// used is when this instance last had a reply of its own.
+	used time.Duration
 	// blockedUntil and block are set while the searcher can't be reached.
 	blockedUntil time.Duration
 	block        time.Duration
@@ -56,11 +61,15 @@
 // Answered notes a reply after a latency. Good says that it was no failure.
 func (r *Record) Answered(now, latency time.Duration, good bool) {
 	r.note(now, !good)
+	r.used = now
 	r.block = 0
 	r.blockedUntil = 0
-	if !good {
-		return
+	if good {
+		r.learn(latency)
 	}
+}
+
+func (r *Record) learn(latency time.Duration) {
 	if !r.measured {
 		r.latency, r.measured = latency, true
 		return
@@ -124,6 +133,8 @@
 	SameDomain  bool
 	Connected   bool
 	Cold        bool
+	// Guest says that a connection would be opened for this request alone.
+	Guest bool
 }
 
 // Choose returns the index of the best candidate, or -1 if there is none or all
@@ -164,9 +175,14 @@
 	if !c.SameDomain {
 		cost = cost*farFactor + float64(farPenalty)
 	}
+	if c.Guest {
+		cost += float64(guestPenalty)
+	}
 	if !c.Connected {
 		cost += float64(dialPenalty)
 	}
+	// A failure costs more than another try: it may leave a whole query without an
+	// answer.
 	works := 1 - min(c.Record.failureRate(now), maxFailureRate)
 	return cost / (works * works * works * works)
 }
--- a/balance/limit.go
+++ b/balance/limit.go
@@ -21,14 +21,16 @@
 	// lowerTo is the part of the bound that is left when replies come late.
 	lowerTo = 0.75
 	// minLimit keeps a searcher in use, so that its recovery shows.
-	minLimit = 1
+	minLimit = 1.0
 	// maxLimit is where a bound has no more effect and is dropped.
 	maxLimit = 64
 )
 
-// Full reports whether the searcher has as many requests as it should get.
-func (l *Limit) Full(outstanding int) bool {
-	return l.value > 0 && float64(outstanding) >= l.value
+// Full reports whether the searcher has as many requests as it should get. An instance's
+// part of the slots is always used: fewer requests would make none of them faster.
+func (l *Limit) Full(outstanding, slots, instances int) bool {
+	part := float64(slots) / float64(max(instances, 1))
+	return l.value > 0 && float64(outstanding) >= max(l.value, part)
 }
 
 // Replied notes a reply after a latency, for a request whose answer was due within
--- /dev/null
+++ b/balance/report.go
@@ -0,0 +1,99 @@
+package balance
+
+import "time"
+
+// Report is what an instance has seen of one searcher since its last report. Where
+// many instances share the requests, each sees too little of a searcher to notice soon
+// that it fails or is slow; together they see enough.
+type Report struct {
+	Searcher string
+	// Answered and Failed count requests, Latency is the mean time of the answers.
+	Answered int
+	Failed   int
+	Latency  time.Duration
+}
+
+// Sightings collects what an instance sees of one searcher. Only of searchers that
+// failed or were slow lately does it make reports.
+type Sightings struct {
+	answered int
+	failed   int
+	latency  time.Duration
+	// suspectUntil ends the time in which reports are made.
+	suspectUntil time.Duration
+}
+
+const (
+	// suspectTime is how long reports are made after the last cause.
+	suspectTime = 3 * time.Second
+	// slowAt times the usual latency of its service makes an answer a slow one.
+	slowAt = 4
+)
+
+// Answered notes an answer after a latency. Usual is that of the service, zero if it is
+// not known.
+func (s *Sightings) Answered(now, latency, usual time.Duration) {
+	s.answered++
+	s.latency += latency
+	if slow(latency, usual) {
+		s.suspectUntil = now + suspectTime
+	}
+}
+
+// Failed notes a request that failed.
+func (s *Sightings) Failed(now time.Duration) {
+	s.failed++
+	s.suspectUntil = now + suspectTime
+}
+
+// Heard begins reports of what another instance reports as failing or slow.
+func (s *Sightings) Heard(now time.Duration, r Report, usual time.Duration) {
+	if r.Failed > 0 || slow(r.Latency, usual) {
+		s.suspectUntil = now + suspectTime
+	}
+}
+
+func slow(latency, usual time.Duration) bool {
+	return usual > 0 && latency > time.Duration(slowAt*float64(usual))
+}
+
+// Count returns the number of requests for a report, zero if none is to be made.
+func (s *Sightings) Count(now time.Duration) int {
+	if now >= s.suspectUntil {
+		s.answered, s.failed, s.latency = 0, 0, 0
+		return 0
+	}
+	return s.answered + s.failed
+}
+
+// Take returns the report and begins the next one.
+func (s *Sightings) Take(searcher string) Report {
+	r := Report{Searcher: searcher, Answered: s.answered, Failed: s.failed}
+	if s.answered > 0 {
+		r.Latency = s.latency / time.Duration(s.answered)
+	}
+	s.answered, s.failed, s.latency = 0, 0, 0
+	return r
+}
+
+// maxReported bounds what one report can change.
+const maxReported = 50
+
+// ownEnough is how recent an instance's own experience must be to outweigh reports,
+// which tell of the time before them.
+const ownEnough = 250 * time.Millisecond
+
+// Heard notes what another instance reports of the searcher, unless this instance has
+// just had a reply of its own.
+func (r *Record) Heard(now time.Duration, report Report) {
+	if r.used != 0 && now-r.used < ownEnough {
+		return
+	}
+	for range min(report.Failed, maxReported) {
+		r.note(now, true)
+	}
+	for range min(report.Answered, maxReported) {
+		r.note(now, false)
+		r.learn(report.Latency)
+	}
+}
--- a/dispatch/course.go
+++ b/dispatch/course.go
@@ -40,7 +40,9 @@
 func (d *Dispatcher) dialFailed(a *Attempt, t *target) {
 	d.mu.Lock()
 	t.open--
-	t.record.Unreachable(d.config.Clock.Boottime())
+	now := d.config.Clock.Boottime()
+	t.record.Unreachable(now)
+	t.sightings.Failed(now)
 	d.mu.Unlock()
 	d.end(a, Event{Attempt: a, Outcome: Unsent}, nil)
 }
@@ -75,12 +77,16 @@
 		t.record.Answered(now, now-a.sent, true)
 		t.limit.Replied(now, now-a.sent, a.Due, a.outstanding)
 		a.service.latency.Add(now, now-a.sent)
+		usual, _ := a.service.latency.At(0.5)
+		t.sightings.Answered(now, now-a.sent, usual)
 	case Failed, Refused:
 		t.record.Answered(now, now-a.sent, false)
+		t.sightings.Failed(now)
 		t.replaced = t.replaced || reply.Says.OtherInstance
 	case Broken:
 		if !errors.Is(err, searcher.ErrAbandoned) {
 			t.record.Broke(now)
+			t.sightings.Failed(now)
 		}
 	}
 	d.mu.Unlock()
@@ -119,7 +125,7 @@
 
 // release makes a connection available again, if it still is one.
 func (d *Dispatcher) release(t *target, conn *connection) []func() {
-	if conn.Usable(time.Now()) && !t.removed && !t.Draining {
+	if conn.Usable(time.Now()) && !t.removed && !t.Draining && !t.guest {
 		t.idle = append(t.idle, conn)
 		return t.service.launchWaiters(d)
 	}
--- a/dispatch/giveup.go
+++ b/dispatch/giveup.go
@@ -94,9 +94,11 @@
 	usual, _ := a.service.latency.At(0.5)
 	if waited > max(silentFactor*usual, minSilent) {
 		a.target.record.Unreachable(now)
+		a.target.sightings.Failed(now)
 		return
 	}
 	a.target.record.Slow(waited)
+	a.target.sightings.Answered(now, waited, usual)
 	a.target.limit.Replied(now, waited, a.Due, a.outstanding)
 	a.service.latency.Add(now, waited)
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -71,15 +71,15 @@
 	limit := d.connectionLimit(s)
 	var candidates []balance.Candidate
 	var targets []*target
-	subset := d.subset(s, a, now)
-	for _, t := range subset {
-		if t.limit.Full(len(t.running)) || (len(t.idle) == 0 && t.open >= limit) {
+	reachable := d.reachable(s, a, now)
+	for _, t := range reachable {
+		if t.limit.Full(len(t.running), t.Slots, d.config.Sharers()) || (len(t.idle) == 0 && t.open >= limit) {
 			continue
 		}
 		targets = append(targets, t)
 		candidates = append(candidates, t.candidate(now, d.config.FailureDomain))
 	}
-	if len(subset) == 0 {
+	if len(reachable) == 0 {
 		return nil, ErrNoSearcher
 	}
 	latency, _ := s.latency.At(0.5)
@@ -97,9 +97,9 @@
 	return d.bind(a, targets[chosen], now, wall), nil
 }
 
-// subset returns the searchers that may get the attempt: of the usable ones that
-// can be reached those that this instance keeps connections to.
-func (d *Dispatcher) subset(s *service, a *Attempt, now time.Duration) []*target {
+// reachable returns the searchers that may get the attempt, and notes which of them are
+// outside of the subset that this instance keeps connections to.
+func (d *Dispatcher) reachable(s *service, a *Attempt, now time.Duration) []*target {
 	var usable []*target
 	var members []balance.Member
 	for _, t := range s.targets {
@@ -110,12 +110,11 @@
 	}
 	connections := int(connectionsUsed * float64(s.settings.MaxConnections))
 	size := balance.SubsetSize(len(usable), connections, d.config.Sharers())
-	if size < len(usable) {
-		var chosen []*target
-		for _, i := range balance.Subset(d.config.Instance, members, size) {
-			chosen = append(chosen, usable[i])
-		}
-		usable = chosen
+	for _, t := range usable {
+		t.guest = size < len(usable)
+	}
+	for _, i := range balance.Subset(d.config.Instance, members, size) {
+		usable[i].guest = false
 	}
 	return slices.DeleteFunc(usable, func(t *target) bool { return slices.Contains(a.Avoid, t.ID) })
 }
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -65,6 +65,7 @@
 	service   *service
 	record    balance.Record
 	limit     balance.Limit
+	sightings balance.Sightings
 	cold      retry.Cold
 	coldUntil time.Duration
 	// removed says that the searcher is no longer listed, replaced that another
@@ -74,6 +75,10 @@
 	// missing says that its entry may have lapsed through the store's fault.
 	missing bool
 
+	// guest says that this instance keeps no connections to the searcher, so that the
+	// connections suffice for the instances that do.
+	guest bool
+
 	// idle holds the connections without a request, the last used last; open
 	// counts all of them, those that are being opened included.
 	idle []*connection
@@ -136,6 +141,7 @@
 		SameDomain:  t.FailureDomain == domain,
 		Connected:   len(t.idle) > 0,
 		Cold:        now < t.coldUntil,
+		Guest:       t.guest,
 	}
 	if len(t.running) > 0 {
 		c.Oldest = now - t.running[0].sent
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/wisteriawharf/wisteriawharf/balance"
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
@@ -63,6 +64,10 @@
 	Ready   func() bool
 	Follows func() bool
 	Leads   func() bool
+	// Reports returns what to tell of searchers, at most so many reports; Heard takes
+	// what another instance tells.
+	Reports func(most int) []balance.Report
+	Heard   func([]balance.Report)
 	// Outage is called when another instance does not reach the store.
 	Outage func()
 	Clock  clock.Clock
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/wisteriawharf/wisteriawharf/balance"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 )
 
@@ -27,6 +28,37 @@
 	Filled bool `json:"l"`
 	// Newest holds the revision of the newest change that it knows, by kind.
 	Newest map[string]int64 `json:"v"`
+	// Searchers holds what it has seen of searchers that failed or were slow.
+	Searchers []searcherReport `json:"h,omitempty"`
+}
+
+// searcherReport is a balance.Report on the wire.
+type searcherReport struct {
+	Searcher  string `json:"i"`
+	Answered  int    `json:"a,omitempty"`
+	Failed    int    `json:"f,omitempty"`
+	LatencyMs int64  `json:"l,omitempty"`
+}
+
+// maxReports keeps a heartbeat with reports within one packet.
+const maxReports = 24
+
+func (x *Exchange) reports() []searcherReport {
+	var all []searcherReport
+	for _, r := range x.config.Reports(maxReports) {
+		all = append(all, searcherReport{Searcher: r.Searcher, Answered: r.Answered, Failed: r.Failed, LatencyMs: r.Latency.Milliseconds()})
+	}
+	return all
+}
+
+func (h *heartbeat) reports() []balance.Report {
+	var all []balance.Report
+	for _, r := range h.Searchers {
+		all = append(all, balance.Report{
+			Searcher: r.Searcher, Answered: r.Answered, Failed: r.Failed, Latency: time.Duration(r.LatencyMs) * time.Millisecond,
+		})
+	}
+	return all
 }
 
 func (x *Exchange) heartbeat() heartbeat {
@@ -40,13 +72,13 @@
 	return h
 }
 
-// Send sends a heartbeat to the other instances that are to get one.
+// Send sends a heartbeat to the other instances that are to get one. Reports of
+// searchers go only to those of the same failure domain, whose way to them is alike.
 func (x *Exchange) Send() {
-	text, err := json.Marshal(x.heartbeat())
-	if err != nil {
-		x.config.Log.Error("heartbeat", "error", err.Error())
-		return
-	}
+	h := x.heartbeat()
+	far := x.encode(h)
+	h.Searchers = x.reports()
+	near := x.encode(h)
 	x.mu.Lock()
 	x.told = time.Now()
 	x.mu.Unlock()
@@ -55,12 +87,24 @@
 		if err != nil {
 			continue // the entry was checked when it was taken; others are not reached by heartbeats
 		}
+		text := far
+		if i.FailureDomain == x.config.Self.FailureDomain {
+			text = near
+		}
 		if _, err := x.socket.WriteToUDPAddrPort(text, netip.AddrPortFrom(to.Addr(), uint16(x.port))); err != nil {
 			x.config.Log.Debug("heartbeat was not sent", "to", i.Name, "error", err.Error())
 		}
 	}
 }
 
+func (x *Exchange) encode(h heartbeat) []byte {
+	text, err := json.Marshal(h)
+	if err != nil {
+		x.config.Log.Error("heartbeat", "error", err.Error())
+	}
+	return text
+}
+
 // receive takes the heartbeats of other instances until the socket is closed.
 func (x *Exchange) receive() {
 	buffer := make([]byte, maxHeartbeatBytes)
@@ -83,6 +127,7 @@
 			if !h.Follows {
 				x.config.Outage()
 			}
+			x.config.Heard(h.reports())
 			x.catchUp(h, from)
 		}
 	}
