--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -163,11 +163,19 @@
 	return t.takeIdle()
 }
 
-// HasRoom reports whether a service is expected to have room for a request of the rank.
-func (d *Dispatcher) HasRoom(service string, rank float64) bool {
+// HasRoom reports whether an attempt would be sent now, or let in to wait for a searcher.
+func (d *Dispatcher) HasRoom(r Request) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.service(service).cut.Admits(rank)
+	s := d.service(r.Service)
+	now := d.config.Clock.Boottime()
+	reachable := d.reachable(s, r, now)
+	for _, t := range reachable {
+		if d.hasRoom(t) {
+			return true
+		}
+	}
+	return len(reachable) > 0 && s.cut.Admits(r.Rank)
 }
 
 // CanRepeat reports whether the budget of a service has a repeat left.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -68,12 +68,11 @@
 func (d *Dispatcher) place(a *Attempt) (func(), error) {
 	now, wall := d.config.Clock.Boottime(), time.Now()
 	s := a.service
-	limit := d.connectionLimit(s)
 	var candidates []balance.Candidate
 	var targets []*target
-	reachable := d.reachable(s, a, now)
+	reachable := d.reachable(s, a.Request, now)
 	for _, t := range reachable {
-		if t.limit.Full(len(t.running), t.Slots, d.config.Sharers()) || (len(t.idle) == 0 && t.open >= limit) {
+		if !d.hasRoom(t) {
 			continue
 		}
 		targets = append(targets, t)
@@ -97,13 +96,21 @@
 	return d.bind(a, targets[chosen], now, wall), nil
 }
 
+// hasRoom reports whether a searcher may get one more request from this instance now.
+func (d *Dispatcher) hasRoom(t *target) bool {
+	if t.limit.Full(len(t.running), t.Slots, d.config.Sharers()) {
+		return false
+	}
+	return len(t.idle) > 0 || t.open < d.connectionLimit(t.service)
+}
+
 // reachable returns the searchers that may get the attempt, and notes which of them are
 // outside of the subset that this instance keeps connections to.
-func (d *Dispatcher) reachable(s *service, a *Attempt, now time.Duration) []*target {
+func (d *Dispatcher) reachable(s *service, r Request, now time.Duration) []*target {
 	var usable []*target
 	var members []balance.Member
 	for _, t := range s.targets {
-		if d.usable(t, a.Regions, now) && !t.record.Blocked(now) {
+		if d.usable(t, r.Regions, now) && !t.record.Blocked(now) {
 			usable = append(usable, t)
 			members = append(members, balance.Member{ID: t.ID, SameDomain: t.FailureDomain == d.config.FailureDomain})
 		}
@@ -116,7 +123,7 @@
 	for _, i := range balance.Subset(d.config.Instance, members, size) {
 		usable[i].guest = false
 	}
-	return slices.DeleteFunc(usable, func(t *target) bool { return slices.Contains(a.Avoid, t.ID) })
+	return slices.DeleteFunc(usable, func(t *target) bool { return slices.Contains(r.Avoid, t.ID) })
 }
 
 func (d *Dispatcher) bind(a *Attempt, t *target, now time.Duration, wall time.Time) func() {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -174,7 +174,11 @@
 
 // start sends the request to a searcher of the part's service.
 func (c *call) start(p *part, kind attemptKind) (*dispatch.Attempt, error) {
-	return c.g.config.Dispatcher.Start(dispatch.Request{
+	return c.g.config.Dispatcher.Start(c.request(p, kind))
+}
+
+func (c *call) request(p *part, kind attemptKind) dispatch.Request {
+	return dispatch.Request{
 		Service:   p.service,
 		Regions:   c.route.Regions,
 		RequestID: c.says.ID,
@@ -190,7 +194,7 @@
 		Again:     kind == againAttempt,
 		Tag:       p.tag,
 		Ended:     func(e dispatch.Event) { c.events <- e },
-	})
+	}
 }
 
 // hedgeDelay returns when a request to a service is slow enough for a second
--- a/gateway/gather.go
+++ b/gateway/gather.go
@@ -31,12 +31,13 @@
 	}
 	c.rank = rand.Float64()
 	c.holdsBack = func(p *part) bool { return !q.shards(p).Worthwhile() }
-	if full := q.full(); len(c.route.Shards)-full < q.needed {
+	for i, service := range c.route.Shards {
+		q.parts = append(q.parts, &part{service: service, tag: i})
+	}
+	if full := q.full(); len(q.parts)-full < q.needed {
 		return answer{refusal: c.notRun(&part{tries: []try{{Outcome: "shards have no room"}}})}
 	}
-	for i, service := range c.route.Shards {
-		p := &part{service: service, tag: i}
-		q.parts = append(q.parts, p)
+	for _, p := range q.parts {
 		if !c.launch(p, firstAttempt) {
 			p.given = true
 			q.given++
@@ -61,11 +62,12 @@
 	return q.answer()
 }
 
-// full counts the shards that are not expected to have room for the request.
+// full counts the shards that have no searcher, or no room for the request: where too
+// many are, nothing is sent to the others.
 func (q *gathering) full() int {
 	n := 0
-	for _, service := range q.route.Shards {
-		if !q.g.config.Dispatcher.HasRoom(service, q.rank) {
+	for _, p := range q.parts {
+		if !q.g.config.Dispatcher.HasRoom(q.request(p, firstAttempt)) {
 			n++
 		}
 	}
