Let fewer instances ask the store, and seeds begin with it

A trace of the calls: 533 before traffic, since each of 74 instances took itself for a leader 1.2 s after its start, before it knew the others; and five leaders in four failure domains, since the first two by name led besides the first of each domain.

Change: the second leader is one only where no other failure domain is heard; after a start seeds may lead from 0.6 s on, others from 2.5 s on; an instance that hears an unknown one with newer entries fetches them from it. How long an instance takes part of the budgets as one of twelve is a setting of its own again (1.2 s): with 2.5 s TestPlannedStop failed.

--- a/cmd/wharf-gateway/follow.go
+++ b/cmd/wharf-gateway/follow.go
@@ -17,8 +17,10 @@
 	// settle is the pause after changes of kinds that come in bursts.
 	settle = 100 * time.Millisecond
 	// startTime is how long an instance that starts waits for heartbeats before it
-	// takes itself for one that leads.
-	startTime = 1200 * time.Millisecond
+	// takes itself for one that leads, seedStartTime how long one does that the others
+	// ask when they start.
+	startTime     = 2500 * time.Millisecond
+	seedStartTime = 600 * time.Millisecond
 )
 
 func watchWait(kind string) time.Duration {
@@ -34,7 +36,11 @@
 // leads reports whether this instance asks the store for news.
 func (s *service) leads() bool {
 	now := s.clock.Boottime()
-	return now-s.started >= startTime && !s.leaving.Load() && s.instances.Leads(now)
+	wait := startTime
+	if s.exchange.IsSeed() {
+		wait = seedStartTime
+	}
+	return now-s.started >= wait && !s.leaving.Load() && s.instances.Leads(now)
 }
 
 // follow makes the mirrors of the platform's objects.
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -77,7 +77,7 @@
 	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry})
 	s.follow()
 	s.exchange, err = exchange.Listen(exchange.Config{
-		Self: s.self, HeartbeatAddress: internalAddress(node, heartbeatPort), Seeds: node.Seeds, Instances: s.instances, Mirrors: s.mirrors,
+		Self: s.self, HeartbeatAddress: internalAddress(node, heartbeatPort), Seeds: node.Seeds, Instances: s.instances, Mirrors: s.mirrors, InstanceKind: platform.KindInstances,
 		Ready: s.ready, Leads: s.leads, Clock: s.clock, Log: log, Reports: s.dispatch.Reports, Heard: s.dispatch.Heard,
 		Follows: func() bool { return !s.outage.Failing() }, Outage: s.storeAway,
 	})
@@ -94,9 +94,12 @@
 	return net.JoinHostPort(node.IP, strconv.Itoa(node.InternalPorts[0]+port))
 }
 
-// initialSharers is the least that is assumed until the other instances are known:
-// an instance that starts must not take the whole of what all share.
-const initialSharers = 12
+// initialSharers is the least that is assumed for initialTime, in which the other
+// instances become known: one that starts must not take the whole of what all share.
+const (
+	initialSharers = 12
+	initialTime    = 1200 * time.Millisecond
+)
 
 // ready reports whether callers may be sent here.
 func (s *service) ready() bool {
@@ -169,7 +172,7 @@
 func (s *service) countSharers() {
 	now := s.clock.Boottime()
 	n := s.instances.Sharers(now)
-	if now-s.started < startTime {
+	if now-s.started < initialTime {
 		n = max(n, initialSharers)
 	}
 	s.sharers.Store(int64(n))
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -59,6 +59,8 @@
 	Seeds            []string
 	Instances        *fleet.Instances
 	Mirrors          map[string]*mirror.Mirror
+	// InstanceKind is the kind of the mirror that holds the instances.
+	InstanceKind string
 	// Ready says whether this instance serves callers, Follows that it does not find
 	// the store unreachable, Leads that it asks the store for others too.
 	Ready   func() bool
@@ -142,7 +144,7 @@
 // know them either; then it goes on to ask them beside the store.
 func (x *Exchange) Learn(ctx context.Context) {
 	until := time.Now().Add(seedPatience)
-	for !x.isSeed() && time.Now().Before(until) && !x.filled() {
+	for !x.IsSeed() && time.Now().Before(until) && !x.filled() {
 		if !x.askSeeds(ctx) || clock.Pause(ctx, seedPause) != nil {
 			break
 		}
@@ -154,9 +156,9 @@
 	}()
 }
 
-// isSeed reports whether this instance is one of its own seeds: those ask the store
+// IsSeed reports whether this instance is one of its own seeds: those ask the store
 // at once.
-func (x *Exchange) isSeed() bool {
+func (x *Exchange) IsSeed() bool {
 	return slices.Contains(x.config.Seeds, x.config.Self.InternalAddress)
 }
 
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/netip"
@@ -123,12 +124,27 @@
 			continue
 		}
 		says := fleet.Says{Ready: h.Ready, Follows: h.Follows}
-		if from, ok := x.config.Instances.Heard(h.Name, h.Started, x.config.Clock.Boottime(), says); ok {
-			if !h.Follows {
-				x.config.Outage()
-			}
-			x.config.Heard(h.reports())
-			x.catchUp(h, from)
+		known, ok := x.config.Instances.Heard(h.Name, h.Started, x.config.Clock.Boottime(), says)
+		if !ok {
+			x.learnOf(h, from.Addr().String())
+			continue
+		}
+		if !h.Follows {
+			x.config.Outage()
 		}
+		x.config.Heard(h.reports())
+		x.catchUp(h, known)
+	}
+}
+
+// learnOf fetches the entries of instances from one that is not known here, if it knows
+// newer ones. Instances serve each other at the same port.
+func (x *Exchange) learnOf(h heartbeat, ip string) {
+	kind := x.config.InstanceKind
+	m := x.config.Mirrors[kind]
+	_, port, err := net.SplitHostPort(x.config.Self.InternalAddress)
+	if err != nil || m == nil || m.Revision() == 0 || h.Newest[kind] <= m.Newest() {
+		return
 	}
+	go x.pull(context.Background(), kind, net.JoinHostPort(ip, port))
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -100,4 +100,7 @@
 		s.Heard(name, 1, silentAfter, Says{Ready: true, Follows: true})
 	}
 	qt.Assert(t, s.Leads(silentAfter+1), qt.IsTrue, qt.Commentf("the one before it has fallen silent"))
+	now := 2*silentAfter + 1
+	s.Heard("b0", 1, now, Says{Ready: true, Follows: true})
+	qt.Assert(t, s.Leads(now), qt.IsTrue, qt.Commentf("no other failure domain is heard, and one leader is too few"))
 }
--- a/fleet/instances.go
+++ b/fleet/instances.go
@@ -227,20 +227,20 @@
 
 // Leads reports whether this instance is one of the few that ask the store for
 // news, on behalf of all: the first one of each failure domain that is ready and
-// reaches the store, and the first two that it hears from. It needs no agreement:
-// when views differ, more of them lead.
+// reaches the store, and the first two of a domain that is the only one. It needs no
+// agreement: when views differ, more of them lead.
 func (s *Instances) Leads(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before, beforeInDomain := 0, 0
+	beforeInDomain, otherDomains := 0, false
 	for name, m := range s.members {
-		if name >= s.self || !m.usable(now) || !m.follows {
-			continue
-		}
-		before++
-		if m.instance.FailureDomain == s.domain {
+		switch {
+		case name == s.self || !m.usable(now) || !m.follows:
+		case m.instance.FailureDomain != s.domain:
+			otherDomains = true
+		case name < s.self:
 			beforeInDomain++
 		}
 	}
-	return beforeInDomain == 0 || before < minLeaders
+	return beforeInDomain == 0 || !otherDomains && beforeInDomain < minLeaders
 }
