--- a/gateway/gather.go
+++ b/gateway/gather.go
@@ -35,7 +35,7 @@
 		q.parts = append(q.parts, &part{service: service, tag: i})
 	}
 	if full := q.full(); len(q.parts)-full < q.needed {
-		return answer{refusal: c.notRun(&part{tries: []try{{Outcome: "shards have no room"}}})}
+		return answer{refusal: c.notRun("shards have no room")}
 	}
 	for _, p := range q.parts {
 		if !c.launch(p, firstAttempt) {
@@ -189,7 +189,7 @@
 	}
 	switch {
 	case !asked:
-		return q.notRun(q.parts[0])
+		return q.notRun(q.parts[0].lastOutcome())
 	case q.now() >= q.deadline:
 		return &refusal{status: http.StatusGatewayTimeout, reason: "too few shards in time"}
 	}
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -13,7 +13,7 @@
 func (c *call) single() answer {
 	p := &part{service: chooseTarget(c.route.Targets)}
 	if !c.launch(p, firstAttempt) {
-		return answer{refusal: c.notRun(p)}
+		return answer{refusal: c.notRun(p.lastOutcome())}
 	}
 	for !p.ended() {
 		timer := time.NewTimer(p.nextDue(c.deadline) - c.now())
@@ -74,7 +74,7 @@
 	p.letGo(c, true)
 	c.logUnmet(p)
 	if !ran {
-		return answer{refusal: c.notRun(p)}
+		return answer{refusal: c.notRun(p.lastOutcome())}
 	}
 	return answer{refusal: &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}}
 }
@@ -87,16 +87,20 @@
 	case p.ran > 0:
 		return answer{refusal: &refusal{status: http.StatusBadGateway, reason: "searcher broke off"}}
 	}
-	return answer{refusal: c.notRun(p)}
+	return answer{refusal: c.notRun(p.lastOutcome())}
 }
 
 // notRun refuses a request that no searcher has run or will run.
-func (c *call) notRun(p *part) *refusal {
-	reason := "not run"
+func (c *call) notRun(why string) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + why, retryAfter: retryAfter(c.deadline-c.now(), c.aim())}
+}
+
+// lastOutcome returns what became of the last attempt, or why it was not made.
+func (p *part) lastOutcome() string {
 	if last := len(p.tries) - 1; last >= 0 {
-		reason = "not run: " + p.tries[last].Outcome
+		return p.tries[last].Outcome
 	}
-	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter(c.deadline-c.now(), c.aim())}
+	return "out of time"
 }
 
 const (
