Explain a request from the logs of gateways

Cause: after a failed request an operator had to read JSON lines of all instances, and nothing checked that these lines tell the cause, as docs/OPERATIONS.md says they do.

--- a/cmd/wharfctl/main.go
+++ b/cmd/wharfctl/main.go
@@ -14,12 +14,13 @@
 
 func main() {
 	os.Exit(run(os.Args[1:], &environment{
-		stdout: os.Stdout, stderr: os.Stderr, openStore: openStore,
+		stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, openStore: openStore,
 	}))
 }
 
 // environment is what commands act on besides their options.
 type environment struct {
+	stdin          io.Reader
 	stdout, stderr io.Writer
 	openStore      storeOpener
 }
--- a/cmd/wharfctl/main_test.go
+++ b/cmd/wharfctl/main_test.go
@@ -214,3 +214,29 @@
 		qt.Check(t, string(page), qt.Contains, "| "+l[1]+" | "+l[2]+" |")
 	}
 }
+
+// TestExplainLogs guards against logs that can't be read from a file or from standard
+// input, and against a request without a line that ends as if it were explained.
+func TestExplainLogs(t *testing.T) {
+	const line = `{"time":"t","msg":"not answered","instance":"a1","request":"q","status":503,"reason":"not run: no usable searcher"}`
+	const want = "t a1: not answered with status 503: not run: no usable searcher\n"
+	file := filepath.Join(t.TempDir(), "log")
+	qt.Assert(t, os.WriteFile(file, []byte(line), 0o600), qt.IsNil)
+	for _, test := range []struct {
+		args  []string
+		stdin string
+		code  int
+		want  string
+	}{
+		{[]string{"explain", "--log", file, "q"}, "", exitOK, want},
+		{[]string{"explain", "--log=-", "q"}, line, exitOK, want},
+		{[]string{"explain", "--log", file, "other"}, "", exitNotFound, `wharfctl: request "other": no line names the request` + "\n"},
+	} {
+		var out bytes.Buffer
+		code := run(test.args, &environment{stdin: strings.NewReader(test.stdin), stdout: &out, stderr: &out})
+		qt.Check(t, code, qt.Equals, test.code)
+		qt.Check(t, out.String(), qt.Equals, test.want)
+	}
+	var out bytes.Buffer
+	qt.Assert(t, run([]string{"explain", "--log", file + ".no", "q"}, &environment{stdout: &out, stderr: &out}), qt.Equals, exitFailed)
+}
--- a/cmd/wharfctl/status.go
+++ b/cmd/wharfctl/status.go
@@ -5,12 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"strings"
 
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/operator"
+	"github.com/wisteriawharf/wisteriawharf/requestlog"
 )
 
 // fleet returns the instances of the operator settings, and a function that
@@ -155,13 +157,17 @@
 
 type explainCommand struct {
 	app  *app
+	Logs []string `long:"log" value-name:"FILE" description:"log of a gateway to read in place of asking instances, - for standard input; may be repeated"`
 	Args struct {
 		RequestID string `positional-arg-name:"REQUEST-ID" description:"identifier from the answer to the caller"`
 	} `positional-args:"yes" required:"yes"`
 }
 
-// Execute asks all instances about the request.
+// Execute asks all instances about the request, or reads the logs that are given.
 func (c *explainCommand) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		return c.read()
+	}
 	return c.app.withInstances(func(ctx context.Context, fleet operator.Fleet) error {
 		all, err := fleet.Explain(ctx, c.Args.RequestID)
 		if err != nil {
@@ -175,6 +181,28 @@
 	})
 }
 
+// read explains the request from logs.
+func (c *explainCommand) read() error {
+	var logs []io.Reader
+	for _, name := range c.Logs {
+		if name == "-" {
+			logs = append(logs, c.app.env.stdin)
+			continue
+		}
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.Annotate(err, "log")
+		}
+		defer func() { _ = file.Close() }() // nothing was written
+		logs = append(logs, file)
+	}
+	err := requestlog.Explain(c.app.env.stdout, c.Args.RequestID, logs...)
+	if errors.Is(err, requestlog.ErrUnknownRequest) {
+		return coded{err, exitNotFound}
+	}
+	return err
+}
+
 type completionCommand struct {
 	app *app
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/requestlog"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
 
@@ -31,7 +32,7 @@
 	routes   atomic.Pointer[routing.Config]
 	leaving  atomic.Bool
 	inFlight atomic.Int64
-	log      *requestLog
+	log      *requestlog.Writer
 	// latencies are learned from the attempts of each route.
 	latencies latencies
 }
@@ -39,7 +40,7 @@
 // New returns a gateway without configuration, which refuses all requests.
 func New(config Config) *Gateway {
 	return &Gateway{
-		config: config, metrics: newMetrics(config.Registry), log: newRequestLog(config.Log),
+		config: config, metrics: newMetrics(config.Registry), log: requestlog.NewWriter(config.Log),
 		latencies: latencies{routes: make(map[string]*latency)},
 	}
 }
@@ -152,9 +153,9 @@
 		platform.SetRetryAfter(w.Header(), f.retryAfter)
 	}
 	g.metrics.refusals.WithLabelValues(f.reason).Inc()
-	if f.status >= http.StatusInternalServerError && g.log.allow() {
+	if f.status >= http.StatusInternalServerError && g.log.Allow() {
 		says, _ := platform.ReadCallerRequest(r.Header) // its error was a reason to refuse
-		g.log.info("not answered", "request", says.ID, "path", r.URL.Path, "status", f.status, "reason", f.reason)
+		g.log.Write(requestlog.Refused, "request", says.ID, "path", r.URL.Path, "status", f.status, "reason", f.reason)
 	}
 	http.Error(w, f.reason, f.status)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -38,18 +38,20 @@
 	ledger    *site.Ledger
 	searchers map[string][]*site.Searcher
 	requests  int
+	log       *logBuffer
 }
 
 // newBench starts three searchers, in domains a, b and c, for each service.
 func newBench(t *testing.T, services ...string) *bench {
 	t.Helper()
-	b := &bench{ledger: &site.Ledger{}, searchers: make(map[string][]*site.Searcher)}
+	b := &bench{log: &logBuffer{}, ledger: &site.Ledger{}, searchers: make(map[string][]*site.Searcher)}
 	b.dispatch = dispatch.New(dispatch.Config{
 		FailureDomain: "a", Clock: clock.System{}, Sharers: func() int { return 1 },
 		Bounds: platform.Bounds{RetryRatio: 0.2, RetryExtra: 60, WarmupOverage: 1.5, WarmupSlack: 5},
 		Log:    slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
 	})
-	b.gateway = New(Config{Dispatcher: b.dispatch, Clock: clock.System{}, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry()})
+	log := slog.New(slog.NewJSONHandler(b.log, nil))
+	b.gateway = New(Config{Dispatcher: b.dispatch, Clock: clock.System{}, Log: log, Registry: prometheus.NewRegistry()})
 	for _, service := range services {
 		for _, domain := range []string{"a", "b", "c"} {
 			s, err := site.StartSearcher(service+"-"+domain, service, domain, work, 3, b.ledger)
--- a/gateway/gather.go
+++ b/gateway/gather.go
@@ -7,6 +7,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/gather"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/requestlog"
 	"github.com/wisteriawharf/wisteriawharf/retry"
 )
 
@@ -78,17 +79,17 @@
 // parts that were not answered in time.
 func (q *gathering) logUnmet() {
 	late := q.now() >= q.arrived+q.route.TargetLatency
-	if (q.answered == len(q.parts) && !late) || !q.g.log.allow() {
+	if (q.answered == len(q.parts) && !late) || !q.g.log.Allow() {
 		return
 	}
-	open := make(map[string][]try)
+	open := make(map[string][]requestlog.Try)
 	for _, p := range q.parts {
 		last := len(p.tries) - 1
 		if p.reply == nil || p.tries[last].EndedMs > (q.soft-q.arrived).Milliseconds() {
 			open[p.service] = p.tries
 		}
 	}
-	q.g.log.info("answer is not whole in time", "request", q.says.ID, "route", q.route.Name,
+	q.g.log.Write(requestlog.NotWhole, "request", q.says.ID, "route", q.route.Name,
 		"shards", len(q.parts), "needed", q.needed, "answered", q.answered, "after_ms", q.sinceArrival(), "open", open)
 }
 
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
+	"github.com/wisteriawharf/wisteriawharf/requestlog"
 	"github.com/wisteriawharf/wisteriawharf/searcher"
 )
 
@@ -38,16 +39,7 @@
 	// given says that no further attempt is made.
 	given bool
 	// tries tells the course of the part for the log.
-	tries []try
-}
-
-// try is one attempt, or the reason why it was not made.
-type try struct {
-	Searcher string `json:"searcher,omitempty"`
-	// StartedMs and EndedMs count from the arrival of the request.
-	StartedMs int64  `json:"started_ms"`
-	EndedMs   int64  `json:"ended_ms,omitempty"`
-	Outcome   string `json:"outcome"`
+	tries []requestlog.Try
 }
 
 func (c *call) sinceArrival() int64 { return (c.now() - c.arrived).Milliseconds() }
@@ -100,7 +92,7 @@
 		p.hedgeAt = 0
 	}
 	ended := c.sinceArrival()
-	p.tries = append(p.tries, try{
+	p.tries = append(p.tries, requestlog.Try{
 		Searcher: e.Attempt.Searcher(), StartedMs: ended - e.Latency.Milliseconds(), EndedMs: ended, Outcome: e.Outcome.String(),
 	})
 	switch {
@@ -138,7 +130,7 @@
 func (c *call) notStarted(p *part, kind attemptKind, err error) {
 	reason := err.Error()
 	if len(p.tries) == 0 || p.tries[len(p.tries)-1].Outcome != reason {
-		p.tries = append(p.tries, try{StartedMs: c.sinceArrival(), Outcome: reason})
+		p.tries = append(p.tries, requestlog.Try{StartedMs: c.sinceArrival(), Outcome: reason})
 	}
 	p.againAt = 0
 	if kind != repeatAttempt || !errors.Is(err, dispatch.ErrBudget) || (p.ran == 0 && len(c.route.Shards) == 0) {
@@ -229,7 +221,7 @@
 func (p *part) letGo(c *call, gone bool) {
 	p.ran += len(p.running)
 	for _, a := range p.running {
-		p.tries = append(p.tries, try{Searcher: a.Searcher(), StartedMs: c.sinceArrival() - a.Waited().Milliseconds(), Outcome: "let go"})
+		p.tries = append(p.tries, requestlog.Try{Searcher: a.Searcher(), StartedMs: c.sinceArrival() - a.Waited().Milliseconds(), Outcome: "let go"})
 		if gone {
 			a.Cancel()
 		} else {
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wisteriawharf/wisteriawharf/requestlog"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
 
@@ -43,8 +44,8 @@
 // logUnmet tells why there is no answer, or not in time.
 func (c *call) logUnmet(p *part) {
 	late := c.now() >= c.arrived+c.route.TargetLatency
-	if (p.reply == nil || late) && c.g.log.allow() {
-		c.g.log.info("no answer in time", "request", c.says.ID, "route", c.route.Name, "service", p.service,
+	if (p.reply == nil || late) && c.g.log.Allow() {
+		c.g.log.Write(requestlog.Unmet, "request", c.says.ID, "route", c.route.Name, "service", p.service,
 			"after_ms", c.sinceArrival(), "tries", p.tries)
 	}
 }
--- a/gateway/log_test.go
+++ b/requestlog/writer_test.go
@@ -1,4 +1,4 @@
-package gateway
+package requestlog
 
 import (
 	"bytes"
@@ -9,18 +9,18 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestRequestLog guards against a log that grows without bound when all requests
+// TestWriter guards against a log that grows without bound when all requests
 // fail, and against lines that are left out without a word.
-func TestRequestLog(t *testing.T) {
+func TestWriter(t *testing.T) {
 	var text bytes.Buffer
-	l := newRequestLog(slog.New(slog.NewJSONHandler(&text, nil)))
+	l := NewWriter(slog.New(slog.NewJSONHandler(&text, nil)))
 	for range 1000 {
-		if l.allow() {
-			l.info("line")
+		if l.Allow() {
+			l.Write("line")
 		}
 	}
 	lines := strings.Count(text.String(), "\n")
 	qt.Assert(t, lines >= lineBurst && lines < 2*lineBurst, qt.IsTrue, qt.Commentf("%d lines", lines))
-	l.info("after")
+	l.Write("after")
 	qt.Assert(t, text.String(), qt.Contains, `"msg":"after","lines_left_out":`)
 }
