Let urgent routes have lower ranks where searchers lack room

Cause: a route's priority had no effect: where room is short, all routes of a service lost alike, though the operators rank them.

Change: the rank of a request is drawn by its route's priority, so that urgent ones mostly go first, and none are left out altogether (TestRank).

--- a/balance/line.go
+++ b/balance/line.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Waiting is a request that waits until a searcher has room for it.
 type Waiting struct {
@@ -12,6 +15,13 @@
 	DueBy time.Duration
 }
 
+// Rank returns the rank of a request from a number between 0 and 1 that was drawn for
+// it. Requests of urgent routes, whose priority is a low number, mostly get lower ranks
+// than others, but not always, so that none are left out altogether.
+func Rank(drawn float64, priority int) float64 {
+	return math.Pow(drawn, 1/float64(1+max(priority, 0)))
+}
+
 // Next returns the index of the request that is served next: of those that can still
 // be answered in time after the usual latency, else of all, the first one of the
 // lowest rank. It returns -1 if none waits.
--- a/balance/room_test.go
+++ b/balance/room_test.go
@@ -43,6 +43,24 @@
 	qt.Assert(t, Next(now, latency, line[:1]), qt.Equals, 0)
 }
 
+// TestRank guards against an order that does not prefer urgent routes where room is
+// short, and against one that leaves nothing to the others.
+func TestRank(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8))
+	const requests, room = 10000, 0.7
+	admitted := func(priority int) float64 {
+		n := 0
+		for range requests {
+			if Rank(random.Float64(), priority) < room {
+				n++
+			}
+		}
+		return float64(n) / requests
+	}
+	urgent, usual, rest := admitted(0), admitted(1), admitted(3)
+	qt.Assert(t, urgent > usual && usual > rest && rest > 0.1, qt.IsTrue, qt.Commentf("%.2f, %.2f, %.2f", urgent, usual, rest))
+}
+
 // TestCut guards against a cut that lets nothing in, or that stays when there is room.
 func TestCut(t *testing.T) {
 	var c Cut
--- a/gateway/gather.go
+++ b/gateway/gather.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wisteriawharf/wisteriawharf/balance"
 	"github.com/wisteriawharf/wisteriawharf/gather"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/requestlog"
@@ -30,7 +31,7 @@
 		needed: c.route.Needed(),
 		soft:   c.arrived + c.aim(),
 	}
-	c.rank = rand.Float64()
+	c.rank = balance.Rank(rand.Float64(), c.route.Priority)
 	c.holdsBack = func(p *part) bool { return !q.shards(p).Worthwhile() }
 	for i, service := range c.route.Shards {
 		q.parts = append(q.parts, &part{service: service, tag: i})
