--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -135,18 +135,30 @@
 // restartTime is how long a process that starts is not held to its promises.
 const restartTime = 2 * time.Second
 
-func (s *soak) killProcess(ctx context.Context, length time.Duration) {
+// toProcess does something to a process that no other fault has at the moment.
+func (s *soak) toProcess(fault func(*process)) {
 	p := s.anyProcess()
 	if !p.fault.TryLock() {
 		return
 	}
 	defer p.fault.Unlock()
+	fault(p)
+}
+
+// unplanned notes that a process is killed or paused for a time.
+func (s *soak) unplanned(p *process, length time.Duration) {
 	until := time.Now().Add(length + restartTime)
 	p.disturbedUntil(until)
 	s.noteDisturbance(until)
-	p.kill()
-	hold(ctx, length/2)
-	s.restart(p)
+}
+
+func (s *soak) killProcess(ctx context.Context, length time.Duration) {
+	s.toProcess(func(p *process) {
+		s.unplanned(p, length)
+		p.kill()
+		hold(ctx, length/2)
+		s.restart(p)
+	})
 }
 
 func (s *soak) restart(p *process) {
@@ -156,28 +168,20 @@
 }
 
 func (s *soak) pauseProcess(ctx context.Context, length time.Duration) {
-	p := s.anyProcess()
-	if !p.fault.TryLock() {
-		return
-	}
-	defer p.fault.Unlock()
-	until := time.Now().Add(length + restartTime)
-	p.disturbedUntil(until)
-	s.noteDisturbance(until)
-	p.signal(syscall.SIGSTOP)
-	hold(ctx, length)
-	p.signal(syscall.SIGCONT)
+	s.toProcess(func(p *process) {
+		s.unplanned(p, length)
+		p.signal(syscall.SIGSTOP)
+		hold(ctx, length)
+		p.signal(syscall.SIGCONT)
+	})
 }
 
 // stopProcess stops a process as planned, which must cut no request.
 func (s *soak) stopProcess(context.Context, time.Duration) {
-	p := s.anyProcess()
-	if !p.fault.TryLock() {
-		return
-	}
-	defer p.fault.Unlock()
-	s.noteDisturbance(time.Now().Add(site.GraceSeconds*time.Second + restartTime))
-	p.signal(syscall.SIGTERM)
-	p.await()
-	s.restart(p)
+	s.toProcess(func(p *process) {
+		s.noteDisturbance(time.Now().Add(site.GraceSeconds*time.Second + restartTime))
+		p.signal(syscall.SIGTERM)
+		p.await()
+		s.restart(p)
+	})
 }
