Say truly that a request which waited in vain has not run

Cause: an attempt that still waited for room, or for its connection, when the time of its request was over counted as one that may have run. The answer was then 504 or 502, which promise nothing, so that the caller of a booking could not ask again.

Change: ending an attempt tells, under the dispatcher's lock, whether its request may have been sent; if not, it never will be, and the refusal says so with 503 and Retry-After.

Before: TestWaitedInVain got 504. After: 503, the searchers have not run it, and the log says that no searcher had room.

--- a/dispatch/giveup.go
+++ b/dispatch/giveup.go
@@ -33,19 +33,21 @@
 }
 
 // Cancel ends the attempt at once: the searcher drops the request when its
-// connection closes.
-func (a *Attempt) Cancel() { a.silence(0) }
+// connection closes. It reports whether the request may have been sent; if not, it
+// will not be.
+func (a *Attempt) Cancel() bool { return a.silence(0) }
 
 // Abandon says that the outcome is no longer needed. A reply that comes soon is
-// read, so that the connection can be kept; otherwise it is closed.
-func (a *Attempt) Abandon() { a.silence(abandonedFor) }
+// read, so that the connection can be kept; otherwise it is closed. It reports whether
+// the request may have been sent; if not, it will not be.
+func (a *Attempt) Abandon() bool { return a.silence(abandonedFor) }
 
-func (a *Attempt) silence(wait time.Duration) {
+func (a *Attempt) silence(wait time.Duration) (sent bool) {
 	d := a.d
 	d.mu.Lock()
 	if a.closed || a.silenced {
 		d.mu.Unlock()
-		return
+		return true // its outcome is on the way, and not looked at here
 	}
 	a.silenced = true
 	if a.target == nil {
@@ -56,19 +58,20 @@
 			a.service.budget.Refund()
 		}
 		d.mu.Unlock()
-		return
+		return false
 	}
+	conn := a.conn // without one the attempt still waits for its connection
 	if wait == 0 {
 		a.noteGivenUp()
-		conn := a.conn
 		d.mu.Unlock()
 		if conn != nil {
 			conn.Close()
 		}
-		return
+		return conn != nil
 	}
 	d.mu.Unlock()
 	time.AfterFunc(wait, a.giveUp)
+	return conn != nil
 }
 
 // giveUp closes the connection of an attempt that still has no reply.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -39,12 +39,14 @@
 	searchers map[string][]*site.Searcher
 	requests  int
 	log       *logBuffer
+	// maxConnections is that of each service.
+	maxConnections int
 }
 
 // newBench starts three searchers, in domains a, b and c, for each service.
 func newBench(t *testing.T, services ...string) *bench {
 	t.Helper()
-	b := &bench{log: &logBuffer{}, ledger: &site.Ledger{}, searchers: make(map[string][]*site.Searcher)}
+	b := &bench{maxConnections: 40, log: &logBuffer{}, ledger: &site.Ledger{}, searchers: make(map[string][]*site.Searcher)}
 	b.dispatch = dispatch.New(dispatch.Config{
 		FailureDomain: "a", Clock: clock.System{}, Sharers: func() int { return 1 },
 		Bounds: platform.Bounds{RetryRatio: 0.2, RetryExtra: 60, WarmupOverage: 1.5, WarmupSlack: 5},
@@ -86,7 +88,7 @@
 	}
 	var services []*routing.Service
 	for name := range b.searchers {
-		services = append(services, &routing.Service{Name: name, MaxConnections: 40})
+		services = append(services, &routing.Service{Name: name, MaxConnections: b.maxConnections})
 	}
 	c := routing.NewConfig(version, []*routing.Route{&r}, services, routing.Limits{MaxHeaderBytes: 8 << 10, MaxBodyBytes: 64 << 10})
 	b.dispatch.SetConfig(c)
@@ -392,6 +394,22 @@
 	}
 }
 
+// TestWaitedInVain guards against a booking that is said to have an unknown outcome
+// though no searcher ever had room for it: its caller may then not ask again.
+func TestWaitedInVain(t *testing.T) {
+	b := newBench(t, "one")
+	b.maxConnections = 1
+	b.configure(1, routing.Route{Targets: oneTarget, Timeout: 400 * time.Millisecond})
+	b.fault("one", site.SearcherFaults{Silent: true})
+	b.plain("one", len(b.searchers["one"]), false) // takes all connections
+	r := b.do(t, "POST", "/r/x", "booking", 0)
+	qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable)
+	for _, run := range b.ledger.Runs() {
+		qt.Assert(t, run.RequestID, qt.Not(qt.Equals), r.id)
+	}
+	qt.Assert(t, b.log.explain(t, r.id), qt.Contains, "no searcher had room in time")
+}
+
 // TestSpentBudget guards against a query that fails at once because the budget of
 // repeats has nothing left for one of its shards, though it would have soon.
 func TestSpentBudget(t *testing.T) {
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -219,14 +219,18 @@
 // letGo ends the attempts that are still running. If the caller is gone, that is
 // at once.
 func (p *part) letGo(c *call, gone bool) {
-	p.ran += len(p.running)
 	for _, a := range p.running {
-		p.tries = append(p.tries, requestlog.Try{Searcher: a.Searcher(), StartedMs: c.sinceArrival() - a.Waited().Milliseconds(), Outcome: "let go"})
+		t := requestlog.Try{Searcher: a.Searcher(), StartedMs: c.sinceArrival() - a.Waited().Milliseconds(), Outcome: "let go"}
+		end := a.Abandon
 		if gone {
-			a.Cancel()
+			end = a.Cancel
+		}
+		if end() {
+			p.ran++
 		} else {
-			a.Abandon()
+			t.Outcome = "no searcher had room in time"
 		}
+		p.tries = append(p.tries, t)
 	}
 	p.running = nil
 }
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -71,10 +71,9 @@
 
 // outOfTime ends a request whose time is over.
 func (c *call) outOfTime(p *part) answer {
-	ran := p.ran > 0 || len(p.running) > 0
 	p.letGo(c, true)
 	c.logUnmet(p)
-	if !ran {
+	if p.ran == 0 {
 		return answer{refusal: c.notRun(p.lastOutcome())}
 	}
 	return answer{refusal: &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}}
