Answer what comes in the last moment of a planned stop

The shutdown of net/http drops a request that it has read since it began; connections accepted in the last moment end so, and Go's client does not repeat a request on a new connection.

Ruled out: an idle connection that was closed as a request came (the client would have sent that one again itself); a connection unknown to the server when it closed (it waits for its listeners).

Change: the stop closes the listener, ends idle connections, and waits for the others.

Before: TestLateConnection got EOF each time.

--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -1,9 +1,9 @@
 package main
 
 import (
-	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,25 +25,33 @@
 	// which open requests end.
 	lingerPart = 0.6
 	closePart  = 0.33
+	// stopCheck is how often the end of the open requests is looked at.
+	stopCheck = 10 * time.Millisecond
 )
 
 // servers are the listening parts of the program.
 type servers struct {
 	callers *http.Server
 	others  []*http.Server
-	idle    *idleConnections
-	failed  chan error
+	// listener is that of the callers, accepting is closed once it accepts no more.
+	listener    net.Listener
+	accepting   chan struct{}
+	connections *connections
+	leaving     atomic.Bool
+	failed      chan error
 }
 
 func (s *service) listen() (*servers, error) {
-	v := &servers{failed: make(chan error, 4), idle: newIdleConnections(s.idleTimeout)}
+	v := &servers{failed: make(chan error, 4), connections: newConnections(s.idleTimeout)}
 	v.callers = &http.Server{
 		Handler: s.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: v.idle.changed,
+		ConnState: v.connections.changed,
 	}
-	if err := v.serve(v.callers, s.node.CallerAddress); err != nil {
-		return nil, err
+	var err error
+	if v.listener, err = net.Listen("tcp", s.node.CallerAddress); err != nil {
+		return nil, errors.Trace(err)
 	}
+	v.accepting = v.serve(v.callers, v.listener)
 	for address, register := range map[string]func(*echo.Echo){
 		s.node.ReadyAddress:     s.registerReadiness,
 		s.node.DirectoryAddress: s.registerDirectory,
@@ -55,12 +63,14 @@
 		e := echo.New()
 		register(e)
 		server := &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
-		if err := v.serve(server, address); err != nil {
-			return nil, err
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, errors.Trace(err)
 		}
+		v.serve(server, listener)
 		v.others = append(v.others, server)
 	}
-	go v.idle.run()
+	go v.connections.run()
 	return v, nil
 }
 
@@ -71,29 +81,38 @@
 	return 0
 }
 
-func (v *servers) serve(server *http.Server, address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Trace(err)
-	}
+// serve runs a server. The channel it returns is closed when the listener has ended.
+func (v *servers) serve(server *http.Server, listener net.Listener) chan struct{} {
+	ended := make(chan struct{})
 	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			v.failed <- errors.Annotate(err, address)
+		defer close(ended)
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !v.leaving.Load() {
+			v.failed <- errors.Annotate(err, listener.Addr().String())
 		}
 	}()
-	return nil
+	return ended
 }
 
-// stop serves callers for a part of the grace and then ends what is open.
+// stop serves callers for a part of the grace and then ends what is open. It does not
+// use Shutdown of the server, which drops a request that it has read since then.
 func (v *servers) stop(grace time.Duration) error {
 	time.Sleep(time.Duration(lingerPart * float64(grace)))
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(closePart*float64(grace)))
-	defer cancel()
-	err := v.callers.Shutdown(ctx)
+	v.leaving.Store(true)
+	_ = v.listener.Close() // it accepts no more, whatever the error
+	<-v.accepting
+	v.callers.SetKeepAlivesEnabled(false) // ends the idle connections
+	for end := time.Now().Add(time.Duration(closePart * float64(grace))); v.connections.busy() && time.Now().Before(end); {
+		time.Sleep(stopCheck)
+	}
+	unfinished := v.connections.serving()
+	_ = v.callers.Close() // what is open has had its time
 	for _, server := range v.others {
 		_ = server.Close() // nothing of callers is open there
 	}
-	return errors.Annotate(err, "requests were still open")
+	if unfinished {
+		return errors.New("requests were still open")
+	}
+	return nil
 }
 
 func (s *service) registerReadiness(e *echo.Echo) {
--- /dev/null
+++ b/cmd/wharf-gateway/servers_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// lateListener hands out its connection only when the server has begun to stop.
+type lateListener struct {
+	net.Listener
+	accepted chan struct{}
+	stopping chan struct{}
+	close    sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		close(l.accepted)
+		<-l.stopping
+	}
+	return c, err
+}
+
+// Close implements net.Listener.
+func (l *lateListener) Close() error {
+	l.close.Do(func() { close(l.stopping) })
+	return l.Listener.Close()
+}
+
+// TestLateConnection guards against a planned stop that drops a request which came just
+// before the listener closed: a server that shuts down drops what it reads from then on.
+func TestLateConnection(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	l := &lateListener{Listener: inner, accepted: make(chan struct{}), stopping: make(chan struct{})}
+	v := &servers{listener: l, failed: make(chan error, 1), connections: newConnections(func() time.Duration { return 0 })}
+	v.callers = &http.Server{ConnState: v.connections.changed, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		w.WriteHeader(http.StatusOK)
+	})}
+	v.accepting = v.serve(v.callers, l)
+	answered := make(chan error, 1)
+	go func() {
+		response, err := http.Get("http://" + inner.Addr().String())
+		if err == nil {
+			err = response.Body.Close()
+		}
+		answered <- err
+	}()
+	<-l.accepted
+	qt.Assert(t, v.stop(6*time.Second), qt.IsNil)
+	qt.Assert(t, <-answered, qt.IsNil)
+}
