--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -22,7 +22,8 @@
 const (
 	// ErrNoSearcher reports that no usable searcher is left for the request.
 	ErrNoSearcher = errors.ConstError("no usable searcher")
-	// ErrBusy reports that too many requests wait for a connection.
+	// ErrBusy reports that the searchers have no room, and that the request is not let
+	// in to wait for it.
 	ErrBusy = errors.ConstError("too many requests wait for a connection")
 	// ErrBudget reports that the budget of repeated requests is spent.
 	ErrBudget = errors.ConstError("budget of repeated requests is spent")
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -64,7 +64,7 @@
 }
 
 // place binds the attempt to a searcher and returns what sends it, to be called
-// without the lock. It returns nil if all connections are in use.
+// without the lock. It returns nil if the attempt is to wait for a searcher with room.
 func (d *Dispatcher) place(a *Attempt) (func(), error) {
 	now, wall := d.config.Clock.Boottime(), time.Now()
 	s := a.service
@@ -81,14 +81,13 @@
 	if len(reachable) == 0 {
 		return nil, ErrNoSearcher
 	}
-	latency, _ := s.latency.At(0.5)
-	admitted := s.cut.Admits(a.Rank)
-	if len(targets) == 0 && !admitted {
-		return nil, ErrBusy
-	}
 	if len(targets) == 0 {
+		if !s.cut.Admits(a.Rank) {
+			return nil, ErrBusy
+		}
 		return nil, nil
 	}
+	latency, _ := s.latency.At(0.5)
 	chosen := balance.Choose(now, candidates, latency)
 	if chosen < 0 {
 		return nil, ErrNoSearcher
