Close idle connections last in a planned stop, so that no request is passed on in vain

Change: the stop waits until connections that are new or have a request are done, and then ends with the server's shutdown.

--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -93,24 +94,27 @@
 	return ended
 }
 
-// stop serves callers for a part of the grace and then ends what is open. It does not
-// use Shutdown of the server, which drops a request that it has read since then.
+// stop serves callers for a part of the grace and then ends what is open. The server's
+// own shutdown comes last: it closes idle connections, and drops a request that it reads
+// from then on, so that none is passed on whose answer can't be delivered. Connections
+// that are new or have a request are served before it.
 func (v *servers) stop(grace time.Duration) error {
 	time.Sleep(time.Duration(lingerPart * float64(grace)))
 	v.leaving.Store(true)
 	_ = v.listener.Close() // it accepts no more, whatever the error
 	<-v.accepting
-	v.callers.SetKeepAlivesEnabled(false) // ends the idle connections
 	for end := time.Now().Add(time.Duration(closePart * float64(grace))); v.connections.busy() && time.Now().Before(end); {
 		time.Sleep(stopCheck)
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopCheck)
+	defer cancel()
+	err := v.callers.Shutdown(ctx)
 	unfinished := v.connections.serving()
-	_ = v.callers.Close() // what is open has had its time
 	for _, server := range v.others {
 		_ = server.Close() // nothing of callers is open there
 	}
 	if unfinished {
-		return errors.New("requests were still open")
+		return errors.Annotate(err, "requests were still open")
 	}
 	return nil
 }
