Keep until when faults are in force in one type of the soak

The run and each of its processes noted alike until when a fault is in force, and asked alike whether one was.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,7 +42,7 @@
 
 func (s *soak) storeFault(ctx context.Context, length time.Duration) {
 	kind := s.draw(4)
-	s.noteDisturbance(time.Now().Add(length))
+	s.disturbed.extend(time.Now().Add(length))
 	s.store.SetFaults([]site.StoreFaults{
 		{Down: true}, {Deaf: true}, {LoseWrites: true}, {Delay: 200 * time.Millisecond},
 	}[kind])
@@ -57,7 +57,7 @@
 
 func (s *soak) linkFault(ctx context.Context, length time.Duration) {
 	p := s.anyProcess()
-	s.noteDisturbance(time.Now().Add(length))
+	s.disturbed.extend(time.Now().Add(length))
 	kind := s.draw(3)
 	switch kind {
 	case 0:
@@ -148,8 +148,8 @@
 // unplanned notes that a process is killed or paused for a time.
 func (s *soak) unplanned(p *process, length time.Duration) {
 	until := time.Now().Add(length + restartTime)
-	p.disturbedUntil(until)
-	s.noteDisturbance(until)
+	p.unplanned.extend(until)
+	s.disturbed.extend(until)
 }
 
 func (s *soak) killProcess(ctx context.Context, length time.Duration) {
@@ -179,7 +179,7 @@
 // stopProcess stops a process as planned, which must cut no request.
 func (s *soak) stopProcess(context.Context, time.Duration) {
 	s.toProcess(func(p *process) {
-		s.noteDisturbance(time.Now().Add(site.GraceSeconds*time.Second + restartTime))
+		s.disturbed.extend(time.Now().Add(site.GraceSeconds*time.Second + restartTime))
 		p.signal(syscall.SIGTERM)
 		p.await()
 		s.restart(p)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -30,8 +30,9 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
-	// unplanned is until when the process was killed or paused.
-	unplanned time.Time
+
+	// unplanned is until when the process is killed or paused.
+	unplanned disturbance
 }
 
 func newProcess(binary, dir string, i int, domain string, link *relay.TCP, seeds []string) (*process, error) {
@@ -111,18 +112,5 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// disturbedUntil notes that the process is killed or paused until a moment.
-func (p *process) disturbedUntil(t time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if t.After(p.unplanned) {
-		p.unplanned = t
-	}
-}
-
 // sound reports whether the process was neither killed nor paused since a moment.
-func (p *process) sound(since time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.unplanned.Before(since)
-}
+func (p *process) sound(since time.Time) bool { return p.unplanned.endedBefore(since) }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -49,9 +49,10 @@
 	searchers []*site.Searcher
 	started   int
 	version   int
-	// disturbed is when a fault that touches the store, a link or a process last
-	// was in force.
-	disturbed time.Time
+
+	// disturbed is until when a fault that touches the store, a link or a process is
+	// in force.
+	disturbed disturbance
 }
 
 // run plays one seed.
@@ -175,18 +176,6 @@
 
 func probePath(version int) string { return fmt.Sprintf("/only-%d/", version) }
 
-func (s *soak) noteDisturbance(until time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if until.After(s.disturbed) {
-		s.disturbed = until
-	}
-}
-
 // calm reports whether nothing that matters was disturbed from some time before a
 // moment until now.
-func (s *soak) calm(since time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.disturbed.Before(since.Add(-settled))
-}
+func (s *soak) calm(since time.Time) bool { return s.disturbed.endedBefore(since.Add(-settled)) }
