--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -43,6 +43,30 @@
 	Latency time.Duration
 }
 
+// Kind says what an attempt is made for.
+type Kind int
+
+// Kinds of attempts.
+const (
+	// First repeats nothing: no searcher has got the request.
+	First Kind = iota
+	// Again follows an attempt that was not sent.
+	Again
+	// Repeat follows one that failed.
+	Repeat
+	// Late follows one that failed, when the answer comes late anyway.
+	Late
+	// Hedge is made beside one that is slow.
+	Hedge
+)
+
+// Repeats reports whether a searcher may have got the request before, so that the
+// attempt is paid from the budget of repeats.
+func (k Kind) Repeats() bool { return k == Repeat || k.Spare() }
+
+// Spare reports whether the attempt could be done without.
+func (k Kind) Spare() bool { return k == Late || k == Hedge }
+
 // Request is what an attempt sends.
 type Request struct {
 	Service   string
@@ -61,12 +85,7 @@
 	Rank float64
 	// Avoid holds the searchers that must not get it.
 	Avoid []string
-	// Repeat says that the request was sent to a searcher of the service before, Spare
-	// that this attempt could be done without, as of a request that is only slow or that
-	// is late anyway, Again that an attempt before it was not sent.
-	Repeat bool
-	Spare  bool
-	Again  bool
+	Kind  Kind
 	// Tag is for the caller.
 	Tag int
 	// Ended is called once, unless the attempt is cancelled or abandoned before.
--- a/dispatch/course.go
+++ b/dispatch/course.go
@@ -105,7 +105,7 @@
 	if e.Outcome == Answered && len(a.service.waiters) == 0 {
 		a.service.cut.Room()
 	}
-	if e.Outcome == Unsent && a.Repeat {
+	if e.Outcome == Unsent && a.Kind.Repeats() {
 		a.service.budget.Refund()
 	}
 	var ready []func()
@@ -178,7 +178,7 @@
 	d.mu.Lock()
 	silenced := a.silenced || a.closed
 	a.closed = true
-	if a.Repeat && !silenced {
+	if a.Kind.Repeats() && !silenced {
 		a.service.budget.Refund()
 	}
 	d.mu.Unlock()
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -56,10 +56,10 @@
 	})
 	d.SetConfig(routing.NewConfig(1, nil, []*routing.Service{{Name: "s", MaxConnections: 10}}, routing.Limits{}))
 	d.PutSearcher(fleet.Searcher{ID: "i", Service: "s", Address: shortLived(t), Slots: 2})
-	start := func(repeat bool) error {
+	start := func(kind Kind) error {
 		done := make(chan Event, 1)
 		_, err := d.Start(Request{
-			Service: "s", Method: http.MethodGet, Repeat: repeat, Deadline: clock.System{}.Boottime() + time.Minute,
+			Service: "s", Method: http.MethodGet, Kind: kind, Deadline: clock.System{}.Boottime() + time.Minute,
 			Wire:  func(string, time.Duration) []byte { return []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n") },
 			Ended: func(e Event) { done <- e },
 		})
@@ -68,17 +68,17 @@
 		}
 		return err
 	}
-	qt.Assert(t, start(false), qt.IsNil)
-	for start(true) == nil { // until the budget is spent
+	qt.Assert(t, start(First), qt.IsNil)
+	for start(Repeat) == nil { // until the budget is spent
 		continue
 	}
 	time.Sleep(time.Second) // the idle connection is now too old to be used
-	qt.Assert(t, errors.Is(start(true), ErrBudget), qt.IsTrue)
+	qt.Assert(t, errors.Is(start(Repeat), ErrBudget), qt.IsTrue)
 	d.mu.Lock()
 	one := d.searchers["i"]
 	open, idle, running := one.open, len(one.idle), len(one.running)
 	d.mu.Unlock()
 	qt.Assert(t, open, qt.Equals, idle, qt.Commentf("a connection is neither idle nor in use"))
 	qt.Assert(t, running, qt.Equals, 0)
-	qt.Assert(t, start(false), qt.IsNil)
+	qt.Assert(t, start(First), qt.IsNil)
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -13,11 +13,11 @@
 	d.mu.Lock()
 	s := d.service(r.Service)
 	a := &Attempt{Request: r, d: d, service: s}
-	if !r.Repeat && !r.Again {
+	if r.Kind == First {
 		s.budget.Earn(d.allowance(), 1)
 		s.busy.Add(float64(s.running()))
 	}
-	if r.Repeat && !d.pay(s, r.Spare) {
+	if r.Kind.Repeats() && !d.pay(s, r.Kind.Spare()) {
 		d.mu.Unlock()
 		d.metrics.notStarted(ErrBudget)
 		return nil, ErrBudget
@@ -25,12 +25,12 @@
 	launch, err := d.place(a)
 	switch {
 	case err != nil || launch != nil:
-	case r.Spare:
+	case r.Kind.Spare():
 		err = ErrBusy
 	default:
 		err = s.enqueue(a, d.connectionLimit(s))
 	}
-	if err != nil && r.Repeat {
+	if err != nil && r.Kind.Repeats() {
 		s.budget.Refund()
 	}
 	d.mu.Unlock()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -173,11 +173,11 @@
 func (c *call) now() time.Duration { return c.g.config.Clock.Boottime() }
 
 // start sends the request to a searcher of the part's service.
-func (c *call) start(p *part, kind attemptKind) (*dispatch.Attempt, error) {
+func (c *call) start(p *part, kind dispatch.Kind) (*dispatch.Attempt, error) {
 	return c.g.config.Dispatcher.Start(c.request(p, kind))
 }
 
-func (c *call) request(p *part, kind attemptKind) dispatch.Request {
+func (c *call) request(p *part, kind dispatch.Kind) dispatch.Request {
 	return dispatch.Request{
 		Service:   p.service,
 		Regions:   c.route.Regions,
@@ -189,9 +189,7 @@
 		DueBy:     c.arrived + c.aim(),
 		Rank:      c.rank,
 		Avoid:     p.avoided(),
-		Repeat:    kind != firstAttempt && kind != againAttempt,
-		Spare:     kind == hedgeAttempt || kind == lateAttempt,
-		Again:     kind == againAttempt,
+		Kind:      kind,
 		Tag:       p.tag,
 		Ended:     func(e dispatch.Event) { c.events <- e },
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -381,10 +381,10 @@
 }
 
 // plain starts requests to a service at the dispatcher itself, until one is refused.
-func (b *bench) plain(service string, n int, repeat bool) {
+func (b *bench) plain(service string, n int, kind dispatch.Kind) {
 	for range n {
 		_, err := b.dispatch.Start(dispatch.Request{
-			Service: service, Repeat: repeat, Method: "GET", Deadline: clock.System{}.Boottime() + time.Minute,
+			Service: service, Kind: kind, Method: "GET", Deadline: clock.System{}.Boottime() + time.Minute,
 			Wire:  func(string, time.Duration) []byte { return []byte("GET /x HTTP/1.1\r\nHost: a\r\n\r\n") },
 			Ended: func(dispatch.Event) {},
 		})
@@ -401,7 +401,7 @@
 	b.maxConnections = 1
 	b.configure(1, routing.Route{Targets: oneTarget, Timeout: 400 * time.Millisecond})
 	b.fault("one", site.SearcherFaults{Silent: true})
-	b.plain("one", len(b.searchers["one"]), false) // takes all connections
+	b.plain("one", len(b.searchers["one"]), dispatch.First) // takes all connections
 	r := b.do(t, "POST", "/r/x", "booking", 0)
 	qt.Assert(t, r.status, qt.Equals, http.StatusServiceUnavailable)
 	for _, run := range b.ledger.Runs() {
@@ -417,15 +417,15 @@
 	route.MinShardShare, route.TargetLatency, route.Timeout = 1, patience, 2*patience
 	b := newBench(t, shards...)
 	b.configure(1, route)
-	b.plain("s0", 1, false)
-	b.plain("s0", 100, true)
+	b.plain("s0", 1, dispatch.First)
+	b.plain("s0", 100, dispatch.Repeat)
 	b.fault("s0", site.SearcherFaults{Shed: 1})
 	arrived := b.ledger.Arrivals()
 	result := make(chan result, 1)
 	go func() { result <- b.do(t, "GET", "/r/x", "", 0) }()
 	eventually(t, func() bool { return b.ledger.Arrivals() >= arrived+len(shards) })
 	b.fault("s0", site.SearcherFaults{})
-	b.plain("s0", 60, false) // other requests earn repeats
+	b.plain("s0", 60, dispatch.First) // other requests earn repeats
 	r := <-result
 	qt.Assert(t, r.status, qt.Equals, http.StatusOK)
 	qt.Assert(t, r.header.Get("Missing-Parts"), qt.Equals, "0")
--- a/gateway/gather.go
+++ b/gateway/gather.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/balance"
+	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/gather"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/requestlog"
@@ -40,7 +41,7 @@
 		return answer{refusal: c.notRun("shards have no room")}
 	}
 	for _, p := range q.parts {
-		if !c.launch(p, firstAttempt) {
+		if !c.launch(p, dispatch.First) {
 			p.given = true
 			q.given++
 		}
@@ -69,7 +70,7 @@
 func (q *gathering) full() int {
 	n := 0
 	for _, p := range q.parts {
-		if !q.g.config.Dispatcher.HasRoom(q.request(p, firstAttempt)) {
+		if !q.g.config.Dispatcher.HasRoom(q.request(p, dispatch.First)) {
 			n++
 		}
 	}
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -47,24 +47,8 @@
 // maxUnsent bounds the attempts that end before the request leaves.
 const maxUnsent = 4
 
-// attemptKind says what an attempt is made for.
-type attemptKind int
-
-const (
-	// firstAttempt repeats nothing: no searcher has got the request.
-	firstAttempt attemptKind = iota
-	// againAttempt follows one that was not sent.
-	againAttempt
-	// repeatAttempt follows one that failed.
-	repeatAttempt
-	// lateAttempt follows one that failed, when the answer comes late anyway.
-	lateAttempt
-	// hedgeAttempt is made beside one that is slow.
-	hedgeAttempt
-)
-
 // launch makes an attempt. It reports whether one was started.
-func (c *call) launch(p *part, kind attemptKind) bool {
+func (c *call) launch(p *part, kind dispatch.Kind) bool {
 	a, err := c.start(p, kind)
 	if err != nil {
 		c.notStarted(p, kind, err)
@@ -127,13 +111,13 @@
 // again, so that a request which failed is tried once more while its answer would
 // be in time. A request that no searcher has run is refused instead, since its
 // caller may ask again at once; but a shard that refuses holds up only its part.
-func (c *call) notStarted(p *part, kind attemptKind, err error) {
+func (c *call) notStarted(p *part, kind dispatch.Kind, err error) {
 	reason := err.Error()
 	if len(p.tries) == 0 || p.tries[len(p.tries)-1].Outcome != reason {
 		p.tries = append(p.tries, requestlog.Try{StartedMs: c.sinceArrival(), Outcome: reason})
 	}
 	p.againAt = 0
-	if kind != repeatAttempt || !errors.Is(err, dispatch.ErrBudget) || (p.ran == 0 && len(c.route.Shards) == 0) {
+	if kind != dispatch.Repeat || !errors.Is(err, dispatch.ErrBudget) || (p.ran == 0 && len(c.route.Shards) == 0) {
 		return
 	}
 	if now := c.now(); now < c.arrived+c.aim() {
@@ -175,7 +159,7 @@
 	// An attempt that was not sent reached no searcher, so that its successor
 	// repeats nothing.
 	if last == dispatch.Unsent && p.asked == 0 {
-		return c.launch(p, againAttempt)
+		return c.launch(p, dispatch.Again)
 	}
 	return c.repeat(p)
 }
@@ -183,13 +167,13 @@
 // repeat sends a failed part once more, or notes when to look at it again.
 func (c *call) repeat(p *part) bool {
 	if c.holdsBack != nil && c.holdsBack(p) {
-		c.notStarted(p, repeatAttempt, dispatch.ErrBudget)
+		c.notStarted(p, dispatch.Repeat, dispatch.ErrBudget)
 		return false
 	}
 	if c.now() >= c.arrived+c.aim() {
-		return c.launch(p, lateAttempt)
+		return c.launch(p, dispatch.Late)
 	}
-	return c.launch(p, repeatAttempt)
+	return c.launch(p, dispatch.Repeat)
 }
 
 // avoided returns the searchers that must not get the request now.
@@ -210,7 +194,7 @@
 	p.hedgeAt = 0
 	// The attempts that run take at least as long as they have so far.
 	c.latency.add(c.now(), p.running[0].Waited())
-	c.launch(p, hedgeAttempt)
+	c.launch(p, dispatch.Hedge)
 }
 
 // ended reports whether the part has its outcome.
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/requestlog"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
@@ -13,7 +14,7 @@
 // runs it.
 func (c *call) single() answer {
 	p := &part{service: chooseTarget(c.route.Targets)}
-	if !c.launch(p, firstAttempt) {
+	if !c.launch(p, dispatch.First) {
 		return answer{refusal: c.notRun(p.lastOutcome())}
 	}
 	for !p.ended() {
