--- a/gateway/call.go
+++ b/gateway/call.go
@@ -16,10 +16,6 @@
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
 
-// startingRetryAfter is when a caller should ask again while the gateway has no
-// configuration yet.
-const startingRetryAfter = 300 * time.Millisecond
-
 // call is a caller's request while it is served.
 type call struct {
 	g        *Gateway
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,13 +6,11 @@
 	"log/slog"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
-	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/requestlog"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
@@ -139,23 +137,3 @@
 	g.metrics.outcomes.WithLabelValues(outcome).Inc()
 	g.metrics.latency.Observe((g.config.Clock.Boottime() - c.arrived).Seconds())
 }
-
-// refusal is an answer of the gateway itself.
-type refusal struct {
-	status int
-	reason string
-	// retryAfter is when the caller should ask again; zero leaves it to the caller.
-	retryAfter time.Duration
-}
-
-func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, f *refusal) {
-	if f.retryAfter > 0 {
-		platform.SetRetryAfter(w.Header(), f.retryAfter)
-	}
-	g.metrics.refusals.WithLabelValues(f.reason).Inc()
-	if f.status >= http.StatusInternalServerError && g.log.Allow() {
-		says, _ := platform.ReadCallerRequest(r.Header) // its error was a reason to refuse
-		g.log.Write(requestlog.Refused, "request", says.ID, "path", r.URL.Path, "status", f.status, "reason", f.reason)
-	}
-	http.Error(w, f.reason, f.status)
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -442,18 +442,3 @@
 	}
 	t.Fatal("the condition does not come to hold")
 }
-
-// TestWeights guards against shares of a route's services that are not those of
-// its weights.
-func TestWeights(t *testing.T) {
-	targets := []routing.Target{{Service: "one", Weight: 3}, {Service: "two", Weight: 1}}
-	count := 0
-	const draws = 4000
-	for range draws {
-		if chooseTarget(targets) == "one" {
-			count++
-		}
-	}
-	share := float64(count) / draws
-	qt.Assert(t, share > 0.7 && share < 0.8, qt.IsTrue, qt.Commentf("%.3f", share))
-}
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -200,6 +200,14 @@
 // ended reports whether the part has its outcome.
 func (p *part) ended() bool { return p.reply != nil || p.given }
 
+// lastOutcome returns what became of the last attempt, or why it was not made.
+func (p *part) lastOutcome() string {
+	if last := len(p.tries) - 1; last >= 0 {
+		return p.tries[last].Outcome
+	}
+	return "out of time"
+}
+
 // letGo ends the attempts that are still running. If the caller is gone, that is
 // at once.
 func (p *part) letGo(c *call, gone bool) {
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -7,13 +7,12 @@
 
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/requestlog"
-	"github.com/wisteriawharf/wisteriawharf/routing"
 )
 
 // single serves a request of a route that names services, of which one searcher
 // runs it.
 func (c *call) single() answer {
-	p := &part{service: chooseTarget(c.route.Targets)}
+	p := &part{service: c.route.Pick(rand.Float64())}
 	if !c.launch(p, dispatch.First) {
 		return answer{refusal: c.notRun(p.lastOutcome())}
 	}
@@ -51,25 +50,6 @@
 	}
 }
 
-// chooseTarget draws one of the services by weight.
-func chooseTarget(targets []routing.Target) string {
-	total := 0.0
-	for _, t := range targets {
-		total += t.Weight
-	}
-	drawn := rand.Float64() * total
-	for _, t := range targets {
-		drawn -= t.Weight
-		if drawn < 0 {
-			return t.Service
-		}
-	}
-	if len(targets) == 0 {
-		return ""
-	}
-	return targets[len(targets)-1].Service
-}
-
 // outOfTime ends a request whose time is over.
 func (c *call) outOfTime(p *part) answer {
 	p.letGo(c, true)
@@ -90,33 +70,3 @@
 	}
 	return answer{refusal: c.notRun(p.lastOutcome())}
 }
-
-// notRun refuses a request that no searcher has run or will run.
-func (c *call) notRun(why string) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + why, retryAfter: retryAfter(c.deadline-c.now(), c.aim())}
-}
-
-// lastOutcome returns what became of the last attempt, or why it was not made.
-func (p *part) lastOutcome() string {
-	if last := len(p.tries) - 1; last >= 0 {
-		return p.tries[last].Outcome
-	}
-	return "out of time"
-}
-
-const (
-	// Callers come back after a part of the time that they have left, or sooner if the
-	// answer can then still be in time; spread so that they do not come all at once.
-	retryPart    = 0.15
-	retryAimPart = 0.5
-	maxRetry     = 1 * time.Second
-	minRetry     = 20 * time.Millisecond
-)
-
-// retryAfter returns when a caller should ask again that waits for a time yet and
-// wants its answer within the aim.
-func retryAfter(left, aim time.Duration) time.Duration {
-	part := min(retryPart*float64(left), retryAimPart*float64(aim))
-	d := min(max(time.Duration(part), minRetry), maxRetry)
-	return d/2 + rand.N(d)
-}
--- a/routing/config.go
+++ b/routing/config.go
@@ -45,6 +45,25 @@
 	Regions []string
 }
 
+// Pick returns the service for a request of a route with targets, in proportion to their
+// weights, from a number between 0 and 1 that was drawn for the request. It returns an
+// empty name if there are no targets.
+func (r *Route) Pick(drawn float64) string {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	left := drawn * total
+	picked := ""
+	for _, t := range r.Targets {
+		picked = t.Service
+		if left -= t.Weight; left < 0 {
+			break
+		}
+	}
+	return picked
+}
+
 // Needed returns how many of the route's shards make a sufficient answer.
 func (r *Route) Needed() int {
 	needed := 1
--- a/routing/config_test.go
+++ b/routing/config_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -45,3 +46,18 @@
 		qt.Check(t, r.Needed(), qt.Equals, test.want, qt.Commentf("%v", test))
 	}
 }
+
+// TestWeights guards against shares of a route's services that are not those of
+// its weights.
+func TestWeights(t *testing.T) {
+	r := &Route{Targets: []Target{{Service: "one", Weight: 3}, {Service: "two", Weight: 1}}}
+	count := 0
+	const draws = 4000
+	for range draws {
+		if r.Pick(rand.Float64()) == "one" {
+			count++
+		}
+	}
+	share := float64(count) / draws
+	qt.Assert(t, share > 0.7 && share < 0.8, qt.IsTrue, qt.Commentf("%.3f", share))
+}
