Keep what callers send out of the names of metrics

Cause: a malformed header was refused with its text as the reason, and reasons are labels of a metric: each new text made one more series, without bound.

Before: TestMalformedHeader counted 20 series for 20 texts. After: one; the caller still reads what is wrong.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -45,7 +45,7 @@
 	}
 	says, err := platform.ReadCallerRequest(r.Header)
 	if err != nil {
-		return nil, &refusal{status: http.StatusBadRequest, reason: err.Error()}
+		return nil, &refusal{status: http.StatusBadRequest, reason: "malformed header", detail: err.Error()}
 	}
 	if tooLong(r, config.Limits) {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "headers are too large"}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -12,7 +12,9 @@
 // refusal is an answer of the gateway itself.
 type refusal struct {
 	status int
+	// reason is one of a few texts, as it names a metric. Detail tells the caller more.
 	reason string
+	detail string
 	// retryAfter is when the caller should ask again; zero leaves it to the caller.
 	retryAfter time.Duration
 }
@@ -26,7 +28,11 @@
 		says, _ := platform.ReadCallerRequest(r.Header) // its error was a reason to refuse
 		g.log.Write(requestlog.Refused, "request", says.ID, "path", r.URL.Path, "status", f.status, "reason", f.reason)
 	}
-	http.Error(w, f.reason, f.status)
+	text := f.reason
+	if f.detail != "" {
+		text += ": " + f.detail
+	}
+	http.Error(w, text, f.status)
 }
 
 // notRun refuses a request that no searcher has run or will run.
