--- a/gateway/gather.go
+++ b/gateway/gather.go
@@ -17,20 +17,20 @@
 type gathering struct {
 	*call
 	parts []*part
-	// answered and given count the parts with an answer and without hope of one.
+	// answered and givenUp count the parts with an answer and without hope of one.
 	answered int
-	given    int
+	givenUp  int
 	needed   int
-	// soft is when an answer that suffices is given though parts are missing.
-	soft time.Duration
+	// partialAt is when an answer that suffices is given though parts are missing.
+	partialAt time.Duration
 }
 
 // gather serves a request of a route that names shards.
 func (c *call) gather() answer {
 	q := &gathering{
-		call:   c,
-		needed: c.route.Needed(),
-		soft:   c.arrived + c.aim(),
+		call:      c,
+		needed:    c.route.Needed(),
+		partialAt: c.arrived + c.aim(),
 	}
 	c.rank = balance.Rank(rand.Float64(), c.route.Priority)
 	c.holdsBack = func(p *part) bool { return !q.shards(p).Worthwhile() }
@@ -42,8 +42,8 @@
 	}
 	for _, p := range q.parts {
 		if !c.launch(p, dispatch.First) {
-			p.given = true
-			q.given++
+			p.givenUp = true
+			q.givenUp++
 		}
 	}
 	for !q.done() {
@@ -87,7 +87,7 @@
 	open := make(map[string][]requestlog.Try)
 	for _, p := range q.parts {
 		last := len(p.tries) - 1
-		if p.reply == nil || p.tries[last].EndedMs > (q.soft-q.arrived).Milliseconds() {
+		if p.reply == nil || p.tries[last].EndedMs > (q.partialAt-q.arrived).Milliseconds() {
 			open[p.service] = p.tries
 		}
 	}
@@ -109,14 +109,14 @@
 			a.Abandon()
 		}
 		p.running = nil
-	case p.given:
-		q.given++
+	case p.givenUp:
+		q.givenUp++
 	}
 }
 
 // shards returns how the request stands for a repeat of the part.
 func (q *gathering) shards(failed *part) retry.Shards {
-	s := retry.Shards{Total: len(q.parts), Needed: q.needed, Lost: q.given}
+	s := retry.Shards{Total: len(q.parts), Needed: q.needed, Lost: q.givenUp}
 	for _, p := range q.parts {
 		if p != failed && !p.ended() && !q.g.config.Dispatcher.CanRepeat(p.service) {
 			s.Exposed++
@@ -128,21 +128,21 @@
 // done reports whether waiting longer is of no use.
 func (q *gathering) done() bool {
 	switch {
-	case q.answered+q.given == len(q.parts):
+	case q.answered+q.givenUp == len(q.parts):
 		return true
-	case len(q.parts)-q.given < q.needed:
+	case len(q.parts)-q.givenUp < q.needed:
 		return true
 	case q.now() >= q.deadline:
 		return true
 	}
-	return q.answered >= q.needed && q.now() >= q.soft
+	return q.answered >= q.needed && q.now() >= q.partialAt
 }
 
 func (q *gathering) untilNext() time.Duration {
 	now := q.now()
 	at := q.deadline
-	if q.soft > now && q.soft < at {
-		at = q.soft
+	if q.partialAt > now && q.partialAt < at {
+		at = q.partialAt
 	}
 	for _, p := range q.parts {
 		if !p.ended() {
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -36,8 +36,8 @@
 	// reply is the searcher's answer, failure its last reply that was none.
 	reply   *searcher.Reply
 	failure *searcher.Reply
-	// given says that no further attempt is made.
-	given bool
+	// givenUp says that no further attempt is made.
+	givenUp bool
 	// tries tells the course of the part for the log.
 	tries []requestlog.Try
 }
@@ -101,7 +101,7 @@
 	if len(p.running) > 0 || c.next(p, e.Outcome) || p.againAt != 0 {
 		return
 	}
-	p.given = true
+	p.givenUp = true
 }
 
 // againPause is the time between two looks at a budget that is spent.
@@ -129,7 +129,7 @@
 func (c *call) due(p *part, now time.Duration) {
 	if p.againAt != 0 && p.againAt <= now {
 		if !c.repeat(p) && p.againAt == 0 && len(p.running) == 0 {
-			p.given = true
+			p.givenUp = true
 		}
 	}
 	if p.hedgeAt != 0 && p.hedgeAt <= now {
@@ -198,7 +198,7 @@
 }
 
 // ended reports whether the part has its outcome.
-func (p *part) ended() bool { return p.reply != nil || p.given }
+func (p *part) ended() bool { return p.reply != nil || p.givenUp }
 
 // lastOutcome returns what became of the last attempt, or why it was not made.
 func (p *part) lastOutcome() string {
