--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -103,26 +103,31 @@
 	return len(t.idle) > 0 || t.open < d.connectionLimit(t.service)
 }
 
-// reachable returns the searchers that may get the attempt, and notes which of them are
-// outside of the subset that this instance keeps connections to.
+// reachable returns the searchers that may get the request.
 func (d *Dispatcher) reachable(s *service, r Request, now time.Duration) []*target {
 	var usable []*target
-	var members []balance.Member
 	for _, t := range s.targets {
 		if d.usable(t, r.Regions, now) && !t.record.Blocked(now) {
 			usable = append(usable, t)
-			members = append(members, balance.Member{ID: t.ID, SameDomain: t.FailureDomain == d.config.FailureDomain})
 		}
 	}
+	d.noteGuests(s, usable)
+	return slices.DeleteFunc(usable, func(t *target) bool { return slices.Contains(r.Avoid, t.ID) })
+}
+
+// noteGuests notes which of a service's usable searchers are outside of the subset that
+// this instance keeps connections to.
+func (d *Dispatcher) noteGuests(s *service, usable []*target) {
 	connections := int(connectionsUsed * float64(s.settings.MaxConnections))
 	size := balance.SubsetSize(len(usable), connections, d.config.Sharers())
-	for _, t := range usable {
-		t.guest = size < len(usable)
+	members := make([]balance.Member, len(usable))
+	for i, t := range usable {
+		members[i] = balance.Member{ID: t.ID, SameDomain: t.FailureDomain == d.config.FailureDomain}
+		t.guest = true
 	}
 	for _, i := range balance.Subset(d.config.Instance, members, size) {
 		usable[i].guest = false
 	}
-	return slices.DeleteFunc(usable, func(t *target) bool { return slices.Contains(r.Avoid, t.ID) })
 }
 
 func (d *Dispatcher) bind(a *Attempt, t *target, now time.Duration, wall time.Time) func() {
