--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -130,9 +130,9 @@
 
 func (s *service) registerDirectory(e *echo.Echo) {
 	e.GET(platform.PathResolve, func(c echo.Context) error {
-		q := platform.ReadDirectoryQuery(c.Request())
+		domain := platform.ReadDirectoryQuery(c.Request())
 		ttl := min(addressTTL, s.node.Bounds.MaxDirectoryTTL)
-		addresses := s.instances.Addresses(q.FailureDomain, s.clock.Boottime(), s.ready())
+		addresses := s.instances.Addresses(domain, s.clock.Boottime(), s.ready())
 		if len(addresses) == 0 {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
--- a/routing/config.go
+++ b/routing/config.go
@@ -79,8 +79,6 @@
 // Service describes the searchers of one service.
 type Service struct {
 	Name string
-	// HealthPath answers health checks.
-	HealthPath string
 	// MaxConnections is what a searcher accepts from all instances together.
 	MaxConnections int
 	// WarmupPerSecond is the number of requests a second that a cold searcher
@@ -88,11 +86,10 @@
 	WarmupPerSecond float64
 }
 
-// Limits bounds what callers may send and how long they may take.
+// Limits bounds what callers may send, and how long their connections may be idle.
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 }
 
