Let all gateways of the soak serve at the same ports, found in one place

On the platform the ports are the same on all instances, and a gateway relies on it to reach one that it does not know; in the soak each had its own, so that such calls were refused. Free ports were looked for in three places.

--- a/cmd/wharf-gateway/service_test.go
+++ b/cmd/wharf-gateway/service_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -50,20 +49,6 @@
 	return &deployment{t: t, store: site.NewStore()}
 }
 
-func freePorts(t *testing.T, ip string, n int) []int {
-	t.Helper()
-	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", ip+":0")
-		qt.Assert(t, err, qt.IsNil)
-		defer func() { _ = l.Close() }()
-		address, ok := l.Addr().(*net.TCPAddr)
-		qt.Assert(t, ok, qt.IsTrue)
-		ports = append(ports, address.Port)
-	}
-	return ports
-}
-
 // heartbeatBase is the first internal port of all instances, which must be the
 // same on all of them.
 const heartbeatBase = 17740
@@ -73,7 +58,8 @@
 	d.t.Helper()
 	n := loopback.Add(1)
 	ip := fmt.Sprintf("127.77.%d.%d", n/200, n%200+1)
-	ports := freePorts(d.t, ip, 4)
+	ports, err := site.FreePorts(ip, 4)
+	qt.Assert(d.t, err, qt.IsNil)
 	at := func(i int) string { return fmt.Sprintf("%s:%d", ip, ports[i]) }
 	i := &instance{signals: make(chan os.Signal, 1), ended: make(chan error, 1)}
 	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/standin/site"
 )
 
 const kind = "instances"
@@ -61,15 +63,12 @@
 	return n
 }
 
-// freePort returns a port that is free at all loopback addresses for now.
-func freePort(t *testing.T) string {
+// freePorts returns two ports that are free at the first address of the tests.
+func freePorts(t *testing.T) (port, heartbeatPort string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	ports, err := site.FreePorts("127.78.0.1", 2)
 	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = listener.Close() }()
-	_, port, err := net.SplitHostPort(listener.Addr().String())
-	qt.Assert(t, err, qt.IsNil)
-	return port
+	return strconv.Itoa(ports[0]), strconv.Itoa(ports[1])
 }
 
 func listing(revision int64, names ...string) platform.Listing {
@@ -83,7 +82,7 @@
 // TestUnknownSender guards against instances that ignore each other because one
 // started before the other was entered, until somebody asks the store anew.
 func TestUnknownSender(t *testing.T) {
-	port, heartbeatPort := freePort(t), freePort(t)
+	port, heartbeatPort := freePorts(t)
 	first := start(t, "a1", "a", "127.78.0.1", port, heartbeatPort)
 	second := start(t, "a2", "a", "127.78.0.2", port, heartbeatPort)
 	first.mirror.Reset(listing(5, "a1"))
@@ -97,7 +96,7 @@
 // and against such that are sent to other failure domains, where the way to a searcher
 // is another.
 func TestReports(t *testing.T) {
-	port, heartbeatPort := freePort(t), freePort(t)
+	port, heartbeatPort := freePorts(t)
 	sent := balance.Report{Searcher: "s", Answered: 2, Failed: 1, Latency: 30 * time.Millisecond}
 	from := start(t, "a1", "a", "127.78.0.1", port, heartbeatPort, sent)
 	near := start(t, "a2", "a", "127.78.0.2", port, heartbeatPort)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -35,22 +36,18 @@
 	unplanned disturbance
 }
 
-func newProcess(binary, dir string, i int, domain string, link *relay.TCP, seeds []string) (*process, error) {
-	ip := fmt.Sprintf("127.88.%d.%d", os.Getpid()%250, i+1)
-	var free []string
-	for range 4 {
-		l, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		defer func() { _ = l.Close() }()
-		free = append(free, l.Addr().String())
-	}
+// processIP is the address of a gateway, by its number.
+func processIP(i int) string { return fmt.Sprintf("127.88.%d.%d", os.Getpid()%250, i+1) }
+
+// newProcess prepares a gateway. All gateways of a deployment serve at the same ports.
+func newProcess(binary, dir string, i int, domain string, ports []int, link *relay.TCP, seeds []string) (*process, error) {
+	ip := processIP(i)
+	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 	p := &process{
 		binary: binary, link: link,
 		node: site.Node{
 			Name: fmt.Sprintf("gateway-%s-%d", domain, i), IP: ip, Domain: domain,
-			Callers: free[0], Ready: free[1], Directory: free[2], Exchange: free[3],
+			Callers: at(ports[0]), Ready: at(ports[1]), Directory: at(ports[2]), Exchange: at(ports[3]),
 			InternalPort: 18740, Store: link.Address(), Seeds: seeds,
 		},
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -100,13 +100,17 @@
 		}
 	}
 	s.publish()
+	ports, err := site.FreePorts(processIP(0), 4)
+	if err != nil {
+		return errors.Trace(err)
+	}
 	var seeds []string
 	for i := range len(domains) * perDomain {
 		link, err := relay.NewTCP(listener.Addr().String())
 		if err != nil {
 			return errors.Trace(err)
 		}
-		p, err := newProcess(binary, dir, i, domains[i/perDomain], link, seeds)
+		p, err := newProcess(binary, dir, i, domains[i/perDomain], ports, link, seeds)
 		if err != nil {
 			return err
 		}
--- a/standin/site/node.go
+++ b/standin/site/node.go
@@ -1,6 +1,11 @@
 package site
 
-import "fmt"
+import (
+	"fmt"
+	"net"
+
+	"github.com/juju/errors"
+)
 
 // Node describes an instance in a settings file as the platform writes it.
 type Node struct {
@@ -46,6 +51,24 @@
 	return text
 }
 
+// FreePorts returns ports that are free at an IP address for now.
+func FreePorts(ip string, n int) ([]int, error) {
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		defer func() { _ = l.Close() }() // all are held until the last is known
+		address, ok := l.Addr().(*net.TCPAddr)
+		if !ok {
+			return nil, errors.Errorf("%s is no TCP address", l.Addr())
+		}
+		ports = append(ports, address.Port)
+	}
+	return ports, nil
+}
+
 // Route is a route of a configuration, with either Service or Shards.
 type Route struct {
 	Prefix     string
