Send heartbeats through relays in large failure domains

Cause: each instance sent a heartbeat to every other one of its failure domain each 500 ms and after each change. With 47 to 65 instances in each of five domains that is over 30,000 datagrams a second, most of which say that nothing has changed. Their processor time grew with the square of the domain.

Change: in a domain of more than 8 instances each sends its heartbeats to three relays, the first instances by name that answer. A relay sends a digest of the heartbeats that it receives to those that ask for it, and passes on reports about searchers. Smaller domains are unchanged. A relay that is silent for 1.2 s is passed over. What was ruled out: gossip to random instances, because news and reports take several rounds.

--- a/balance/report.go
+++ b/balance/report.go
@@ -112,3 +112,42 @@
 		s.updateLatency(report.MeanLatency)
 	}
 }
+
+// PendingReports holds reports of other instances that are to be passed on. The zero value is
+// ready for use.
+type PendingReports struct {
+	bySearcher map[string]Report
+}
+
+// Add adds reports. Those about the same searcher are summed up.
+func (p *PendingReports) Add(reports []Report) {
+	if p.bySearcher == nil {
+		p.bySearcher = make(map[string]Report)
+	}
+	for _, r := range reports {
+		p.bySearcher[r.Searcher] = p.bySearcher[r.Searcher].sum(r)
+	}
+}
+
+// Take returns at most limit of the reports, and drops them.
+func (p *PendingReports) Take(limit int) []Report {
+	var taken []Report
+	for searcher, r := range p.bySearcher {
+		if len(taken) == limit {
+			break
+		}
+		taken = append(taken, r)
+		delete(p.bySearcher, searcher)
+	}
+	return taken
+}
+
+// sum returns a report of all requests of r and of other.
+func (r Report) sum(other Report) Report {
+	total := Report{Searcher: other.Searcher, Answered: r.Answered + other.Answered, Failed: r.Failed + other.Failed}
+	if total.Answered > 0 {
+		latencies := time.Duration(r.Answered)*r.MeanLatency + time.Duration(other.Answered)*other.MeanLatency
+		total.MeanLatency = latencies / time.Duration(total.Answered)
+	}
+	return total
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -102,6 +102,8 @@
 	// ScheduleHeartbeats has scheduled are not sent yet.
 	lastSent  time.Time
 	scheduled bool
+	// forward holds the reports that this instance, as a relay, passes on.
+	forward balance.PendingReports
 }
 
 // Listen opens the UDP socket for heartbeats and returns an exchange that uses it. It fails
@@ -217,14 +219,18 @@
 // ScheduleHeartbeats sends heartbeats in the background, so that the other instances soon
 // learn of a change. They are sent as soon as minSendInterval has passed since the last ones.
 // Calls until then have no further effect.
-func (x *Exchange) ScheduleHeartbeats() {
+func (x *Exchange) ScheduleHeartbeats() { x.schedule(minSendInterval) }
+
+// schedule sends heartbeats in the background as soon as interval has passed since the last
+// ones, unless some are scheduled already.
+func (x *Exchange) schedule(interval time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.scheduled {
 		return
 	}
 	x.scheduled = true
-	time.AfterFunc(max(minSendInterval-time.Since(x.lastSent), 0), func() {
+	time.AfterFunc(max(interval-time.Since(x.lastSent), 0), func() {
 		x.mu.Lock()
 		x.scheduled = false
 		x.mu.Unlock()
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -42,7 +42,7 @@
 		instances.Put(fleet.Instance{
 			Name: e.Object.Name, FailureDomain: string(e.Object.Name[0]), StartUnixMs: 1,
 			InternalAddress: net.JoinHostPort("127.78.0."+e.Object.Name[1:], port),
-		}, 0)
+		}, clock.System{}.Boottime())
 	}})
 	yes := func() bool { return true }
 	var err error
@@ -126,3 +126,37 @@
 		t.Fatal("no heartbeat")
 	}
 }
+
+// TestReportsThroughRelays guards against reports that do not reach every instance of a failure
+// domain in which only relays send to all.
+func TestReportsThroughRelays(t *testing.T) {
+	const size = 12
+	port, heartbeatPort := freePorts(t)
+	sent := balance.Report{Searcher: "s", Answered: 2, Failed: 1, MeanLatency: 30 * time.Millisecond}
+	var all []*testInstance
+	var names []string
+	for i := range size {
+		number := strconv.Itoa(10 + i)
+		var reports []balance.Report
+		if i == size-1 {
+			reports = append(reports, sent)
+		}
+		names = append(names, "a"+number)
+		all = append(all, startInstance(t, "a"+number, "a", "127.78.0."+number, port, heartbeatPort, reports...))
+	}
+	for _, instance := range all {
+		instance.mirror.ApplyListing(listing(size, names...))
+	}
+	deadline := time.After(20 * time.Second)
+	for i, instance := range all[:size-1] {
+		for got := false; !got; {
+			select {
+			case r := <-instance.received:
+				got = len(r) > 0
+				qt.Assert(t, !got || r[0].Searcher == sent.Searcher && r[0].MeanLatency == sent.MeanLatency, qt.IsTrue, qt.Commentf("%+v", r))
+			case <-deadline:
+				t.Fatalf("no report at %s", names[i])
+			}
+		}
+	}
+}
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -32,8 +32,15 @@
 	// NewestChange holds the revision of the newest change that the instance knows, by
 	// kind.
 	NewestChange map[string]int64 `json:"v"`
-	// SearcherReports holds reports about searchers that failed or were slow.
+	// SearcherReports holds reports about searchers that failed or were slow. ForwardReports
+	// asks the receiver, a relay, to pass them on.
 	SearcherReports []searcherReport `json:"h,omitempty"`
+	ForwardReports  bool             `json:"w,omitempty"`
+	// Subscribe asks the receiver for digests.
+	Subscribe bool `json:"q,omitempty"`
+	// Digest is an encoded digest, see encodeDigest. It is not empty if the sender is a
+	// relay of the receiver.
+	Digest []byte `json:"d,omitempty"`
 }
 
 // searcherReport is the encoded form of a balance.Report.
@@ -45,12 +52,25 @@
 }
 
 // maxReports limits the reports in a heartbeat, so that it fits into one packet.
-const maxReports = 24
+// maxReportsBesideDigest does so for the heartbeat of a relay.
+const (
+	maxReports             = 24
+	maxReportsBesideDigest = 8
+)
 
-// encodedReports returns the reports of this instance in the encoded form of a heartbeat.
-func (x *Exchange) encodedReports() []searcherReport {
+// takeReports returns the reports of this instance, and those that it passes on, in the
+// encoded form of a heartbeat.
+func (x *Exchange) takeReports(isRelay bool) []searcherReport {
+	limit := maxReports
+	if isRelay {
+		limit = maxReportsBesideDigest
+	}
+	x.mu.Lock()
+	reports := x.forward.Take(limit)
+	x.mu.Unlock()
+	reports = append(reports, x.config.Reports(limit-len(reports))...)
 	var all []searcherReport
-	for _, r := range x.config.Reports(maxReports) {
+	for _, r := range reports {
 		all = append(all, searcherReport{Searcher: r.Searcher, Answered: r.Answered, Failed: r.Failed, LatencyMs: r.MeanLatency.Milliseconds()})
 	}
 	return all
@@ -84,26 +104,61 @@
 // those reach the searchers over a similar network path. A heartbeat that can't be sent is
 // only logged, and an instance whose address is not an IP address and a port gets none.
 func (x *Exchange) SendHeartbeats() {
-	h := x.heartbeat()
-	withoutReports := x.encode(h)
-	h.SearcherReports = x.encodedReports()
-	withReports := x.encode(h)
+	now := x.config.Clock.Boottime()
+	isRelay := x.config.Instances.IsRelay(now)
+	packets := &packetEncoder{x: x, base: x.heartbeat(), reports: x.takeReports(isRelay), isRelay: isRelay}
 	x.mu.Lock()
 	x.lastSent = time.Now()
 	x.mu.Unlock()
-	for _, i := range x.config.Instances.HeartbeatTargets(x.config.IsLeader()) {
-		to, err := netip.ParseAddrPort(i.InternalAddress)
+	for _, target := range x.config.Instances.HeartbeatTargets(now, x.config.IsLeader()) {
+		to, err := netip.ParseAddrPort(target.InternalAddress)
 		if err != nil {
 			continue // an instance whose address is not an IP address and a port gets no heartbeats
 		}
-		packet := withoutReports
-		if i.FailureDomain == x.config.Self.FailureDomain {
-			packet = withReports
-		}
+		packet := packets.encode(now, target)
 		if _, err := x.socket.WriteToUDPAddrPort(packet, netip.AddrPortFrom(to.Addr(), uint16(x.heartbeatPort))); err != nil {
-			x.config.Log.Debug("heartbeat could not be sent", "to", i.Name, "error", err.Error())
+			x.config.Log.Debug("heartbeat could not be sent", "to", target.Name, "error", err.Error())
+		}
+	}
+}
+
+// packetEncoder encodes the heartbeats that are sent at one time. Targets that get the same
+// content share one encoded heartbeat.
+type packetEncoder struct {
+	x       *Exchange
+	base    heartbeat
+	reports []searcherReport
+	isRelay bool
+	digest  []byte
+	encoded map[packetContent][]byte
+}
+
+// packetContent says what a heartbeat contains.
+type packetContent struct{ subscribe, digest, reports bool }
+
+// encode returns the encoded heartbeat for a target.
+func (p *packetEncoder) encode(now time.Duration, target fleet.HeartbeatTarget) []byte {
+	content := packetContent{subscribe: target.Subscribe, digest: target.Digest, reports: target.Reports && len(p.reports) > 0}
+	if packet, ok := p.encoded[content]; ok {
+		return packet
+	}
+	h := p.base
+	h.Subscribe = content.subscribe
+	if content.reports {
+		h.SearcherReports = p.reports
+		h.ForwardReports = content.subscribe && !p.isRelay
+	}
+	if content.digest {
+		if p.digest == nil {
+			p.digest = encodeDigest(p.x.config.Instances.Digest(now))
 		}
+		h.Digest = p.digest
+	}
+	if p.encoded == nil {
+		p.encoded = make(map[packetContent][]byte)
 	}
+	p.encoded[content] = p.x.encode(h)
+	return p.encoded[content]
 }
 
 // encode returns a heartbeat as JSON. It logs a failure and then returns nil.
@@ -132,17 +187,58 @@
 			x.config.Log.Warn("heartbeat could not be decoded", "from", from.String(), "error", err.Error())
 			continue
 		}
-		status := fleet.HeartbeatStatus{Ready: h.Ready, StoreReachable: h.StoreReachable}
-		sender, ok := x.config.Instances.RecordHeartbeat(h.Name, h.StartUnixMs, x.config.Clock.Boottime(), status)
-		if !ok {
-			x.fetchFromUnknownSender(h, from.Addr().String())
-			continue
-		}
-		if !h.StoreReachable {
+		x.received(h, from)
+	}
+}
+
+// received processes a heartbeat of another instance.
+func (x *Exchange) received(h heartbeat, from netip.AddrPort) {
+	now := x.config.Clock.Boottime()
+	status := fleet.HeartbeatStatus{Ready: h.Ready, StoreReachable: h.StoreReachable}
+	sender, ok := x.config.Instances.RecordHeartbeat(h.Name, h.StartUnixMs, now, status)
+	if !ok {
+		x.fetchFromUnknownSender(h, from.Addr().String())
+		return
+	}
+	if h.Subscribe {
+		x.config.Instances.Subscribe(h.Name, now)
+	}
+	if !h.StoreReachable {
+		x.config.OnStoreOutage()
+	}
+	if len(h.Digest) > 0 {
+		x.applyDigest(h, now)
+	}
+	reports := h.decodedReports()
+	x.config.OnReports(reports)
+	if h.ForwardReports {
+		x.mu.Lock()
+		x.forward.Add(reports)
+		x.mu.Unlock()
+	}
+	if x.config.Instances.IsRelay(now) && (sender.StatusChanged || h.ForwardReports && len(reports) > 0) {
+		x.schedule(minForwardInterval)
+	}
+	x.catchUp(h, sender.Instance)
+}
+
+// minForwardInterval is the minimum time between the last heartbeats and those that a relay
+// sends because of what it has received.
+const minForwardInterval = 200 * time.Millisecond
+
+// applyDigest records the digest of a relay.
+func (x *Exchange) applyDigest(h heartbeat, now time.Duration) {
+	entries, err := decodeDigest(h.Digest)
+	if err != nil {
+		x.config.Log.Warn("digest could not be decoded", "from", h.Name, "error", err.Error())
+		return
+	}
+	x.config.Instances.ApplyDigest(h.Name, entries, now)
+	for _, e := range entries {
+		if !e.Status.StoreReachable {
 			x.config.OnStoreOutage()
+			return
 		}
-		x.config.OnReports(h.decodedReports())
-		x.catchUp(h, sender)
 	}
 }
 
--- a/fleet/instances.go
+++ b/fleet/instances.go
@@ -24,7 +24,7 @@
 
 const (
 	// maxHeartbeatAge is the age of the last heartbeat above which callers are no longer
-	// sent to an instance.
+	// sent to an instance. See also maxRelayedHeartbeatAge.
 	maxHeartbeatAge = 2500 * time.Millisecond
 	// sharerTimeout is how long an instance that is silent, or whose entry was removed,
 	// still counts as one of those that share the budgets and connections.
@@ -56,6 +56,25 @@
 	ready         bool
 	// storeReachable is the StoreReachable of the last heartbeat, false before the first.
 	storeReachable bool
+
+	// key is the digestKey of the instance.
+	key uint64
+	// direct is the last heartbeat that the instance itself sent. lastHeartbeat and the
+	// fields after it may also come from a digest of a relay.
+	direct directHeartbeat
+	// subscribedUntil is when this instance stops sending digests to the instance.
+	subscribedUntil time.Duration
+	// relaySince is since when the instance is used as a relay, zero if it is not.
+	// lastDigest is when its last digest was received.
+	relaySince time.Duration
+	lastDigest time.Duration
+}
+
+// directHeartbeat is a heartbeat that came from the instance itself.
+type directHeartbeat struct {
+	received bool
+	at       time.Duration
+	status   HeartbeatStatus
 }
 
 // NewInstances returns a set that holds only this instance.
@@ -78,7 +97,7 @@
 		return
 	}
 	if k == nil || k.instance.StartUnixMs != i.StartUnixMs {
-		s.known[i.Name] = &knownInstance{instance: i, lastHeartbeat: now}
+		s.known[i.Name] = &knownInstance{instance: i, lastHeartbeat: now, key: digestKey(i)}
 		return
 	}
 	k.instance = i
@@ -96,21 +115,30 @@
 	}
 }
 
+// Sender is an instance that has sent a heartbeat.
+type Sender struct {
+	Instance
+	// StatusChanged says that its last heartbeat had another status.
+	StatusChanged bool
+}
+
 // RecordHeartbeat records a heartbeat and returns the instance that sent it. startUnixMs is
 // the sender's start as a Unix time in milliseconds. RecordHeartbeat returns false, and
 // records nothing, if the instance is not known or is this one, or if the heartbeat is from
 // another start than its entry.
-func (s *Instances) RecordHeartbeat(name string, startUnixMs int64, now time.Duration, status HeartbeatStatus) (Instance, bool) {
+func (s *Instances) RecordHeartbeat(name string, startUnixMs int64, now time.Duration, status HeartbeatStatus) (Sender, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.known[name]
 	if k == nil || name == s.self || k.instance.StartUnixMs != startUnixMs {
-		return Instance{}, false
+		return Sender{}, false
 	}
+	sender := Sender{Instance: k.instance, StatusChanged: k.direct.received && k.direct.status != status}
 	k.lastHeartbeat = now
 	k.ready = status.Ready
 	k.storeReachable = status.StoreReachable
-	return k.instance, true
+	k.direct = directHeartbeat{received: true, at: now, status: status}
+	return sender, true
 }
 
 // HeartbeatStatus is the state of an instance as stated in its heartbeat.
@@ -126,30 +154,32 @@
 // get a heartbeat in addition to the first ones.
 const randomTargetsPerDomain = 1
 
-// HeartbeatTargets returns the instances to send a heartbeat to: all others of the own
-// failure domain. A leader also sends heartbeats to the other domains: in each to the first
-// instances by name, and to randomly drawn ones in case the first have failed.
-func (s *Instances) HeartbeatTargets(leader bool) []Instance {
+// HeartbeatTargets returns the instances to send a heartbeat to. In the own failure domain
+// these are all others, or the relays and those that have asked for digests. A leader also
+// sends heartbeats to the other domains: in each to the first instances by name, and to
+// randomly drawn ones in case the first have failed.
+func (s *Instances) HeartbeatTargets(now time.Duration, leader bool) []HeartbeatTarget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var targets []Instance
+	targets := s.domainTargets(now)
+	if !leader {
+		return targets
+	}
 	byDomain := make(map[string][]Instance)
-	for name, k := range s.known {
-		switch i := k.instance; {
-		case name == s.self:
-		case i.FailureDomain == s.domain:
-			targets = append(targets, i)
-		case leader:
+	for _, k := range s.known {
+		if i := k.instance; i.FailureDomain != s.domain {
 			byDomain[i.FailureDomain] = append(byDomain[i.FailureDomain], i)
 		}
 	}
 	for _, candidates := range byDomain {
 		sort.Slice(candidates, func(i, j int) bool { return candidates[i].Name < candidates[j].Name })
 		fixed := min(len(candidates), firstTargetsPerDomain)
-		targets = append(targets, candidates[:fixed]...)
+		for _, i := range candidates[:fixed] {
+			targets = append(targets, HeartbeatTarget{Instance: i})
+		}
 		if others := candidates[fixed:]; len(others) > 0 {
 			for range randomTargetsPerDomain {
-				targets = append(targets, others[rand.IntN(len(others))])
+				targets = append(targets, HeartbeatTarget{Instance: others[rand.IntN(len(others))]})
 			}
 		}
 	}
@@ -215,8 +245,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var addresses, fallback []string
+	timeout := s.heartbeatTimeout()
 	for name, k := range s.known {
-		usable := k.aliveAndReady(now)
+		usable := k.aliveAndReady(now, timeout)
 		if name == s.self {
 			usable = selfReady
 		}
@@ -237,10 +268,10 @@
 	return addresses[:min(len(addresses), maxAddresses)]
 }
 
-// aliveAndReady reports whether the last heartbeat is recent and stated that the instance is
-// ready.
-func (k *knownInstance) aliveAndReady(now time.Duration) bool {
-	return k.ready && now-k.lastHeartbeat <= maxHeartbeatAge
+// aliveAndReady reports whether the last heartbeat is not older than timeout and stated that
+// the instance is ready.
+func (k *knownInstance) aliveAndReady(now, timeout time.Duration) bool {
+	return k.ready && now-k.lastHeartbeat <= timeout
 }
 
 // singleDomainLeaders is the number of leaders in a failure domain that receives no
@@ -258,9 +289,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	beforeInDomain, otherDomains := 0, false
+	timeout := s.heartbeatTimeout()
 	for name, k := range s.known {
 		switch {
-		case name == s.self || !k.aliveAndReady(now) || !k.storeReachable:
+		case name == s.self || !k.aliveAndReady(now, timeout) || !k.storeReachable:
 		case k.instance.FailureDomain != s.domain:
 			otherDomains = true
 		case name < s.self:
--- /dev/null
+++ b/fleet/relays_test.go
@@ -0,0 +1,152 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// simulatedDomain is a failure domain whose instances exchange heartbeats without delay.
+type simulatedDomain struct {
+	names     []string
+	instances map[string]*Instances
+	dead      map[string]bool
+	now       time.Duration
+	// sent counts the heartbeats that each instance has sent.
+	sent map[string]int
+}
+
+const simulatedInterval = 500 * time.Millisecond
+
+func newSimulatedDomain(n int) *simulatedDomain {
+	d := &simulatedDomain{instances: make(map[string]*Instances), dead: make(map[string]bool), sent: make(map[string]int), now: time.Minute}
+	for i := range n {
+		d.names = append(d.names, fmt.Sprintf("i%03d", i))
+	}
+	for _, self := range d.names {
+		s := NewInstances(Instance{Name: self, CallerAddress: self, FailureDomain: "a", StartUnixMs: 1})
+		for _, name := range d.names {
+			s.Put(Instance{Name: name, CallerAddress: name, FailureDomain: "a", StartUnixMs: 1}, d.now)
+		}
+		d.instances[self] = s
+	}
+	return d
+}
+
+// run lets all instances send their heartbeats until the duration has passed, each at its own
+// moment of the interval.
+func (d *simulatedDomain) run(duration time.Duration) {
+	step := simulatedInterval / time.Duration(len(d.names))
+	for end := d.now + duration; d.now < end; {
+		for _, name := range d.names {
+			d.now += step
+			if !d.dead[name] {
+				d.send(name)
+			}
+		}
+	}
+}
+
+func (d *simulatedDomain) send(name string) {
+	from := d.instances[name]
+	for _, target := range from.HeartbeatTargets(d.now, false) {
+		d.sent[name]++
+		if d.dead[target.Name] {
+			continue
+		}
+		to := d.instances[target.Name]
+		to.RecordHeartbeat(name, 1, d.now, HeartbeatStatus{Ready: true, StoreReachable: true})
+		if target.Subscribe {
+			to.Subscribe(name, d.now)
+		}
+		if target.Digest {
+			to.ApplyDigest(name, from.Digest(d.now), d.now)
+		}
+	}
+}
+
+// checkAddresses checks that each live instance sends callers to the live instances, and only
+// to those.
+func (d *simulatedDomain) checkAddresses(t *testing.T) {
+	t.Helper()
+	for _, name := range d.names {
+		if d.dead[name] {
+			continue
+		}
+		listed := make(map[string]bool)
+		for _, address := range d.instances[name].CallerAddresses("a", d.now, true) {
+			listed[address] = true
+		}
+		for _, other := range d.names {
+			if len(d.names) <= maxAddresses || d.dead[other] {
+				qt.Assert(t, listed[other], qt.Equals, !d.dead[other], qt.Commentf("%s of %d at %s", other, len(d.names), name))
+			}
+		}
+	}
+}
+
+// TestHeartbeatsDoNotGrowWithDomain guards against heartbeats whose number grows with the
+// square of the failure domain, and against instances that do not hear of each other or of a
+// dead one for that reason.
+func TestHeartbeatsDoNotGrowWithDomain(t *testing.T) {
+	for _, n := range []int{3, maxMeshSize, maxMeshSize + 1, 62, 120} {
+		d := newSimulatedDomain(n)
+		d.run(5 * time.Second)
+		clear(d.sent)
+		d.run(10 * simulatedInterval)
+		d.checkAddresses(t)
+		total := 0
+		for _, sent := range d.sent {
+			total += sent
+		}
+		if n > maxMeshSize {
+			// Each instance sends to its relays, and those to all. One relay more is in use,
+			// because no instance is its own relay.
+			perInstance := relayCount + relayCount + 1
+			qt.Assert(t, total <= 10*n*perInstance, qt.IsTrue, qt.Commentf("%d instances sent %d", n, total))
+		}
+		for _, dead := range []int{n - 1, n / 2, 0} { // the last one is a relay
+			d.dead[d.names[dead]] = true
+			d.run(maxRelayedHeartbeatAge + 2*simulatedInterval)
+			d.checkAddresses(t)
+		}
+	}
+}
+
+// TestLossOfAllRelays guards against instances that no longer hear of each other, even for a
+// moment, when all relays are lost together.
+func TestLossOfAllRelays(t *testing.T) {
+	d := newSimulatedDomain(40)
+	d.run(5 * time.Second)
+	for _, name := range d.names[:relayCount+1] {
+		d.dead[name] = true
+	}
+	for range 12 {
+		d.run(simulatedInterval)
+		for _, name := range d.names[relayCount+1:] {
+			live := 0
+			for _, address := range d.instances[name].CallerAddresses("a", d.now, true) {
+				if !d.dead[address] {
+					live++
+				}
+			}
+			qt.Assert(t, live, qt.Equals, 36, qt.Commentf("at %s", name))
+		}
+	}
+	d.checkAddresses(t)
+}
+
+// TestDigestIsNotRepeated guards against a dead instance that relays keep alive by repeating
+// what another relay has said of it.
+func TestDigestIsNotRepeated(t *testing.T) {
+	d := newSimulatedDomain(12)
+	d.run(3 * time.Second)
+	relay := d.instances["i001"]
+	key := digestKey(Instance{Name: "i011", StartUnixMs: 1})
+	relay.ApplyDigest("i000", []DigestEntry{{Key: key, Status: HeartbeatStatus{Ready: true}}}, d.now+maxRelayedHeartbeatAge+1)
+	for _, e := range relay.Digest(d.now + maxRelayedHeartbeatAge + 1) {
+		qt.Assert(t, e.Key, qt.Not(qt.Equals), key)
+	}
+}
