Send callers to the instances with the most processor time, the others stand by

Cause: callers were spread over all ready instances of their failure domain. With 47 to 65 of them each got a query every few seconds. Its connections were closed again before the next one (44 in 100 requests opened one), it knew no latencies, its part of the retry budget was less than two requests, its part of a cold searcher was zero, and most queries ran on instances with 0.2 of a core and a slow link. Nearly every query over 90 shards waited for its last parts until its latency budget ended.

Change: the directory names the serving instances of a domain: those with the most cores, four at least, with a sixth of the domain's cores and three times its recent load at least. Instances state their cores in their entries and their load in heartbeats. The serving ones share 0.9 of the domain's part of budgets and connections; instances that served within 12 s still count. Domains of up to four instances are unchanged. Instances that have heard of nobody draw relays at random, and ask for digests in small domains too, because others may know more instances. An instance waits 0.6 s for seeds that are started together with it before it lists the store.

--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -48,9 +48,14 @@
 	outage    mirror.OutageTracker
 	// startedAt is when the instance started, as returned by Boottime of the clock.
 	startedAt time.Duration
-	// budgetSharers is the number of instances that share the budgets of the services and
-	// the connections that the searchers accept, this one included.
+	// processorTime measures the load of this instance. Only runPeriodicTasks uses it.
+	processorTime loadMeter
+	// budgetSharers is by how many the budgets of the services, and the connections that the
+	// searchers accept, are divided to get the part of this instance.
 	budgetSharers atomic.Int64
+	// wasReady is the result of ready when the periodic tasks last ran. It is for functions
+	// that are called while a mirror is locked, which ready would wait for.
+	wasReady atomic.Bool
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 }
@@ -62,6 +67,7 @@
 		self: fleet.Instance{
 			Name: settings.Name, FailureDomain: settings.FailureDomain, CallerAddress: settings.CallerAddress,
 			ReadyAddress: settings.ReadyAddress, InternalAddress: settings.ExchangeAddress, StartUnixMs: time.Now().UnixMilli(),
+			Cores: settings.Cores,
 		},
 	}
 	s.startedAt = s.clock.Boottime()
@@ -171,6 +177,8 @@
 		case <-ticker.C:
 		}
 		now := s.clock.Boottime()
+		s.wasReady.Store(s.ready())
+		s.instances.SetLoad(s.processorTime.load(now))
 		s.updateBudgetSharers()
 		s.removeExpiredInstances(ctx, now)
 		for _, id := range s.searchers.Expire(now) {
@@ -180,15 +188,17 @@
 	}
 }
 
-// updateBudgetSharers sets budgetSharers to the number of instances that share the budgets
-// and connections. During startupPeriod it sets at least startupMinSharers.
+// updateBudgetSharers updates budgetSharers. During startupPeriod it sets at least
+// startupMinSharers. Connections above the new part are closed.
 func (s *service) updateBudgetSharers() {
 	now := s.clock.Boottime()
-	n := s.instances.CountBudgetSharers(now)
+	n := s.instances.SharedBy(now, s.wasReady.Load())
 	if now-s.startedAt < startupPeriod {
 		n = max(n, startupMinSharers)
 	}
-	s.budgetSharers.Store(int64(n))
+	if before := s.budgetSharers.Swap(int64(n)); int64(n) > before {
+		s.dispatch.CloseExcessConnections()
+	}
 }
 
 // removeExpiredInstances removes the entries of instances of the own failure domain that
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -176,6 +176,21 @@
 	return t.takeIdle()
 }
 
+// CloseExcessConnections closes idle connections to searchers to which this instance has more
+// than its part of the connections. It is to be called when the part has become smaller.
+func (d *Dispatcher) CloseExcessConnections() {
+	d.mu.Lock()
+	var excess []*connection
+	for _, t := range d.searchers {
+		if n := min(t.open-d.connectionLimit(t.service), len(t.idle)); n > 0 {
+			excess = append(excess, t.idle[:n]...)
+			t.idle = append([]*connection(nil), t.idle[n:]...)
+		}
+	}
+	d.mu.Unlock()
+	closeAll(excess)
+}
+
 // HasRoom reports whether a searcher has room for the request now, or the request may be
 // queued. It checks neither the retry budget nor the length of the queue.
 func (d *Dispatcher) HasRoom(r Request) bool {
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -10,10 +10,12 @@
 )
 
 // An entry of an encoded digest has the key of the instance, its age in units of
-// digestAgeUnit, and its status as bits, all in big endian order.
+// digestAgeUnit, its load in thousandths of a core, and the rest of its status as bits, all in
+// big endian order.
 const (
-	digestEntryBytes = 8 + 2 + 1
+	digestEntryBytes = 8 + 2 + 2 + 1
 	digestAgeUnit    = 10 * time.Millisecond
+	maxUint16        = 1<<16 - 1
 
 	digestReady          = 1 << 0
 	digestStoreReachable = 1 << 1
@@ -26,7 +28,8 @@
 	b[0] = digestVersion
 	for _, e := range entries {
 		b = binary.BigEndian.AppendUint64(b, e.Key)
-		b = binary.BigEndian.AppendUint16(b, uint16(min(e.Age/digestAgeUnit, 1<<16-1)))
+		b = binary.BigEndian.AppendUint16(b, uint16(min(e.Age/digestAgeUnit, maxUint16)))
+		b = binary.BigEndian.AppendUint16(b, uint16(min(1000*e.Status.Load, maxUint16)))
 		var status byte
 		if e.Status.Ready {
 			status |= digestReady
@@ -53,10 +56,14 @@
 	}
 	entries := make([]fleet.DigestEntry, 0, len(b)/digestEntryBytes)
 	for ; len(b) > 0; b = b[digestEntryBytes:] {
+		bits := b[12]
 		entries = append(entries, fleet.DigestEntry{
-			Key:    binary.BigEndian.Uint64(b),
-			Age:    time.Duration(binary.BigEndian.Uint16(b[8:])) * digestAgeUnit,
-			Status: fleet.HeartbeatStatus{Ready: b[10]&digestReady != 0, StoreReachable: b[10]&digestStoreReachable != 0},
+			Key: binary.BigEndian.Uint64(b),
+			Age: time.Duration(binary.BigEndian.Uint16(b[8:])) * digestAgeUnit,
+			Status: fleet.HeartbeatStatus{
+				Ready: bits&digestReady != 0, StoreReachable: bits&digestStoreReachable != 0,
+				Load: float64(binary.BigEndian.Uint16(b[10:])) / 1000,
+			},
 		})
 	}
 	return entries, nil
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -45,6 +45,9 @@
 	// before it calls the store itself.
 	seedRetryInterval = 100 * time.Millisecond
 	maxSeedWait       = 1 * time.Second
+	// seedStartTime is how long the seeds may take until they answer, if they are started
+	// together with this instance.
+	seedStartTime = 600 * time.Millisecond
 	// seedPollInterval is the time between two requests to the seeds after that.
 	seedPollInterval = 700 * time.Millisecond
 )
@@ -159,14 +162,16 @@
 
 // FetchFromSeeds fetches the objects from the seeds, so that a starting instance need not
 // list them from the store. It asks all seeds repeatedly, and returns when all kinds have a
-// listing, when no seed answers, or when ctx ends. It does not ask again after maxSeedWait. On
-// a seed it returns at once. If a kind still has no listing then, FetchFromSeeds goes on to ask
-// the seeds in the background until all kinds have one or ctx ends. Meanwhile the caller may
-// list the objects from the store.
+// listing, when no seed answers after seedStartTime, or when ctx ends. It does not ask again
+// after maxSeedWait. On a seed it returns at once. If a kind still has no listing then,
+// FetchFromSeeds goes on to ask the seeds in the background until all kinds have one or ctx
+// ends. Meanwhile the caller may list the objects from the store.
 func (x *Exchange) FetchFromSeeds(ctx context.Context) {
-	deadline := time.Now().Add(maxSeedWait)
+	started := time.Now()
+	deadline := started.Add(maxSeedWait)
 	for !x.IsSeed() && time.Now().Before(deadline) && !x.hasListings() {
-		if !x.askSeeds(ctx) || clock.Pause(ctx, seedRetryInterval) != nil {
+		answered := x.askSeeds(ctx)
+		if !answered && time.Since(started) > seedStartTime || clock.Pause(ctx, seedRetryInterval) != nil {
 			break
 		}
 	}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -160,3 +160,17 @@
 		}
 	}
 }
+
+// TestSeedStartsLater guards against an instance that calls the store because a seed that is
+// started together with it does not answer yet.
+func TestSeedStartsLater(t *testing.T) {
+	port, heartbeatPort := freePorts(t)
+	instance := startInstance(t, "a1", "a", "127.78.0.1", port, heartbeatPort)
+	instance.exchange.config.Seeds = []string{net.JoinHostPort("127.78.0.2", port)}
+	time.AfterFunc(seedStartTime/3, func() {
+		seed := startInstance(t, "a2", "a", "127.78.0.2", port, heartbeatPort)
+		seed.mirror.ApplyListing(listing(6, "a1", "a2"))
+	})
+	instance.exchange.FetchFromSeeds(t.Context())
+	qt.Assert(t, instance.mirror.Revision(), qt.Equals, int64(6))
+}
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -27,6 +27,8 @@
 	StartUnixMs    int64  `json:"s"`
 	Ready          bool   `json:"r"`
 	StoreReachable bool   `json:"f"`
+	// LoadMillicores is the processor time that the instance uses, in thousandths of a core.
+	LoadMillicores int `json:"c,omitempty"`
 	// HasListings says that the instance holds listings of all kinds.
 	HasListings bool `json:"l"`
 	// NewestChange holds the revision of the newest change that the instance knows, by
@@ -91,7 +93,8 @@
 func (x *Exchange) heartbeat() heartbeat {
 	h := heartbeat{
 		Name: x.config.Self.Name, StartUnixMs: x.config.Self.StartUnixMs,
-		Ready: x.config.Ready(), StoreReachable: x.config.StoreReachable(), HasListings: x.hasListings(), NewestChange: make(map[string]int64, len(x.config.Mirrors)),
+		Ready: x.config.Ready(), StoreReachable: x.config.StoreReachable(), LoadMillicores: int(1000 * x.config.Instances.Load()),
+		HasListings: x.hasListings(), NewestChange: make(map[string]int64, len(x.config.Mirrors)),
 	}
 	for kind, m := range x.config.Mirrors {
 		h.NewestChange[kind] = m.NewestChange()
@@ -105,8 +108,7 @@
 // only logged, and an instance whose address is not an IP address and a port gets none.
 func (x *Exchange) SendHeartbeats() {
 	now := x.config.Clock.Boottime()
-	isRelay := x.config.Instances.IsRelay(now)
-	packets := &packetEncoder{x: x, base: x.heartbeat(), reports: x.takeReports(isRelay), isRelay: isRelay}
+	packets := &packetEncoder{x: x, base: x.heartbeat(), reports: x.takeReports(x.config.Instances.IsRelay(now))}
 	x.mu.Lock()
 	x.lastSent = time.Now()
 	x.mu.Unlock()
@@ -128,17 +130,19 @@
 	x       *Exchange
 	base    heartbeat
 	reports []searcherReport
-	isRelay bool
 	digest  []byte
 	encoded map[packetContent][]byte
 }
 
 // packetContent says what a heartbeat contains.
-type packetContent struct{ subscribe, digest, reports bool }
+type packetContent struct{ subscribe, digest, reports, forward bool }
 
 // encode returns the encoded heartbeat for a target.
 func (p *packetEncoder) encode(now time.Duration, target fleet.HeartbeatTarget) []byte {
-	content := packetContent{subscribe: target.Subscribe, digest: target.Digest, reports: target.Reports && len(p.reports) > 0}
+	content := packetContent{subscribe: target.Subscribe, digest: target.Digest}
+	if len(p.reports) > 0 {
+		content.reports, content.forward = target.Reports, target.Forward
+	}
 	if packet, ok := p.encoded[content]; ok {
 		return packet
 	}
@@ -146,7 +150,7 @@
 	h.Subscribe = content.subscribe
 	if content.reports {
 		h.SearcherReports = p.reports
-		h.ForwardReports = content.subscribe && !p.isRelay
+		h.ForwardReports = content.forward
 	}
 	if content.digest {
 		if p.digest == nil {
@@ -194,7 +198,7 @@
 // received processes a heartbeat of another instance.
 func (x *Exchange) received(h heartbeat, from netip.AddrPort) {
 	now := x.config.Clock.Boottime()
-	status := fleet.HeartbeatStatus{Ready: h.Ready, StoreReachable: h.StoreReachable}
+	status := fleet.HeartbeatStatus{Ready: h.Ready, StoreReachable: h.StoreReachable, Load: float64(h.LoadMillicores) / 1000}
 	sender, ok := x.config.Instances.RecordHeartbeat(h.Name, h.StartUnixMs, now, status)
 	if !ok {
 		x.fetchFromUnknownSender(h, from.Addr().String())
--- a/fleet/instances.go
+++ b/fleet/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -18,6 +19,9 @@
 	InternalAddress string
 	// StartUnixMs is the start of the instance as a Unix time in milliseconds.
 	StartUnixMs int64
+	// Cores is the processor time that the instance can use, in cores. Zero means that it
+	// is not known.
+	Cores float64
 	// Revision is the store's revision of the entry.
 	Revision int64
 }
@@ -45,6 +49,8 @@
 	// removedAt holds, by name, when an instance was removed that may still use its share
 	// of the budgets and connections.
 	removedAt map[string]time.Duration
+	// recentLoads holds the load of each failure domain.
+	recentLoads map[string]*recentLoad
 }
 
 // knownInstance is an instance with what its last heartbeat said.
@@ -56,6 +62,13 @@
 	ready         bool
 	// storeReachable is the StoreReachable of the last heartbeat, false before the first.
 	storeReachable bool
+	// load is the Load of the last heartbeat.
+	load float64
+
+	// servedAt is when it last served, as far as this instance knows; served says that it
+	// ever did.
+	servedAt time.Duration
+	served   bool
 
 	// key is the digestKey of the instance.
 	key uint64
@@ -79,7 +92,10 @@
 
 // NewInstances returns a set that holds only this instance.
 func NewInstances(self Instance) *Instances {
-	return &Instances{self: self.Name, domain: self.FailureDomain, known: map[string]*knownInstance{self.Name: {instance: self}}, removedAt: make(map[string]time.Duration)}
+	return &Instances{
+		self: self.Name, domain: self.FailureDomain, known: map[string]*knownInstance{self.Name: {instance: self}},
+		removedAt: make(map[string]time.Duration), recentLoads: make(map[string]*recentLoad),
+	}
 }
 
 // Put adds or updates an instance from its entry in the store. An entry of another start of
@@ -133,10 +149,11 @@
 	if k == nil || name == s.self || k.instance.StartUnixMs != startUnixMs {
 		return Sender{}, false
 	}
-	sender := Sender{Instance: k.instance, StatusChanged: k.direct.received && k.direct.status != status}
+	sender := Sender{Instance: k.instance, StatusChanged: k.direct.received && k.direct.status.differs(status)}
 	k.lastHeartbeat = now
 	k.ready = status.Ready
 	k.storeReachable = status.StoreReachable
+	k.load = status.Load
 	k.direct = directHeartbeat{received: true, at: now, status: status}
 	return sender, true
 }
@@ -148,6 +165,13 @@
 	// StoreReachable says that the store is not known to be unreachable from there. An
 	// instance that does not call the store states true.
 	StoreReachable bool
+	// Load is the processor time that the instance uses, in cores.
+	Load float64
+}
+
+// differs reports whether the status differs in more than the load.
+func (h HeartbeatStatus) differs(other HeartbeatStatus) bool {
+	return h.Ready != other.Ready || h.StoreReachable != other.StoreReachable
 }
 
 // randomTargetsPerDomain is how many randomly drawn instances of each other failure domain
@@ -237,37 +261,49 @@
 const maxAddresses = 64
 
 // CallerAddresses returns the addresses that callers in a failure domain should use: those
-// of the ready instances there, followed by those of all other ready instances if there are
-// fewer than minAddresses. Both groups are sorted, and at most maxAddresses addresses are
-// returned. Silent instances do not count as ready. selfReady says whether this instance is
-// ready.
+// of the serving instances there, followed by those of the serving instances of other domains
+// if there are fewer than minAddresses. Both groups are sorted, and at most maxAddresses
+// addresses are returned. Silent instances do not count as ready. selfReady says whether this
+// instance is ready.
 func (s *Instances) CallerAddresses(domain string, now time.Duration, selfReady bool) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var addresses, fallback []string
-	timeout := s.heartbeatTimeout()
-	for name, k := range s.known {
-		usable := k.aliveAndReady(now, timeout)
-		if name == s.self {
-			usable = selfReady
-		}
-		if !usable {
-			continue
-		}
-		if k.instance.FailureDomain == domain {
-			addresses = append(addresses, k.instance.CallerAddress)
-		} else {
-			fallback = append(fallback, k.instance.CallerAddress)
-		}
-	}
-	sort.Strings(addresses)
-	sort.Strings(fallback)
+	addresses := s.servingAddresses(domain, now, selfReady)
 	if len(addresses) < minAddresses {
+		var fallback []string
+		for _, other := range s.otherDomains(domain) {
+			fallback = append(fallback, s.servingAddresses(other, now, selfReady)...)
+		}
+		sort.Strings(fallback)
 		addresses = append(addresses, fallback...)
 	}
 	return addresses[:min(len(addresses), maxAddresses)]
 }
 
+// servingAddresses returns the sorted addresses of the serving instances of a failure domain,
+// the most powerful maxAddresses of them. The caller holds the lock.
+func (s *Instances) servingAddresses(domain string, now time.Duration, selfReady bool) []string {
+	serving := s.serving(domain, now, selfReady)
+	var addresses []string
+	for _, i := range serving[:min(len(serving), maxAddresses)] {
+		addresses = append(addresses, i.CallerAddress)
+	}
+	sort.Strings(addresses)
+	return addresses
+}
+
+// otherDomains returns the failure domains of the known instances except the given one. The
+// caller holds the lock.
+func (s *Instances) otherDomains(domain string) []string {
+	var others []string
+	for _, k := range s.known {
+		if d := k.instance.FailureDomain; d != domain && !slices.Contains(others, d) {
+			others = append(others, d)
+		}
+	}
+	return others
+}
+
 // aliveAndReady reports whether the last heartbeat is not older than timeout and stated that
 // the instance is ready.
 func (k *knownInstance) aliveAndReady(now, timeout time.Duration) bool {
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -11,7 +12,8 @@
 // In a small failure domain each instance sends its heartbeats to all others. In a larger
 // one that would cost each instance more with every instance added. There each instance
 // sends them to a few relays only, the first instances of the domain by name that answer. A
-// relay sends a digest of all heartbeats that it receives to those that ask for it.
+// relay sends a digest of all heartbeats that it receives to those that ask for it. Instances
+// ask for it in a small domain too, because others may know of more instances and use relays.
 const (
 	// maxMeshSize is the number of instances up to which a failure domain has no relays.
 	maxMeshSize = 8
@@ -39,9 +41,10 @@
 	Subscribe bool
 	// Digest says that the target has asked for digests.
 	Digest bool
-	// Reports says that the target gets reports about searchers. If Subscribe is set too,
-	// and this instance is not a relay itself, the target passes the reports on.
+	// Reports says that the target gets reports about searchers. Forward asks it to pass
+	// them on.
 	Reports bool
+	Forward bool
 }
 
 // DigestEntry is what a relay says of an instance whose heartbeats it receives.
@@ -62,7 +65,7 @@
 func (s *Instances) domainTargets(now time.Duration) []HeartbeatTarget {
 	relays := s.chooseRelays(now)
 	mesh := s.isMesh()
-	isRelay := s.hasSubscribers(now)
+	sendsToAll := mesh || s.hasSubscribers(now)
 	var targets []HeartbeatTarget
 	for name, k := range s.known {
 		if name == s.self || k.instance.FailureDomain != s.domain {
@@ -70,7 +73,8 @@
 		}
 		position := slices.Index(relays, name)
 		t := HeartbeatTarget{Instance: k.instance, Subscribe: position >= 0, Digest: k.subscribed(now)}
-		t.Reports = mesh || isRelay || position == s.reportRelay(len(relays))
+		t.Forward = !sendsToAll && position == s.reportRelay(len(relays))
+		t.Reports = sendsToAll || t.Forward
 		if mesh || t.Subscribe || t.Digest {
 			targets = append(targets, t)
 		}
@@ -108,24 +112,17 @@
 	return maxRelayedHeartbeatAge
 }
 
-// chooseRelays returns the names of the relays of this instance, none in a small failure
-// domain. A relay that sends no digests is passed over for a time. The caller holds the
+// chooseRelays returns the names of the relays of this instance: the first instances by name that are alive, without those that have sent no digest
+// for relayTimeout. If these are too few, instances drawn at random are added, so that an
+// instance that has heard of nobody for a time finds the others again. The caller holds the
 // lock.
 func (s *Instances) chooseRelays(now time.Duration) []string {
-	if s.isMesh() {
-		return nil
-	}
-	var candidates []*knownInstance
-	for name, k := range s.known {
-		if name != s.self && k.instance.FailureDomain == s.domain {
-			candidates = append(candidates, k)
-		}
-	}
-	slices.SortFunc(candidates, func(a, b *knownInstance) int { return strings.Compare(a.instance.Name, b.instance.Name) })
-	var relays []string
-	for _, k := range candidates {
+	var relays, others []string
+	for _, k := range s.relayCandidates() {
+		name := k.instance.Name
 		if len(relays) == relayCount || now-k.lastHeartbeat > maxRelayedHeartbeatAge {
 			k.relaySince = 0
+			others = append(others, name)
 			continue
 		}
 		silent := now - max(k.relaySince, k.lastDigest)
@@ -133,12 +130,32 @@
 			k.relaySince, silent = now, 0
 		}
 		if silent <= relayTimeout {
-			relays = append(relays, k.instance.Name)
+			relays = append(relays, name)
+		} else {
+			others = append(others, name)
 		}
 	}
+	for len(relays) < relayCount && len(others) > 0 {
+		i := rand.IntN(len(others))
+		relays = append(relays, others[i])
+		others = slices.Delete(others, i, i+1)
+	}
 	return relays
 }
 
+// relayCandidates returns the other instances of the own failure domain, sorted by name. The
+// caller holds the lock.
+func (s *Instances) relayCandidates() []*knownInstance {
+	var candidates []*knownInstance
+	for name, k := range s.known {
+		if name != s.self && k.instance.FailureDomain == s.domain {
+			candidates = append(candidates, k)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b *knownInstance) int { return strings.Compare(a.instance.Name, b.instance.Name) })
+	return candidates
+}
+
 // hasSubscribers reports whether this instance is a relay of others. The caller holds the
 // lock.
 func (s *Instances) hasSubscribers(now time.Duration) bool {
@@ -208,5 +225,6 @@
 		k.lastHeartbeat = now - e.Age
 		k.ready = e.Status.Ready
 		k.storeReachable = e.Status.StoreReachable
+		k.load = e.Status.Load
 	}
 }
--- /dev/null
+++ b/fleet/serving.go
@@ -0,0 +1,168 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Callers are sent to the serving instances of a failure domain only, the ones with the most
+// processor time. The others stand by. Each serving instance then gets enough requests to keep
+// its connections open, to know the latencies of the searchers, and to use its share of the
+// budgets, which hundreds of instances with a request every few seconds do not. The set grows
+// with the load, and when instances are lost others take their place.
+const (
+	// minServing is the smallest number of serving instances. A caller may leave out each
+	// address at which a request of its own has failed, whoever was at fault.
+	minServing = 4
+	// minServingShare is the smallest share of the processor time of a failure domain's
+	// instances that its serving ones have.
+	minServingShare = 1.0 / 6
+	// loadHeadroom is how many times the present load the serving instances can carry.
+	loadHeadroom = 3
+	// loadHalfLife is the time in which a load that has ended counts half, so that the set
+	// does not shrink in each short pause.
+	loadHalfLife = 10 * time.Second
+	// unknownCores is the assumed processor time of an instance whose entry states none.
+	unknownCores = 1.0
+)
+
+// cores returns the processor time that the instance can use, in cores.
+func (i Instance) cores() float64 {
+	if i.Cores > 0 {
+		return i.Cores
+	}
+	return unknownCores
+}
+
+// servingCandidate is an instance that is alive and ready, with its load in cores.
+type servingCandidate struct {
+	instance Instance
+	load     float64
+}
+
+// recentLoad is the load of a failure domain, in cores, which falls slowly. The zero value is
+// ready for use.
+type recentLoad struct {
+	value float64
+	at    time.Duration
+}
+
+// update returns the load that counts, given the present one.
+func (l *recentLoad) update(now time.Duration, present float64) float64 {
+	past := l.value * math.Exp2(-float64(now-l.at)/float64(loadHalfLife))
+	l.value, l.at = max(past, present), now
+	return l.value
+}
+
+// servingOrder sorts the candidates: those with more processor time first.
+func servingOrder(candidates []servingCandidate) {
+	slices.SortFunc(candidates, func(a, b servingCandidate) int {
+		switch {
+		case a.instance.cores() > b.instance.cores():
+			return -1
+		case a.instance.cores() < b.instance.cores():
+			return 1
+		}
+		return strings.Compare(a.instance.Name, b.instance.Name)
+	})
+}
+
+// countNeeded returns how many of the sorted candidates have to serve, given the load of all.
+func countNeeded(sorted []servingCandidate, load float64) int {
+	total := 0.0
+	for _, c := range sorted {
+		total += c.instance.cores()
+	}
+	required := max(total*minServingShare, load*loadHeadroom)
+	capacity := 0.0
+	for i, c := range sorted {
+		if i >= minServing && capacity >= required {
+			return i
+		}
+		capacity += c.instance.cores()
+	}
+	return len(sorted)
+}
+
+// serving returns the serving instances of a failure domain, those with the most processor
+// time first. The caller holds the lock.
+func (s *Instances) serving(domain string, now time.Duration, selfReady bool) []Instance {
+	var candidates []servingCandidate
+	load := 0.0
+	timeout := s.heartbeatTimeout()
+	for name, k := range s.known {
+		usable := k.aliveAndReady(now, timeout)
+		if name == s.self {
+			usable = selfReady
+		}
+		if usable && k.instance.FailureDomain == domain {
+			candidates = append(candidates, servingCandidate{instance: k.instance, load: k.load})
+			load += k.load
+		}
+	}
+	if s.recentLoads[domain] == nil {
+		s.recentLoads[domain] = &recentLoad{}
+	}
+	servingOrder(candidates)
+	needed := countNeeded(candidates, s.recentLoads[domain].update(now, load))
+	var serving []Instance
+	for _, c := range candidates[:needed] {
+		serving = append(serving, c.instance)
+	}
+	return serving
+}
+
+// standbyShare is the share of the budgets of a failure domain that the instances standing by
+// have together. Callers may still use their addresses for a time.
+const standbyShare = 0.1
+
+// SharedBy returns by how many the budgets of the services, and the connections that the
+// searchers accept, have to be divided to get the part of this instance. Where all instances
+// serve, it is CountBudgetSharers. In a failure domain with instances that stand by, those that
+// served within sharerTimeout share most of what the domain has.
+func (s *Instances) SharedBy(now time.Duration, selfReady bool) int {
+	total := s.CountBudgetSharers(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range s.serving(s.domain, now, selfReady) {
+		k := s.known[i.Name]
+		k.served, k.servedAt = true, now
+	}
+	inDomain, serving, selfServes := 0, 0, false
+	for name, k := range s.known {
+		if k.instance.FailureDomain != s.domain {
+			continue
+		}
+		inDomain++
+		if k.served && now-k.servedAt <= sharerTimeout {
+			serving++
+			selfServes = selfServes || name == s.self
+		}
+	}
+	standby := inDomain - serving
+	if serving == 0 || standby == 0 {
+		return total
+	}
+	sharers, share := float64(serving), 1-standbyShare
+	if !selfServes {
+		sharers, share = float64(standby), standbyShare
+	}
+	// All instances of the domain together have inDomain of total parts.
+	return int(math.Ceil(sharers / share * float64(total) / float64(inDomain)))
+}
+
+// SetLoad sets the load of this instance, in cores.
+func (s *Instances) SetLoad(load float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known[s.self].load = load
+}
+
+// Load returns the load of this instance, in cores.
+func (s *Instances) Load() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known[s.self].load
+}
