Bound the bytes that are read of a searcher's reply

Cause: the head of a reply was read without a bound. A searcher that sends bytes without end in a status line, a header or many headers, filled the memory of the instance until the caller's deadline. TestEndlessReplies fails for five such heads without the change (read on past 128 KiB).

Change: at most 64 KiB of a head and 16 MiB of an encoded body are read, then the exchange fails and the connection is closed. The end by the bound is an error, so it can't be taken for the end of a body without a length. The searcher counts as failing and the part may go elsewhere, as with any broken reply. Bodies were already bounded at 8 MiB after decoding.

--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -79,8 +79,10 @@
 // Conn is a connection to a searcher. It runs one exchange at a time. It is safe for
 // concurrent use.
 type Conn struct {
-	raw    net.Conn
-	reader *bufio.Reader
+	raw net.Conn
+	// reader reads from bounded, which reads from raw. Only the goroutine of read uses them.
+	reader  *bufio.Reader
+	bounded *boundedReader
 	// onClose is called once, when the connection is closed.
 	onClose func(*Conn)
 
@@ -110,7 +112,8 @@
 // when the connection is closed by either side. If that ends an exchange, onClose is called
 // before the Done of the exchange.
 func NewConn(raw net.Conn, onClose func(*Conn)) *Conn {
-	c := &Conn{raw: raw, reader: bufio.NewReaderSize(raw, readBufferBytes), onClose: onClose, reusableUntil: time.Now().Add(maxIdle)}
+	bounded := &boundedReader{reader: raw}
+	c := &Conn{raw: raw, reader: bufio.NewReaderSize(bounded, readBufferBytes), bounded: bounded, onClose: onClose, reusableUntil: time.Now().Add(maxIdle)}
 	go c.read()
 	return c
 }
@@ -225,6 +228,7 @@
 func (c *Conn) read() {
 	skipped := 0
 	for {
+		c.bounded.left = maxHeadBytes
 		if _, err := c.reader.Peek(1); err != nil {
 			c.fail(errors.Annotate(err, "wait for a reply"))
 			return
@@ -283,6 +287,7 @@
 		return nil, true, errors.Annotate(err, "read the head of the reply")
 	}
 	defer func() { _ = response.Body.Close() }()
+	c.bounded.left = maxEncodedBodyBytes
 	if response.StatusCode < http.StatusOK {
 		return nil, true, errors.Errorf("unexpected interim status %d", response.StatusCode)
 	}
