--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -21,6 +21,12 @@
 // startShortKeepAliveServer starts an HTTP server and returns its address. Its replies
 // announce that idle connections are closed after one second, but it never closes one.
 func startShortKeepAliveServer(t *testing.T) string {
+	t.Helper()
+	return startServer(t, func() {})
+}
+
+// startServer is like startShortKeepAliveServer. It calls wait before each reply.
+func startServer(t *testing.T, wait func()) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -38,6 +44,7 @@
 					if _, err := http.ReadRequest(reader); err != nil {
 						return
 					}
+					wait()
 					_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n"))
 				}
 			}()
@@ -83,3 +90,42 @@
 	qt.Assert(t, running, qt.Equals, 0)
 	qt.Assert(t, start(First), qt.IsNil)
 }
+
+// TestExcessConnectionsAreClosed guards against connections that an instance keeps when its part
+// of them becomes smaller. Those of all instances would exceed what the searcher accepts.
+func TestExcessConnectionsAreClosed(t *testing.T) {
+	const requests = 6
+	instances := 1
+	d := New(Config{
+		Clock: clock.System{}, InstanceCount: func() int { return instances }, Log: slog.New(slog.DiscardHandler),
+		Bounds: platform.Bounds{RetryRatio: 0.2, RetryExtra: 4}, Registry: prometheus.NewRegistry(),
+	})
+	d.SetConfig(routing.NewConfig(1, nil, []*routing.Service{{Name: "s", MaxConnections: 10}}, routing.Limits{}))
+	reply := make(chan struct{})
+	d.PutSearcher(fleet.Searcher{ID: "i", Service: "s", Address: startServer(t, func() { <-reply }), Slots: requests})
+	ended := make(chan Event, requests)
+	for range requests {
+		_, err := d.Start(Request{
+			Service: "s", Method: http.MethodGet, Kind: First, Deadline: clock.System{}.Boottime() + time.Minute,
+			Encode: func(string, time.Duration) []byte { return []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n") },
+			OnEnd:  func(e Event) { ended <- e },
+		})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	close(reply)
+	for range requests {
+		qt.Assert(t, (<-ended).Outcome, qt.Equals, Answered)
+	}
+	open := func() (int, int) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.searchers["i"].open, len(d.searchers["i"].idle)
+	}
+	before, _ := open()
+	qt.Assert(t, before, qt.Equals, requests)
+	instances = 3 // a third of nine connections
+	d.CloseExcessConnections()
+	after, idle := open()
+	qt.Assert(t, after, qt.Equals, 3)
+	qt.Assert(t, idle, qt.Equals, 3)
+}
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -112,10 +112,10 @@
 	return maxRelayedHeartbeatAge
 }
 
-// chooseRelays returns the names of the relays of this instance: the first instances by name that are alive, without those that have sent no digest
-// for relayTimeout. If these are too few, instances drawn at random are added, so that an
-// instance that has heard of nobody for a time finds the others again. The caller holds the
-// lock.
+// chooseRelays returns the names of the relays of this instance: the first instances by name
+// that are alive, without those that have sent no digest for relayTimeout. If these are too
+// few, instances drawn at random are added, so that an instance that has heard of nobody for a
+// time finds the others again. The caller holds the lock.
 func (s *Instances) chooseRelays(now time.Duration) []string {
 	var relays, others []string
 	for _, k := range s.relayCandidates() {
@@ -156,8 +156,8 @@
 	return candidates
 }
 
-// hasSubscribers reports whether this instance is a relay of others. The caller holds the
-// lock.
+// hasSubscribers reports whether others have asked this instance for digests. The caller holds
+// the lock.
 func (s *Instances) hasSubscribers(now time.Duration) bool {
 	for _, k := range s.known {
 		if k.subscribed(now) {
@@ -167,11 +167,12 @@
 	return false
 }
 
-// IsRelay reports whether this instance is a relay of others.
+// IsRelay reports whether this instance is a relay of others. In a small failure domain there
+// are none.
 func (s *Instances) IsRelay(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.hasSubscribers(now)
+	return !s.isMesh() && s.hasSubscribers(now)
 }
 
 // subscribed reports whether the instance has asked this one for digests.
--- a/fleet/serving.go
+++ b/fleet/serving.go
@@ -19,7 +19,7 @@
 	// minServingShare is the smallest share of the processor time of a failure domain's
 	// instances that its serving ones have.
 	minServingShare = 1.0 / 6
-	// loadHeadroom is how many times the present load the serving instances can carry.
+	// loadHeadroom is how many times the recent load the serving instances can carry.
 	loadHeadroom = 3
 	// loadHalfLife is the time in which a load that has ended counts half, so that the set
 	// does not shrink in each short pause.
@@ -56,8 +56,8 @@
 	return l.value
 }
 
-// servingOrder sorts the candidates: those with more processor time first.
-func servingOrder(candidates []servingCandidate) {
+// sortByCores sorts the candidates: those with more processor time first.
+func sortByCores(candidates []servingCandidate) {
 	slices.SortFunc(candidates, func(a, b servingCandidate) int {
 		switch {
 		case a.instance.cores() > b.instance.cores():
@@ -105,7 +105,7 @@
 	if s.recentLoads[domain] == nil {
 		s.recentLoads[domain] = &recentLoad{}
 	}
-	servingOrder(candidates)
+	sortByCores(candidates)
 	needed := countNeeded(candidates, s.recentLoads[domain].update(now, load))
 	var serving []Instance
 	for _, c := range candidates[:needed] {
