Read and log the rate limits that searchers advertise

The logs and metrics of an instance could not tell whether it knows a searcher's advertised rate limit, and whether first attempts, retries or hedges exceed it. Replies now carry the limit, a log line names each change, and a counter has the attempts sent to such searchers by kind. Nothing else changes.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -64,6 +64,11 @@
 	Hedge
 )
 
+// String returns the name of the kind as it stands in metrics.
+func (k Kind) String() string {
+	return [...]string{"first", "transparent retry", "retry", "late retry", "hedge"}[k]
+}
+
 // UsesRetryBudget reports whether the attempt takes a token from the retry budget. It
 // does if a searcher may have got the request before.
 func (k Kind) UsesRetryBudget() bool { return k == Retry || k.Optional() }
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -78,6 +78,9 @@
 	e.Latency = now - a.chosenAt
 	d.mu.Lock()
 	t := a.target
+	if reply != nil && !reply.Metadata.Misdirected {
+		d.setRateLimit(t, reply.Metadata.RateLimit)
+	}
 	switch e.Outcome {
 	case Answered:
 		t.stats.ObserveReply(now, now-a.chosenAt, true)
@@ -99,6 +102,16 @@
 	d.end(a, e, conn)
 }
 
+// setRateLimit records the rate limit that a searcher advertises in a reply, zero if the
+// reply names none.
+func (d *Dispatcher) setRateLimit(t *target, limit float64) {
+	if limit != t.rateLimit {
+		d.config.Log.Info("searcher's advertised rate limit changes", "searcher", t.ID, "service", t.service.settings.Name,
+			"before_per_s", t.rateLimit, "per_s", limit, "sharers", d.config.InstanceCount())
+		t.rateLimit = limit
+	}
+}
+
 // end ends the attempt and releases its connection, if it has one. It calls OnEnd unless
 // the attempt was cancelled or abandoned. It does nothing if the attempt has ended.
 func (d *Dispatcher) end(a *Attempt, e Event, conn *connection) {
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -8,6 +8,8 @@
 type metrics struct {
 	outcomes *prometheus.CounterVec
 	dials    *prometheus.CounterVec
+	// toLimited counts the attempts sent to searchers that advertise a rate limit.
+	toLimited *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -20,8 +22,12 @@
 			Name: "wharf_searcher_dials_total",
 			Help: "Connections opened to searchers, by outcome.",
 		}, []string{"outcome"}),
+		toLimited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wharf_rate_limited_searcher_attempts_total",
+			Help: "Attempts sent to searchers that advertise a rate limit, by kind.",
+		}, []string{"kind"}),
 	}
-	r.MustRegister(m.outcomes, m.dials)
+	r.MustRegister(m.outcomes, m.dials, m.toLimited)
 	return m
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -147,6 +147,9 @@
 	if now < t.coldUntil {
 		t.coldLimiter.RecordSent(now)
 	}
+	if t.rateLimit > 0 {
+		d.metrics.toLimited.WithLabelValues(a.Kind.String()).Inc()
+	}
 	conn, stale := t.takeUsable(wall)
 	if conn == nil {
 		t.open++
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -71,6 +71,9 @@
 	observations balance.Observations
 	coldLimiter  retry.ColdLimiter
 	coldUntil    time.Duration
+	// rateLimit is the rate limit that the searcher advertises, in requests a second from
+	// all instances together. It is zero if it advertises none.
+	rateLimit float64
 	// removed says that the searcher was removed from the dispatcher. addressReused says
 	// that another searcher answers at its address.
 	removed       bool
