Keep the rate limits that searchers advertise, over all instances

What callers saw: nothing. Searchers that asked for less got as much as before, up to 216 requests in 4 s where 25 were right.

Cause: nothing read the limit. Class of fault: a limit that holds for all instances together and that nobody divides among them.

Why it works: each instance has an equal part of the limit as a token bucket of one second. Where instances outnumber the limit, tokens expire and are earned in turn, so that all instances together never hold more than a second of the limit. Requests that would wait for a token until their answer is due are refused at once.

--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -81,7 +81,8 @@
 	}
 	s.dispatch = dispatch.New(dispatch.Config{
 		Instance: settings.Name, FailureDomain: settings.FailureDomain, RegionOf: settings.RegionOf, Bounds: settings.Bounds, Clock: s.clock,
-		InstanceCount: func() int { return int(s.budgetSharers.Load()) }, Log: log, Registry: s.registry,
+		InstanceCount: func() int { return int(s.budgetSharers.Load()) },
+		Position:      func() float64 { return s.instances.Position(s.clock.Boottime()) }, Log: log, Registry: s.registry,
 	})
 	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry})
 	s.createMirrors()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -52,8 +52,11 @@
 	// InstanceCount returns the number of instances that share the connections and the
 	// budgets, this one included.
 	InstanceCount func() int
-	Log           *slog.Logger
-	Registry      prometheus.Registerer
+	// Position returns the place of this instance in the order of those instances, from 0 to
+	// below 1. It is 0 if Position is nil.
+	Position func() float64
+	Log      *slog.Logger
+	Registry prometheus.Registerer
 }
 
 // Dispatcher chooses searchers for requests and sends the requests to them. It is safe
@@ -71,6 +74,9 @@
 
 // New returns a dispatcher without services and searchers. It registers its metrics.
 func New(config Config) *Dispatcher {
+	if config.Position == nil {
+		config.Position = func() float64 { return 0 }
+	}
 	return &Dispatcher{
 		config:     config,
 		metrics:    newMetrics(config.Registry),
@@ -200,11 +206,11 @@
 	now := d.config.Clock.Boottime()
 	eligible := d.eligible(s, r, now)
 	for _, t := range eligible {
-		if d.hasRoom(t) {
+		if d.hasRoom(t, now) {
 			return true
 		}
 	}
-	return len(eligible) > 0 && s.admission.Admits(r.Rank)
+	return len(eligible) > 0 && s.mayQueue(r, d.rateLimitWait(eligible, now), len(s.queue), now)
 }
 
 // HasRetryBudget reports whether the retry budget of a service has a token left.
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -79,7 +79,7 @@
 	d.mu.Lock()
 	t := a.target
 	if reply != nil && !reply.Metadata.Misdirected {
-		d.setRateLimit(t, reply.Metadata.RateLimit)
+		d.observeRateLimit(a, now, reply.Metadata.RateLimit)
 	}
 	switch e.Outcome {
 	case Answered:
@@ -102,16 +102,6 @@
 	d.end(a, e, conn)
 }
 
-// setRateLimit records the rate limit that a searcher advertises in a reply, zero if the
-// reply names none.
-func (d *Dispatcher) setRateLimit(t *target, limit float64) {
-	if limit != t.rateLimit {
-		d.config.Log.Info("searcher's advertised rate limit changes", "searcher", t.ID, "service", t.service.settings.Name,
-			"before_per_s", t.rateLimit, "per_s", limit, "sharers", d.config.InstanceCount())
-		t.rateLimit = limit
-	}
-}
-
 // end ends the attempt and releases its connection, if it has one. It calls OnEnd unless
 // the attempt was cancelled or abandoned. It does nothing if the attempt has ended.
 func (d *Dispatcher) end(a *Attempt, e Event, conn *connection) {
@@ -125,8 +115,11 @@
 	if e.Outcome == Answered && len(a.service.queue) == 0 {
 		a.service.admission.ObserveEmptyQueue()
 	}
-	if e.Outcome == Unsent && a.Kind.UsesRetryBudget() {
-		a.service.budget.Refund()
+	if e.Outcome == Unsent {
+		a.refundRateLimit()
+		if a.Kind.UsesRetryBudget() {
+			a.service.budget.Refund()
+		}
 	}
 	var tasks []func()
 	if conn != nil {
@@ -175,7 +168,7 @@
 		now := d.config.Clock.Boottime()
 		i := s.nextQueued(now)
 		a := s.queue[i]
-		launch, err := d.place(a)
+		launch, err := d.place(a, 0)
 		if err == nil && launch == nil {
 			return tasks
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,7 +23,7 @@
 		d.metrics.notStarted(ErrRetryBudgetSpent)
 		return nil, ErrRetryBudgetSpent
 	}
-	launch, err := d.place(a)
+	launch, err := d.place(a, len(s.queue))
 	switch {
 	case err != nil || launch != nil:
 	case r.Kind.Optional():
@@ -71,14 +71,15 @@
 // place binds the attempt to a searcher and returns a function that sends it, to be called
 // without the lock. It returns nil and no error if no searcher has room but the attempt may
 // be queued, ErrBusy if it may not be queued, and ErrNoSearcher if no searcher can take it.
-func (d *Dispatcher) place(a *Attempt) (func(), error) {
+// ahead is the number of queued attempts that go before it.
+func (d *Dispatcher) place(a *Attempt, ahead int) (func(), error) {
 	now, wall := d.config.Clock.Boottime(), time.Now()
 	s := a.service
 	var candidates []balance.Candidate
 	var targets []*target
 	eligible := d.eligible(s, a.Request, now)
 	for _, t := range eligible {
-		if !d.hasRoom(t) {
+		if !d.hasRoom(t, now) {
 			continue
 		}
 		targets = append(targets, t)
@@ -88,9 +89,11 @@
 		return nil, ErrNoSearcher
 	}
 	if len(targets) == 0 {
-		if !s.admission.Admits(a.Rank) {
+		wait := d.rateLimitWait(eligible, now)
+		if !s.mayQueue(a.Request, wait, ahead, now) {
 			return nil, ErrBusy
 		}
+		d.scheduleLaunch(s, wait.next)
 		return nil, nil
 	}
 	latency, _ := s.latency.Quantile(0.5)
@@ -101,9 +104,19 @@
 	return d.bind(a, targets[chosen], now, wall), nil
 }
 
+// mayQueue reports whether a request may wait for a searcher with room. It may not if the
+// service sheds it, or if the rate limits of the searchers let it be sent only after its
+// answer is due.
+func (s *service) mayQueue(r Request, wait rateLimitWait, ahead int, now time.Duration) bool {
+	return s.admission.Admits(r.Rank) && !wait.tooLong(ahead, r.DueBy-now)
+}
+
 // hasRoom reports whether a searcher may get one more request from this instance now,
 // within its limits of requests and of connections.
-func (d *Dispatcher) hasRoom(t *target) bool {
+func (d *Dispatcher) hasRoom(t *target, now time.Duration) bool {
+	if !d.withinRateLimit(t, now) {
+		return false
+	}
 	if t.limit.Reached(len(t.running), t.Slots, d.config.InstanceCount()) {
 		return false
 	}
@@ -147,9 +160,7 @@
 	if now < t.coldUntil {
 		t.coldLimiter.RecordSent(now)
 	}
-	if t.rateLimit > 0 {
-		d.metrics.toLimited.WithLabelValues(a.Kind.String()).Inc()
-	}
+	d.takeRateLimit(a)
 	conn, stale := t.takeUsable(wall)
 	if conn == nil {
 		t.open++
--- a/dispatch/rate_limit_test.go
+++ b/dispatch/rate_limit_test.go
@@ -71,6 +71,12 @@
 	return fmt.Sprintf("Server-Limit: %g\r\n", s.limit)
 }
 
+func (s *limitedSearcher) setLimit(limit float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
 // most returns the largest number of requests in a window of this length that starts at
 // from or later.
 func (s *limitedSearcher) most(from, window time.Duration) int {
@@ -91,9 +97,10 @@
 
 // newLimitedDispatcher returns the dispatcher of one of several instances that send requests
 // to a single searcher.
-func newLimitedDispatcher(c clock.Clock, instances int, searcher *limitedSearcher) *Dispatcher {
+func newLimitedDispatcher(c clock.Clock, index, instances int, searcher *limitedSearcher) *Dispatcher {
 	d := New(Config{
-		Clock: c, InstanceCount: func() int { return instances }, Log: slog.New(slog.DiscardHandler),
+		Clock: c, InstanceCount: func() int { return instances },
+		Position: func() float64 { return float64(index) / float64(instances) }, Log: slog.New(slog.DiscardHandler),
 		Bounds: platform.Bounds{RetryRatio: 0.2, RetryExtra: 50}, Registry: prometheus.NewRegistry(),
 	})
 	d.SetConfig(routing.NewConfig(1, nil, []*routing.Service{{Name: "s", MaxConnections: 100}}, routing.Limits{}))
@@ -137,8 +144,8 @@
 		manual.Advance(time.Minute)
 		searcher := startLimitedSearcher(t, manual, limit)
 		var dispatchers []*Dispatcher
-		for range instances {
-			dispatchers = append(dispatchers, newLimitedDispatcher(manual, instances, searcher))
+		for i := range instances {
+			dispatchers = append(dispatchers, newLimitedDispatcher(manual, i, instances, searcher))
 		}
 		start := manual.Boottime()
 		for i := 0; manual.Boottime() < start+duration; i++ {
@@ -152,3 +159,46 @@
 		qt.Check(t, most >= 0.7*limit*window.Seconds(), qt.IsTrue, qt.Commentf("%s: %g requests in %s leave most of the limit unused", kind, most, window))
 	}
 }
+
+// TestRateLimitEndsWhenReplyNamesNone guards against a limit that is kept after the searcher stopped naming it, or is dropped because of an older reply.
+func TestRateLimitEndsWhenReplyNamesNone(t *testing.T) {
+	manual := &clock.Manual{}
+	manual.Advance(time.Minute)
+	searcher := startLimitedSearcher(t, manual, 1)
+	d := newLimitedDispatcher(manual, 0, 1, searcher)
+	qt.Assert(t, sendOne(t, d, First), qt.IsTrue)
+	older := &Attempt{service: d.service("s"), target: d.searchers["i"], chosenAt: manual.Boottime() - time.Second}
+	d.observeRateLimit(older, manual.Boottime(), 0)
+	qt.Assert(t, d.searchers["i"].rateLimit.active(), qt.IsTrue)
+	searcher.setLimit(0)
+	manual.Advance(2 * time.Second)
+	for range 10 {
+		qt.Assert(t, sendOne(t, d, First), qt.IsTrue)
+	}
+}
+
+// TestQueuedRequestIsSentWhenRateLimitAllows guards against requests that wait for a rate limit and are forgotten, or that wait though their answer will be late.
+func TestQueuedRequestIsSentWhenRateLimitAllows(t *testing.T) {
+	searcher := startLimitedSearcher(t, clock.System{}, 20)
+	d := newLimitedDispatcher(clock.System{}, 0, 1, searcher)
+	ended := make(chan Event, 1000)
+	start := func() error {
+		now := clock.System{}.Boottime()
+		_, err := d.Start(Request{
+			Service: "s", Method: http.MethodGet, Deadline: now + time.Minute, DueBy: now + time.Second, LatencyTarget: time.Second,
+			Encode: func(string, time.Duration) []byte { return []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n") },
+			OnEnd:  func(e Event) { ended <- e },
+		})
+		return err
+	}
+	qt.Assert(t, start(), qt.IsNil)
+	qt.Assert(t, (<-ended).Outcome, qt.Equals, Answered)
+	started := 0
+	for start() == nil {
+		started++
+	}
+	qt.Assert(t, started > 1 && started <= 50, qt.IsTrue, qt.Commentf("%d requests are queued for a second at 20 a second", started))
+	for range started {
+		qt.Assert(t, (<-ended).Outcome, qt.Equals, Answered)
+	}
+}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -26,6 +26,8 @@
 	admission balance.Shedder
 	// queue holds the attempts that wait for a searcher with room, in order of arrival.
 	queue []*Attempt
+	// launchScheduled says that a timer will launch queued attempts.
+	launchScheduled bool
 }
 
 // unanswered returns the number of requests of this instance that are queued or are bound
@@ -71,9 +73,7 @@
 	observations balance.Observations
 	coldLimiter  retry.ColdLimiter
 	coldUntil    time.Duration
-	// rateLimit is the rate limit that the searcher advertises, in requests a second from
-	// all instances together. It is zero if it advertises none.
-	rateLimit float64
+	rateLimit    advertisedLimit
 	// removed says that the searcher was removed from the dispatcher. addressReused says
 	// that another searcher answers at its address.
 	removed       bool
--- a/fleet/serving.go
+++ b/fleet/serving.go
@@ -130,27 +130,62 @@
 		k := s.known[i.Name]
 		k.served, k.servedAt = true, now
 	}
-	inDomain, serving, selfServes := 0, 0, false
+	serving, standby := s.domainSharers(now)
+	if len(serving) == 0 || len(standby) == 0 {
+		return total
+	}
+	group, share := serving, 1-standbyShare
+	if !slices.Contains(serving, s.self) {
+		group, share = standby, standbyShare
+	}
+	// All instances of the domain together have inDomain of total parts.
+	inDomain := len(serving) + len(standby)
+	return int(math.Ceil(float64(len(group)) / share * float64(total) / float64(inDomain)))
+}
+
+// domainSharers returns the sorted names of the instances of the own failure domain: those
+// that served within sharerTimeout, and the others. The caller holds the lock.
+func (s *Instances) domainSharers(now time.Duration) (serving, standby []string) {
 	for name, k := range s.known {
-		if k.instance.FailureDomain != s.domain {
-			continue
+		switch {
+		case k.instance.FailureDomain != s.domain:
+		case k.served && now-k.servedAt <= sharerTimeout:
+			serving = append(serving, name)
+		default:
+			standby = append(standby, name)
 		}
-		inDomain++
-		if k.served && now-k.servedAt <= sharerTimeout {
-			serving++
-			selfServes = selfServes || name == s.self
+	}
+	slices.Sort(serving)
+	slices.Sort(standby)
+	return serving, standby
+}
+
+// Position returns the place of this instance in the order of all instances that share the
+// budgets, from 0 to below 1. The order is that of the failure domains, and in each of them
+// the serving instances come first. The positions are spread as the budgets are: instances
+// with equal parts have equal distances.
+func (s *Instances) Position(now time.Duration) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := 0
+	for _, k := range s.known {
+		if k.instance.FailureDomain < s.domain {
+			before++
 		}
 	}
-	standby := inDomain - serving
-	if serving == 0 || standby == 0 {
-		return total
+	serving, standby := s.domainSharers(now)
+	group, start, width := serving, 0.0, 1-standbyShare
+	i, serves := slices.BinarySearch(serving, s.self)
+	if !serves {
+		i, _ = slices.BinarySearch(standby, s.self)
+		group, start, width = standby, 1-standbyShare, standbyShare
 	}
-	sharers, share := float64(serving), 1-standbyShare
-	if !selfServes {
-		sharers, share = float64(standby), standbyShare
+	if len(serving) == 0 || len(standby) == 0 {
+		start, width = 0, 1
 	}
-	// All instances of the domain together have inDomain of total parts.
-	return int(math.Ceil(sharers / share * float64(total) / float64(inDomain)))
+	inDomain := float64(len(serving) + len(standby))
+	offset := (start + width*float64(i)/float64(len(group))) * inDomain
+	return (float64(before) + offset) / float64(len(s.known))
 }
 
 // SetLoad sets the load of this instance, in cores.
--- a/fleet/serving_test.go
+++ b/fleet/serving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -114,3 +115,26 @@
 	now += time.Second
 	qt.Assert(t, sum() <= 1.01, qt.IsTrue, qt.Commentf("%v", sum()))
 }
+
+// TestPositionsAreSpread guards against instances that use their parts of a limit at the same times.
+func TestPositionsAreSpread(t *testing.T) {
+	for _, n := range []int{1, 3, 20} {
+		var serving []float64
+		for d := range 3 {
+			for i := range n {
+				s := mixedDomains(3, 3, n, fmt.Sprintf("%c%03d", 'a'+d, i))
+				if s.SharedBy(time.Second, true) <= 3*3*minServing {
+					serving = append(serving, s.Position(time.Second))
+				}
+			}
+		}
+		slices.Sort(serving)
+		for i := range serving {
+			gap := 1 - serving[i] + serving[0] // to the first one, which follows the last
+			if i+1 < len(serving) {
+				gap = serving[i+1] - serving[i]
+			}
+			qt.Check(t, gap > 0.5/float64(len(serving)) && gap < 2/float64(len(serving)), qt.IsTrue, qt.Commentf("gap of %v between %d of %d instances", gap, len(serving), 3*n))
+		}
+	}
+}
