--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -24,6 +25,13 @@
 	changed   chan struct{}
 	faults    StoreFaults
 	calls     int
+	epoch     int64
+}
+
+// StoreCopy is a copy of a store's content, to restore it from.
+type StoreCopy struct {
+	revision int64
+	kinds    map[string]map[string]storedObject
 }
 
 // StoreFaults is how the store misbehaves.
@@ -60,7 +68,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, kinds: make(map[string]map[string]storedObject), changed: make(chan struct{})}
+	return &Store{revision: 1, epoch: 1, kinds: make(map[string]map[string]storedObject), changed: make(chan struct{})}
 }
 
 // SetFaults changes how the store misbehaves. Waiting watches notice.
@@ -78,6 +86,31 @@
 	s.history, s.forgotten = nil, s.revision
 }
 
+// Copy returns a copy of the store's content.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{revision: s.revision, kinds: cloneKinds(s.kinds)}
+}
+
+// Restore replaces the content by that of a copy. All changes since are lost, their revisions
+// are given out again, and the epoch rises.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.kinds, s.history, s.forgotten = c.revision, cloneKinds(c.kinds), nil, c.revision
+	s.epoch++
+	s.wake()
+}
+
+func cloneKinds(kinds map[string]map[string]storedObject) map[string]map[string]storedObject {
+	c := make(map[string]map[string]storedObject)
+	for kind, objects := range kinds {
+		c[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
 // Calls returns how many calls were made.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -153,6 +186,7 @@
 	s.mu.Lock()
 	s.calls++
 	faults := s.faults
+	w.Header().Set("Store-Era", strconv.FormatInt(s.epoch, 10))
 	s.mu.Unlock()
 	time.Sleep(faults.Delay)
 	if faults.Down {
@@ -207,8 +241,9 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		changed, revision, gone, deaf := s.changed, s.revision, from < s.forgotten, s.faults.Deaf
+		changed, revision, gone, deaf := s.changed, s.revision, from < s.forgotten || from > s.revision, s.faults.Deaf
 		events := s.since(kind, from)
+		w.Header().Set("Store-Era", strconv.FormatInt(s.epoch, 10))
 		s.mu.Unlock()
 		if gone && !deaf {
 			http.Error(w, "history is gone", http.StatusGone)
