Follow the store when it comes back from an older copy

What callers saw: requests were run by the service of an older configuration, and requests to a route that had been added were answered 404, for as long as the instances lived.

Cause: mirrors ordered the states of the store by their revisions alone. A store that comes back from a copy gives revisions out again, so the listing after the restoration counted as older and was ignored, and so did changes until the revision had caught up; the changes before that were never seen. Between instances the same comparison held. Class of fault: an order that holds only within one history of the store was taken to hold for ever.

Why it works: positions in the history are compared by epoch, then revision, in mirrors, in heartbeats and in the changes that instances fetch from each other. The first listing of an epoch applies, but what a mirror knows newer than the copy stays for 2.5 s, until it is written again: an evacuation, a draining searcher or an instance does not go back. A watch that answers from another epoch is not applied.

--- a/cmd/wharf-gateway/mirrors.go
+++ b/cmd/wharf-gateway/mirrors.go
@@ -68,10 +68,31 @@
 		if kind != platform.KindConfig {
 			config.BatchDelay = batchDelay
 		}
+		if kind == platform.KindSearchers {
+			config.OnRestore = s.searchers.ForgetRevisions
+		}
+		config.AppliesRestored = appliesRestored[kind]
 		s.mirrors[kind] = mirror.New(config)
 	}
 }
 
+// appliesRestored says by kind which objects of a store that came back from a copy are applied
+// at once, although an object with a higher revision was known.
+var appliesRestored = map[string]mirror.RestoredFunc{
+	// Configurations are ordered by their versions.
+	platform.KindConfig: func(_, _ platform.StoredObject) bool { return true },
+	platform.KindSearchers: func(known, restored platform.StoredObject) bool {
+		before, err := platform.DecodeSearcher(known)
+		after, restoredErr := platform.DecodeSearcher(restored)
+		return err != nil || restoredErr != nil || after.Draining || after.StartUnixMs > before.StartUnixMs
+	},
+	platform.KindInstances: func(known, restored platform.StoredObject) bool {
+		before, err := platform.DecodeInstance(known)
+		after, restoredErr := platform.DecodeInstance(restored)
+		return err != nil || restoredErr != nil || after.StartUnixMs > before.StartUnixMs
+	},
+}
+
 // recordStoreFailure records that a call to the store failed, here or at another instance.
 // Entries may then expire although their searchers still run, so an entry that disappears
 // soon afterwards is kept as missing.
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -182,6 +182,9 @@
 		s.instances.SetLoad(s.processorTime.load(now))
 		s.updateBudgetSharers()
 		s.removeExpiredInstances(ctx, now)
+		for _, m := range s.mirrors {
+			m.Settle(time.Now())
+		}
 		for _, id := range s.searchers.Expire(now) {
 			s.log.Info("missing searcher is removed, its entry was not written again", "searcher", id)
 			s.dispatch.RemoveSearcher(id)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -6,12 +6,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -136,9 +136,9 @@
 		if m == nil {
 			return echo.NewHTTPError(http.StatusNotFound, "no such kind")
 		}
-		after, err := strconv.ParseInt(c.QueryParam("after"), 10, 64)
-		if err != nil {
-			return echo.NewHTTPError(http.StatusBadRequest, "after is not a revision")
+		var after mirror.Position
+		if err := echo.QueryParamsBinder(c).MustInt64("after", &after.Revision).Int64("epoch", &after.Epoch).BindError(); err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, "after or epoch is not a number")
 		}
 		return c.JSON(http.StatusOK, m.Since(after))
 	})
@@ -203,7 +203,7 @@
 		}
 		answered = true
 		for kind, m := range x.config.Mirrors {
-			if h.NewestChange[kind] > m.NewestChange() || (m.Revision() == 0 && h.HasListings) {
+			if m.NewestPosition().Before(h.newest(kind)) || (m.Revision() == 0 && h.HasListings) {
 				x.fetch(ctx, kind, seed)
 			}
 		}
@@ -255,14 +255,14 @@
 func (x *Exchange) catchUp(h heartbeat, from fleet.Instance) {
 	leader := x.config.IsLeader()
 	for kind, m := range x.config.Mirrors {
-		newest := h.NewestChange[kind]
-		if newest <= m.NewestChange() {
+		newest := h.newest(kind)
+		if !m.NewestPosition().Before(newest) {
 			continue
 		}
 		fetchDelay := remoteFetchDelay
 		if leader {
 			time.AfterFunc(restartDelay, func() {
-				if newest > m.NewestChange() {
+				if m.NewestPosition().Before(newest) {
 					m.RestartCall()
 				}
 			})
@@ -270,7 +270,7 @@
 			fetchDelay = 0
 		}
 		time.AfterFunc(fetchDelay, func() {
-			if newest > m.NewestChange() {
+			if m.NewestPosition().Before(newest) {
 				x.fetch(context.Background(), kind, from.InternalAddress)
 			}
 		})
@@ -286,7 +286,8 @@
 	defer x.endFetch(kind)
 	m := x.config.Mirrors[kind]
 	var d mirror.Delta
-	path := "/v1/objects/" + kind + "?after=" + strconv.FormatInt(m.Revision(), 10)
+	held := m.Position()
+	path := fmt.Sprintf("/v1/objects/%s?after=%d&epoch=%d", kind, held.Revision, held.Epoch)
 	if err := x.get(ctx, address, path, fetchTimeout, &d); err != nil {
 		x.config.Log.Warn("objects could not be fetched", "kind", kind, "from", address, "error", err.Error())
 		return
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -11,6 +11,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/balance"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
+	"github.com/wisteriawharf/wisteriawharf/mirror"
 )
 
 const (
@@ -32,8 +33,9 @@
 	// HasListings says that the instance holds listings of all kinds.
 	HasListings bool `json:"l"`
 	// NewestChange holds the revision of the newest change that the instance knows, by
-	// kind.
+	// kind. The kinds for which it does not know the store's Epoch yet are left out.
 	NewestChange map[string]int64 `json:"v"`
+	Epoch        int64            `json:"e,omitempty"`
 	// SearcherReports holds reports about searchers that failed or were slow. ForwardReports
 	// asks the receiver, a relay, to pass them on.
 	SearcherReports []searcherReport `json:"h,omitempty"`
@@ -97,11 +99,27 @@
 		HasListings: x.hasListings(), NewestChange: make(map[string]int64, len(x.config.Mirrors)),
 	}
 	for kind, m := range x.config.Mirrors {
-		h.NewestChange[kind] = m.NewestChange()
+		newest := m.NewestPosition()
+		if newest.Epoch > h.Epoch {
+			h.Epoch = newest.Epoch
+			clear(h.NewestChange)
+		}
+		if newest.Epoch == h.Epoch {
+			h.NewestChange[kind] = newest.Revision
+		}
 	}
 	return h
 }
 
+// newest returns the position of the newest change of a kind that the sender knows.
+func (h *heartbeat) newest(kind string) mirror.Position {
+	revision, ok := h.NewestChange[kind]
+	if !ok {
+		return mirror.Position{}
+	}
+	return mirror.Position{Epoch: h.Epoch, Revision: revision}
+}
+
 // SendHeartbeats sends a heartbeat to each instance that fleet.Instances.HeartbeatTargets
 // returns. Reports about searchers go only to instances of the same failure domain, because
 // those reach the searchers over a similar network path. A heartbeat that can't be sent is
@@ -253,7 +271,7 @@
 	kind := x.config.InstanceKind
 	m := x.config.Mirrors[kind]
 	_, port, err := net.SplitHostPort(x.config.Self.InternalAddress)
-	if err != nil || m == nil || m.Revision() == 0 || h.NewestChange[kind] <= m.NewestChange() {
+	if err != nil || m == nil || m.Revision() == 0 || !m.NewestPosition().Before(h.newest(kind)) {
 		return
 	}
 	go x.fetch(context.Background(), kind, net.JoinHostPort(ip, port))
--- a/fleet/searchers.go
+++ b/fleet/searchers.go
@@ -63,6 +63,16 @@
 	set.graceUntil = now + MissingGracePeriod
 }
 
+// ForgetRevisions forgets the revisions of all entries, because the store has come back from a
+// copy and gives revisions out again.
+func (set *Searchers) ForgetRevisions() {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	for _, e := range set.entries {
+		e.revision = 0
+	}
+}
+
 // Put adds or replaces an entry and reports whether it did. A replaced entry is no longer
 // missing. Put ignores an entry that has an older revision than the known one, or that is of
 // an earlier start of the searcher.
--- a/mirror/delta.go
+++ b/mirror/delta.go
@@ -18,19 +18,22 @@
 	Full    bool                    `json:"full"`
 	Objects []platform.StoredObject `json:"objects"`
 	Removed []removal               `json:"removed"`
-	// Revision and NewestChange are those of the mirror that the delta comes from.
+	// Epoch, Revision and NewestChange are those of the mirror that the delta comes from.
+	Epoch        int64 `json:"epoch,omitempty"`
 	Revision     int64 `json:"revision"`
 	NewestChange int64 `json:"newest"`
 }
 
-// Since returns the changes that the mirror knows since a revision. The delta is full if
-// the revision is zero, or so old that the mirror may no longer remember all removals
-// since then.
-func (m *Mirror) Since(revision int64) Delta {
+// Since returns the changes that the mirror knows since a position. The delta is full if
+// the position is of another epoch, if its revision is zero, or if it is so old that the mirror
+// may no longer remember all removals since then.
+func (m *Mirror) Since(p Position) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	d := Delta{Full: revision < m.removalsCompleteAfter || revision == 0, Revision: m.revision, NewestChange: m.newestChange}
-	for _, o := range m.objects {
+	revision := p.Revision
+	otherEpoch := p.Epoch != m.epoch && p.Epoch != 0
+	d := Delta{Full: otherEpoch || revision < m.removalsCompleteAfter || revision == 0, Epoch: m.epoch, Revision: m.revision, NewestChange: m.newestChange}
+	for _, o := range m.storeObjects() {
 		if d.Full || o.Revision > revision {
 			d.Objects = append(d.Objects, o)
 		}
@@ -44,25 +47,24 @@
 }
 
 // Merge applies a delta of another mirror. The delta must be full, or Since must have been
-// called with the revision of this mirror. An object that this mirror holds at the same or a
+// called with the position of this mirror. An object that this mirror holds at the same or a
 // newer revision is not replaced, and one that it holds at a newer revision is not removed.
-// A delta without a revision is ignored.
+// A delta without a revision or of another epoch is ignored, but a full one of a later epoch
+// applies.
 func (m *Mirror) Merge(d Delta) {
 	if d.Full {
-		m.ApplyListing(platform.Listing{Objects: d.Objects, Revision: d.Revision})
+		m.ApplyListing(platform.Listing{Objects: d.Objects, Revision: d.Revision, Epoch: d.Epoch})
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d.Revision == 0 {
-		return // the other mirror has no listing yet
+	if d.Revision == 0 || (d.Epoch != m.epoch && d.Epoch != 0) {
+		return // the other mirror has no listing yet, or one of another epoch
 	}
 	for _, o := range d.Objects {
 		m.put(o)
 	}
 	for _, r := range d.Removed {
-		if held, ok := m.objects[r.Name]; ok && held.Revision <= r.Revision {
-			m.remove(held, r.Revision)
-		}
+		m.applyRemoval(r.Name, r.Revision, r.Revision)
 	}
 	m.newestChange = max(m.newestChange, d.NewestChange)
 	m.advance(d.Revision)
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -116,7 +116,12 @@
 			return err
 		}
 		if !m.ApplyListing(l) {
-			m.config.Log.Warn("listing is older than the mirror and ignored", "kind", m.config.Kind, "epoch", l.Epoch, "revision", l.Revision, "held", m.Revision())
+			held := m.Position()
+			m.config.Log.Warn("listing is older than the mirror and ignored", "kind", m.config.Kind, "epoch", l.Epoch, "revision", l.Revision,
+				"held_epoch", held.Epoch, "held_revision", held.Revision)
+			if l.Epoch < held.Epoch {
+				return errors.Errorf("store is at epoch %d, the mirror at %d", l.Epoch, held.Epoch)
+			}
 		}
 		*listed = true
 		return nil
@@ -134,7 +139,11 @@
 	if err != nil {
 		return err
 	}
-	m.ApplyEvents(changes.Events, changes.Revision)
+	if !m.applyChanges(changes) {
+		m.config.Log.Info("store has another epoch, listing again", "kind", m.config.Kind, "epoch", changes.Epoch)
+		*listed = false
+		return nil
+	}
 	if len(changes.Events) > 0 && m.config.BatchDelay > 0 {
 		_ = clock.Pause(ctx, m.config.BatchDelay) // only returns the error of ctx, and then Run goes on at once
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -42,6 +42,11 @@
 	// follows. If an object disappears soon after such a call, it may only have expired
 	// because of the store's outage.
 	OnFailure func()
+	// OnRestore is called when the store has come back from a copy, before the changes that
+	// follow from it. Like OnChange, it must not call the mirror's methods.
+	OnRestore func()
+	// AppliesRestored says which objects of the copy are applied at once, none if it is nil.
+	AppliesRestored RestoredFunc
 	// Outage is shared by all mirrors of one store.
 	Outage *OutageTracker
 	Log    *slog.Logger
@@ -51,8 +56,14 @@
 type Mirror struct {
 	config Config
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// objects holds the objects in force. After a restoration some may differ from the
+	// store's, see restored.
 	objects  map[string]platform.StoredObject
+	restored restoration
+	// epoch and revision are the place in the store's history up to which the mirror is
+	// complete.
+	epoch    int64
 	revision int64
 	// removals holds the latest removals, the oldest first. It has every removal after
 	// the revision removalsCompleteAfter.
@@ -80,13 +91,23 @@
 	return m.revision
 }
 
+// Position returns the position up to which the mirror is complete.
+func (m *Mirror) Position() Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Position{Epoch: m.epoch, Revision: m.revision}
+}
+
 // NewestChange returns the highest revision of a change that the mirror has applied, or
 // zero if there was none. Unlike Revision it does not advance when a listing or watch brings
 // no change.
-func (m *Mirror) NewestChange() int64 {
+func (m *Mirror) NewestChange() int64 { return m.NewestPosition().Revision }
+
+// NewestPosition returns NewestChange with the epoch of the mirror.
+func (m *Mirror) NewestPosition() Position {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.newestChange
+	return Position{Epoch: m.epoch, Revision: m.newestChange}
 }
 
 // Listing returns all objects, in no particular order, and the revision of the mirror.
@@ -102,20 +123,27 @@
 
 // ApplyListing applies a full listing: it updates the listed objects and removes the others.
 // A listing that is older than the mirror or has no revision is ignored, and objects that
-// are newer than the listing stay. ApplyListing reports whether the listing was applied.
+// are newer than the listing stay. After a listing of a later epoch the mirror keeps for
+// settlePeriod what it knows newer. ApplyListing reports whether the listing was applied.
 func (m *Mirror) ApplyListing(l platform.Listing) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if l.Revision < m.revision || l.Revision == 0 {
+	position := Position{Epoch: l.Epoch, Revision: l.Revision}
+	if l.Revision == 0 || position.Before(Position{Epoch: m.epoch, Revision: m.revision}) {
 		return false
 	}
+	if m.revision > 0 && m.epoch > 0 && l.Epoch > m.epoch {
+		m.restore(l)
+		return true
+	}
+	m.epoch = max(m.epoch, l.Epoch)
 	listed := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		listed[o.Name] = true
 		m.put(o)
 	}
 	for name, o := range m.objects {
-		if !listed[name] && o.Revision <= l.Revision {
+		if !listed[name] && o.Revision <= l.Revision && !m.restored.unconfirmed[name] {
 			m.remove(o, l.Revision)
 		}
 	}
@@ -126,33 +154,66 @@
 	return true
 }
 
+// applyChanges applies the changes that a watch has returned. It applies none and returns
+// false if the epoch is not that of the mirror: the watch was then from a revision of another
+// history.
+func (m *Mirror) applyChanges(c platform.Changes) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.epoch == 0 {
+		m.epoch = c.Epoch // the mirror has its listing from an instance that knows no epoch
+	}
+	if c.Epoch != 0 && c.Epoch != m.epoch {
+		return false
+	}
+	m.applyEvents(c.Events, c.Revision)
+	return true
+}
+
 // ApplyEvents applies the changes that lead up to a revision. A change that is older than the
 // object that the mirror holds is ignored. A removal without a revision always applies.
 func (m *Mirror) ApplyEvents(events []platform.Event, revision int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.applyEvents(events, revision)
+}
+
+// applyEvents is ApplyEvents for a caller that holds the lock.
+func (m *Mirror) applyEvents(events []platform.Event, revision int64) {
 	for _, e := range events {
 		if !e.Deleted {
 			m.put(e.Object)
 			continue
 		}
-		held, ok := m.objects[e.Object.Name]
-		if ok && (e.Object.Revision == 0 || held.Revision <= e.Object.Revision) {
-			m.remove(held, revision)
-		}
+		m.applyRemoval(e.Object.Name, e.Object.Revision, revision)
 	}
 	m.advance(revision)
 }
 
+// applyRemoval removes an object that the store has removed at a revision, unless the store
+// has written it again since. A removal without a revision always applies. complete is the
+// revision up to which the mirror is complete then. The caller holds the lock.
+func (m *Mirror) applyRemoval(name string, revision, complete int64) {
+	if held, ok := m.heldRevision(name); ok && revision != 0 && held > revision {
+		return
+	}
+	held, inForce := m.objects[name]
+	m.confirm(name)
+	if inForce {
+		m.remove(held, complete)
+	}
+}
+
 // advance raises the revision of the mirror. The caller holds the lock.
 func (m *Mirror) advance(revision int64) { m.revision = max(m.revision, revision) }
 
 // put stores an object unless the mirror holds the same or a newer revision of it. The
 // caller holds the lock.
 func (m *Mirror) put(o platform.StoredObject) {
-	if held, ok := m.objects[o.Name]; ok && held.Revision >= o.Revision {
+	if held, ok := m.heldRevision(o.Name); ok && held >= o.Revision {
 		return
 	}
+	m.confirm(o.Name)
 	m.objects[o.Name] = o
 	m.newestChange = max(m.newestChange, o.Revision)
 	m.config.OnChange(platform.Event{Object: o})
