Register an instance again when the store has lost its entry

What callers would see: an instance that was started shortly before the store came back from a copy is left out of the directory's answers, because its entry is lost; it was written once, at the start.

Now each instance checks every second, without a call, that the store is known to hold its entry, and writes it again if not.

TestInstanceRegistersAgainAfterStoreRestore failed before: the entry did not come back in 6 s.

--- a/cmd/wharf-gateway/restore_test.go
+++ b/cmd/wharf-gateway/restore_test.go
@@ -66,3 +66,22 @@
 		})
 	}
 }
+
+// TestInstanceRegistersAgainAfterStoreRestore guards against an instance whose entry is lost with the store's latest changes, so that the others no longer send callers to it.
+func TestInstanceRegistersAgainAfterStoreRestore(t *testing.T) {
+	d := newDeployment(t)
+	a := d.startInstance("a")
+	d.startSearchers(&site.Ledger{}, time.Millisecond)
+	d.configure(1, "/r/")
+	eventually(t, "the configuration is not in force", func() bool { return a.status("/r/x") == http.StatusOK })
+	eventually(t, "the first instance is not registered", func() bool { return len(d.store.Names("wharf-instances")) == 1 })
+	oldCopy := d.store.Copy()
+	b := d.startInstance("a")
+	eventually(t, "the instances don't know each other", func() bool { return len(a.addresses("a")) == 2 && len(b.addresses("a")) == 2 })
+	d.store.Restore(oldCopy)
+	qt.Assert(t, d.store.Names("wharf-instances"), qt.HasLen, 1)
+	within(t, 2*registrationDelay, "the instance is not registered again", func() bool {
+		qt.Assert(t, a.addresses("a"), qt.HasLen, 2, qt.Commentf("the directory leaves out an instance that serves"))
+		return len(d.store.Names("wharf-instances")) == 2
+	})
+}
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -221,17 +221,40 @@
 	}
 }
 
+const (
+	// registrationCheckInterval is how often an instance checks that the store holds its entry.
+	registrationCheckInterval = 1 * time.Second
+	// registrationDelay is the time that the entry may take from the store to this instance.
+	registrationDelay = 3 * time.Second
+)
+
 // registerInstance writes the instance's entry to the store, so that the other instances
-// find it. It retries until it succeeds, ctx ends or a planned stop begins.
+// find it, and writes it again when the store has lost it. It ends when ctx ends or a planned
+// stop begins.
 func (s *service) registerInstance(ctx context.Context) {
 	for ctx.Err() == nil && !s.stopping.Load() {
-		err := s.store.Put(ctx, platform.KindInstances, s.self.Name, platform.EncodeInstance(s.self))
-		if err == nil {
-			return
+		if s.registered() {
+			_ = clock.Pause(ctx, registrationCheckInterval) // the error is that of ctx, which the loop checks
+			continue
+		}
+		wait := registrationDelay
+		if err := s.store.Put(ctx, platform.KindInstances, s.self.Name, platform.EncodeInstance(s.self)); err != nil {
+			s.log.Warn("failed to register the instance", "error", err.Error())
+			wait = registerRetryDelay
 		}
-		s.log.Warn("failed to register the instance", "error", err.Error())
-		_ = clock.Pause(ctx, registerRetryDelay) // the error is that of ctx, which the loop checks
+		_ = clock.Pause(ctx, wait)
+	}
+}
+
+// registered reports whether the store holds the entry of this start of the instance, as far
+// as this instance knows.
+func (s *service) registered() bool {
+	o, ok := s.mirrors[platform.KindInstances].Confirmed(s.self.Name)
+	if !ok {
+		return false
 	}
+	entry, err := platform.DecodeInstance(o)
+	return err == nil && entry.StartUnixMs == s.self.StartUnixMs
 }
 
 // deregisterTimeout is the timeout for the removal of the instance's entry from the store.
