Keep the limits of services when an older configuration comes

What callers would see: after the store came back from a copy, the instances keep the newest routes, but take the connection and cold-start limits of the older configuration until it is written again. Found while looking for the same assumption elsewhere: the dispatcher took each configuration as the newest, only the gateway compared versions.

The dispatcher now compares versions too. TestOlderConfigIsIgnored failed before: 90 connections in place of 9.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -129,3 +129,13 @@
 	qt.Assert(t, after, qt.Equals, 3)
 	qt.Assert(t, idle, qt.Equals, 3)
 }
+
+// TestOlderConfigIsIgnored guards against limits of services that go back to an older configuration.
+func TestOlderConfigIsIgnored(t *testing.T) {
+	d := New(Config{
+		Clock: clock.System{}, InstanceCount: func() int { return 1 }, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+	})
+	d.SetConfig(routing.NewConfig(2, nil, []*routing.Service{{Name: "s", MaxConnections: 10}}, routing.Limits{}))
+	d.SetConfig(routing.NewConfig(1, nil, []*routing.Service{{Name: "s", MaxConnections: 100}}, routing.Limits{}))
+	qt.Assert(t, d.connectionLimit(d.service("s")), qt.Equals, 9)
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -65,9 +65,11 @@
 	config  Config
 	metrics *metrics
 
-	mu        sync.Mutex
-	services  map[string]*service
-	searchers map[string]*target
+	mu sync.Mutex
+	// configVersion is the version of the configuration in force, zero if there is none.
+	configVersion int64
+	services      map[string]*service
+	searchers     map[string]*target
 	// outDomains holds the failure domains that are out of service.
 	outDomains map[string]bool
 }
@@ -86,11 +88,15 @@
 	}
 }
 
-// SetConfig applies the settings of all services of a configuration. Services that it
-// doesn't name keep their settings.
+// SetConfig applies the settings of all services of a configuration, unless a later version is
+// in force. Services that it doesn't name keep their settings.
 func (d *Dispatcher) SetConfig(c *routing.Config) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if c.Version < d.configVersion {
+		return
+	}
+	d.configVersion = c.Version
 	for _, s := range c.Services {
 		d.service(s.Name).settings = *s
 	}
