Delete entries of dead instances by the store's present revision

An instance that has been silent for a minute is removed from the store on condition of the revision with which its entry was last reported. After the store has come back from a copy the same entry may have another revision; the condition fails, and the entry of the dead instance stays for ever.

The revision now comes from the mirror. TestEntryIsDeletedAfterStoreRestore plays it. The revision in fleet.Instance had no other use.

--- a/cmd/wharf-gateway/restore_test.go
+++ b/cmd/wharf-gateway/restore_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wisteriawharf/wisteriawharf/mirror"
+	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/standin/site"
 )
 
@@ -85,3 +91,28 @@
 		return len(d.store.Names("wharf-instances")) == 2
 	})
 }
+
+// TestEntryIsDeletedAfterStoreRestore guards against the entry of a dead instance that stays in the store because its revision was given out again.
+func TestEntryIsDeletedAfterStoreRestore(t *testing.T) {
+	store := site.NewStore()
+	server := httptest.NewServer(store)
+	defer server.Close()
+	client, err := platform.NewStoreClient(strings.TrimPrefix(server.URL, "http://"), prometheus.NewRegistry())
+	qt.Assert(t, err, qt.IsNil)
+	log := slog.New(slog.DiscardHandler)
+	entries := mirror.New(mirror.Config{Kind: platform.KindInstances, Store: client, Log: log, OnChange: func(platform.Event) {}})
+	s := &service{store: client, log: log, mirrors: map[string]*mirror.Mirror{platform.KindInstances: entries}}
+	list := func() {
+		l, err := client.List(t.Context(), platform.KindInstances)
+		qt.Assert(t, err, qt.IsNil)
+		entries.ApplyListing(l)
+	}
+	store.Put(platform.KindInstances, "dead", "entry")
+	oldCopy := store.Copy()
+	store.Put(platform.KindInstances, "dead", "entry")
+	list()
+	store.Restore(oldCopy)
+	list()
+	s.deleteEntry(t.Context(), "dead")
+	qt.Assert(t, store.Names(platform.KindInstances), qt.HasLen, 0)
+}
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -214,13 +214,23 @@
 	}
 	for _, i := range s.instances.Expired(now) {
 		s.log.Info("removing the entry of a silent instance", "silent", i.Name)
-		if err := s.store.Delete(ctx, platform.KindInstances, i.Name, i.Revision); err != nil {
-			s.log.Warn("failed to remove the entry of a silent instance", "silent", i.Name, "error", err.Error())
-		}
+		s.deleteEntry(ctx, i.Name)
 		s.instances.Remove(i.Name, now)
 	}
 }
 
+// deleteEntry removes the entry of another instance from the store, unless it was written
+// again. A failure is only logged.
+func (s *service) deleteEntry(ctx context.Context, name string) {
+	entry, ok := s.mirrors[platform.KindInstances].Confirmed(name)
+	if !ok {
+		return
+	}
+	if err := s.store.Delete(ctx, platform.KindInstances, name, entry.Revision); err != nil {
+		s.log.Warn("failed to remove the entry of a silent instance", "silent", name, "error", err.Error())
+	}
+}
+
 const (
 	// registrationCheckInterval is how often an instance checks that the store holds its entry.
 	registrationCheckInterval = 1 * time.Second
--- a/fleet/instances.go
+++ b/fleet/instances.go
@@ -22,8 +22,6 @@
 	// Cores is the processor time that the instance can use, in cores. Zero means that it
 	// is not known.
 	Cores float64
-	// Revision is the store's revision of the entry.
-	Revision int64
 }
 
 const (
@@ -100,16 +98,13 @@
 
 // Put adds or updates an instance from its entry in the store. An entry of another start of
 // the instance replaces the known one, which then counts as not ready until a heartbeat is
-// received. Of this instance's own entry only the revision is used.
+// received. This instance's own entry is not used: it may be from an earlier start.
 func (s *Instances) Put(i Instance, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.known[i.Name]
 	delete(s.removedAt, i.Name)
 	if i.Name == s.self {
-		// The entry may be from an earlier start of this instance, so its addresses are
-		// not used.
-		k.instance.Revision = i.Revision
 		return
 	}
 	if k == nil || k.instance.StartUnixMs != i.StartUnixMs {
