--- a/standin/site/searcher.go
+++ b/standin/site/searcher.go
@@ -80,6 +80,8 @@
 	Silent bool
 	// Work is added to the time that a request takes.
 	Work time.Duration
+	// RateLimit is the rate limit that replies advertise, in requests a second. Zero is none.
+	RateLimit float64
 }
 
 // Searcher is a stand-in of one searcher. It listens on a loopback address.
@@ -207,6 +209,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Server-Seal", Seal(s.Service, id))
+	if f.RateLimit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(f.RateLimit, 'f', -1, 64))
+	}
 	if rand.Float64() < f.Fail {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
