Name rate limits as the reason why a request is not sent

A request that would wait for a rate limit until its answer is due was refused as one that waits for a connection. It has a reason of its own now, in refusals, lines and the metric of attempts. Only replies that a searcher has signed set or end its limit, so that bytes of others do not.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -25,6 +25,9 @@
 	// ErrBusy reports that the searchers have no room and that the request may not be
 	// queued.
 	ErrBusy = errors.ConstError("too many requests wait for a connection")
+	// ErrRateLimited reports that the searchers are at the rate limits that they advertise,
+	// and that the request could be sent only after its answer is due.
+	ErrRateLimited = errors.ConstError("searchers are at their rate limits")
 	// ErrRetryBudgetSpent reports that the service's retry budget doesn't allow the
 	// attempt, or that the attempt is optional and the service is busy.
 	ErrRetryBudgetSpent = errors.ConstError("budget of repeated requests is spent")
@@ -216,7 +219,7 @@
 			return true
 		}
 	}
-	return len(eligible) > 0 && s.mayQueue(r, d.rateLimitWait(eligible, now), len(s.queue), now)
+	return len(eligible) > 0 && s.mayQueue(r, d.rateLimitWait(eligible, now), len(s.queue), now) == nil
 }
 
 // HasRetryBudget reports whether the retry budget of a service has a token left.
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -78,7 +78,7 @@
 	e.Latency = now - a.chosenAt
 	d.mu.Lock()
 	t := a.target
-	if reply != nil && !reply.Metadata.Misdirected {
+	if e.Outcome == Answered || e.Outcome == Failed {
 		d.observeRateLimit(a, now, reply.Metadata.RateLimit)
 	}
 	switch e.Outcome {
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -39,6 +39,8 @@
 		m.outcomes.WithLabelValues("no budget").Inc()
 	case errors.Is(err, ErrBusy):
 		m.outcomes.WithLabelValues("busy").Inc()
+	case errors.Is(err, ErrRateLimited):
+		m.outcomes.WithLabelValues("rate limited").Inc()
 	default:
 		m.outcomes.WithLabelValues("no searcher").Inc()
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -8,8 +8,8 @@
 )
 
 // Start chooses a searcher and sends the request, or queues the request until a searcher
-// has room. It returns ErrRetryBudgetSpent, ErrBusy or ErrNoSearcher if the attempt is not
-// made; the request is not sent then, and OnEnd is not called.
+// has room. It returns ErrRetryBudgetSpent, ErrBusy, ErrRateLimited or ErrNoSearcher if the
+// attempt is not made; the request is not sent then, and OnEnd is not called.
 func (d *Dispatcher) Start(r Request) (*Attempt, error) {
 	d.mu.Lock()
 	s := d.service(r.Service)
@@ -70,8 +70,8 @@
 
 // place binds the attempt to a searcher and returns a function that sends it, to be called
 // without the lock. It returns nil and no error if no searcher has room but the attempt may
-// be queued, ErrBusy if it may not be queued, and ErrNoSearcher if no searcher can take it.
-// ahead is the number of queued attempts that go before it.
+// be queued, ErrBusy or ErrRateLimited if it may not be queued, and ErrNoSearcher if no searcher
+// can take it. ahead is the number of queued attempts that go before it.
 func (d *Dispatcher) place(a *Attempt, ahead int) (func(), error) {
 	now, wall := d.config.Clock.Boottime(), time.Now()
 	s := a.service
@@ -90,8 +90,8 @@
 	}
 	if len(targets) == 0 {
 		wait := d.rateLimitWait(eligible, now)
-		if !s.mayQueue(a.Request, wait, ahead, now) {
-			return nil, ErrBusy
+		if err := s.mayQueue(a.Request, wait, ahead, now); err != nil {
+			return nil, err
 		}
 		d.scheduleLaunch(s, wait.next)
 		return nil, nil
@@ -104,11 +104,17 @@
 	return d.bind(a, targets[chosen], now, wall), nil
 }
 
-// mayQueue reports whether a request may wait for a searcher with room. It may not if the
-// service sheds it, or if the rate limits of the searchers let it be sent only after its
-// answer is due.
-func (s *service) mayQueue(r Request, wait rateLimitWait, ahead int, now time.Duration) bool {
-	return s.admission.Admits(r.Rank) && !wait.tooLong(ahead, r.DueBy-now)
+// mayQueue returns nil if a request may wait for a searcher with room. It returns ErrBusy if
+// the service sheds the request, and ErrRateLimited if the rate limits of the searchers let it
+// be sent only after its answer is due.
+func (s *service) mayQueue(r Request, wait rateLimitWait, ahead int, now time.Duration) error {
+	switch {
+	case !s.admission.Admits(r.Rank):
+		return ErrBusy
+	case wait.tooLong(ahead, r.DueBy-now):
+		return ErrRateLimited
+	}
+	return nil
 }
 
 // hasRoom reports whether a searcher may get one more request from this instance now,
