Send the last request that the limit of a cold searcher allows

A request to a cold searcher over a new connection was counted when the searcher was chosen, and the limit was checked again when the connection was open, with the request itself counted. The last request that the limit allows was not sent, after the time of a dial; at a limit of one request a second none ever was. Found while looking for limits that are divided among instances, where the parts are small.

TestColdRequestOverNewConnectionIsSent failed before: the only request allowed was not sent.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -139,3 +139,15 @@
 	d.SetConfig(routing.NewConfig(1, nil, []*routing.Service{{Name: "s", MaxConnections: 100}}, routing.Limits{}))
 	qt.Assert(t, d.connectionLimit(d.service("s")), qt.Equals, 9)
 }
+
+// TestColdRequestOverNewConnectionIsSent guards against a request to a cold searcher that counts twice, so that the last one that the limit allows is not sent.
+func TestColdRequestOverNewConnectionIsSent(t *testing.T) {
+	d := New(Config{
+		Clock: clock.System{}, InstanceCount: func() int { return 1 }, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+		Bounds: platform.Bounds{WarmupOverage: 1},
+	})
+	d.SetConfig(routing.NewConfig(1, nil, []*routing.Service{{Name: "s", MaxConnections: 10, MaxColdRequestsPerSecond: 1}}, routing.Limits{}))
+	d.PutSearcher(fleet.Searcher{ID: "i", Service: "s", Address: startShortKeepAliveServer(t), Slots: 2, ColdFor: time.Minute})
+	qt.Assert(t, sendOne(t, d, First), qt.IsTrue)
+	qt.Assert(t, sendOne(t, d, First), qt.IsFalse)
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -234,14 +234,10 @@
 	return retry.Allowance{Ratio: d.config.Bounds.RetryRatio, Extra: d.config.Bounds.RetryExtra, Instances: d.config.InstanceCount()}
 }
 
-// usable reports whether a searcher may get a request for the given regions; none means
-// any region. It checks the limit of a cold searcher, but not whether the searcher has
-// room.
+// usable reports whether a searcher may get one more request for the given regions; none means
+// any region. It checks the limit of a cold searcher, but not whether the searcher has room.
 func (d *Dispatcher) usable(t *target, regions []string, now time.Duration) bool {
-	if t.removed || t.Draining || t.addressReused || d.outDomains[t.FailureDomain] || (t.missing && !t.service.mostMissing()) {
-		return false
-	}
-	if len(regions) > 0 && !slices.Contains(regions, d.config.RegionOf[t.FailureDomain]) {
+	if !d.available(t, regions) {
 		return false
 	}
 	if now < t.coldUntil && t.service.settings.MaxColdRequestsPerSecond > 0 {
@@ -250,6 +246,14 @@
 	return true
 }
 
+// available reports whether a searcher may get requests for the given regions at all.
+func (d *Dispatcher) available(t *target, regions []string) bool {
+	if t.removed || t.Draining || t.addressReused || d.outDomains[t.FailureDomain] || (t.missing && !t.service.mostMissing()) {
+		return false
+	}
+	return len(regions) == 0 || slices.Contains(regions, d.config.RegionOf[t.FailureDomain])
+}
+
 // coldLimit returns the limit on requests to a cold searcher of the service.
 func (d *Dispatcher) coldLimit(s *service) retry.ColdLimit {
 	return retry.ColdLimit{
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -27,8 +27,9 @@
 		return
 	}
 	d.mu.Lock()
-	if a.finished || a.detached || !d.usable(t, a.Regions, d.config.Clock.Boottime()) {
-		// The request is no longer needed, or the searcher must no longer get it.
+	if a.finished || a.detached || !d.available(t, a.Regions) {
+		// The request is no longer needed, or the searcher must no longer get it. The limit of
+		// a cold searcher is not checked again, since it counts this request already.
 		tasks := d.release(t, conn)
 		d.mu.Unlock()
 		runAll(tasks)
