Let instances that outnumber a cold searcher's limit take turns

The limit of a cold searcher was divided in whole requests. With more instances than requests each had none, and the searcher got nothing until it was warm. The same class of fault as with advertised rate limits: a limit for all instances that is divided among more of them than it has requests. They now earn requests in turn. A request whose searcher has turned cold while the connection was opened is checked against the limit as before.

TestColdSearcherIsUsedByManyInstances (45 to 90 instances, 1 to 30 requests a second, 2000 generated cases) failed before: none of the rate was used.

--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"os"
 	"strconv"
@@ -50,6 +51,9 @@
 	// budgetSharers is by how many the budgets of the services, and the connections that the
 	// searchers accept, are divided to get the part of this instance.
 	budgetSharers atomic.Int64
+	// position holds the bits of the place of this instance among those that share the
+	// budgets, a float64.
+	position atomic.Uint64
 	// wasReady is the result of ready when the periodic tasks last ran. It is for functions
 	// that are called while a mirror is locked, which ready would wait for.
 	wasReady atomic.Bool
@@ -79,7 +83,7 @@
 	s.dispatch = dispatch.New(dispatch.Config{
 		Instance: settings.Name, FailureDomain: settings.FailureDomain, RegionOf: settings.RegionOf, Bounds: settings.Bounds, Clock: s.clock,
 		InstanceCount: func() int { return int(s.budgetSharers.Load()) },
-		Position:      func() float64 { return s.instances.Position(s.clock.Boottime()) }, Log: log, Registry: s.registry,
+		Position:      func() float64 { return math.Float64frombits(s.position.Load()) }, Log: log, Registry: s.registry,
 	})
 	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry})
 	s.createMirrors()
@@ -189,7 +193,7 @@
 	}
 }
 
-// updateBudgetSharers updates budgetSharers. During startupPeriod it sets at least
+// updateBudgetSharers updates budgetSharers and position. During startupPeriod it sets at least
 // startupMinSharers. Connections above the new part are closed.
 func (s *service) updateBudgetSharers() {
 	now := s.clock.Boottime()
@@ -197,6 +201,7 @@
 	if now-s.startedAt < startupPeriod {
 		n = max(n, startupMinSharers)
 	}
+	s.position.Store(math.Float64bits(s.instances.Position(now)))
 	if before := s.budgetSharers.Swap(int64(n)); int64(n) > before {
 		s.dispatch.CloseExcessConnections()
 	}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -118,8 +118,10 @@
 	// outstanding is the number of requests from this instance that the searcher had not
 	// answered when it was chosen for this one, this one included.
 	outstanding int
-	// rateLimited says that the attempt counts against the searcher's rate limit.
+	// rateLimited says that the attempt counts against the searcher's rate limit, cold that
+	// it counts against the limit of a cold searcher.
 	rateLimited bool
+	cold        bool
 	// detached says that the attempt was cancelled or abandoned, so that its outcome is
 	// not reported. finished says that the attempt has ended.
 	detached bool
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -261,6 +261,8 @@
 		Overage:   d.config.Bounds.WarmupOverage,
 		Slack:     d.config.Bounds.WarmupSlack,
 		Instances: d.config.InstanceCount(),
+		Position:  d.config.Position(),
+		TimeOfDay: time.Now(),
 	}
 }
 
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -27,9 +27,8 @@
 		return
 	}
 	d.mu.Lock()
-	if a.finished || a.detached || !d.available(t, a.Regions) {
-		// The request is no longer needed, or the searcher must no longer get it. The limit of
-		// a cold searcher is not checked again, since it counts this request already.
+	if a.finished || a.detached || !d.maySend(a, t) {
+		// The request is no longer needed, or the searcher must no longer get it.
 		tasks := d.release(t, conn)
 		d.mu.Unlock()
 		runAll(tasks)
@@ -41,6 +40,15 @@
 	d.send(a, conn)
 }
 
+// maySend reports whether the chosen searcher may still get the request. The limit of a cold
+// searcher is not checked again if it counts the request already.
+func (d *Dispatcher) maySend(a *Attempt, t *target) bool {
+	if a.cold {
+		return d.available(t, a.Regions)
+	}
+	return d.usable(t, a.Regions, d.config.Clock.Boottime())
+}
+
 func (d *Dispatcher) dialFailed(a *Attempt, t *target) {
 	d.mu.Lock()
 	t.open--
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -165,6 +165,7 @@
 	a.outstanding = len(t.running)
 	if now < t.coldUntil {
 		t.coldLimiter.RecordSent(now)
+		a.cold = true
 	}
 	d.takeRateLimit(a)
 	conn, stale := t.takeUsable(wall)
--- a/dispatch/rate_limit.go
+++ b/dispatch/rate_limit.go
@@ -30,9 +30,7 @@
 	case perSecond > 0:
 		l.perSecond, l.namedAt = perSecond, now
 		if before == 0 {
-			share := d.rateShare(a.target)
-			share.Position = d.config.Position()
-			l.limiter = retry.NewRateLimiter(share, now, time.Now())
+			l.limiter = retry.NewRateLimiter(d.rateShare(a.target), now, time.Now())
 		}
 	case l.active() && a.chosenAt >= l.namedAt:
 		*l = advertisedLimit{}
@@ -43,10 +41,9 @@
 	}
 }
 
-// rateShare returns this instance's part of the rate limit that a searcher advertises,
-// without the position.
+// rateShare returns this instance's part of the rate limit that a searcher advertises.
 func (d *Dispatcher) rateShare(t *target) retry.Share {
-	return retry.Share{PerSecond: t.rateLimit.perSecond, Instances: d.config.InstanceCount()}
+	return retry.Share{PerSecond: t.rateLimit.perSecond, Instances: d.config.InstanceCount(), Position: d.config.Position()}
 }
 
 // withinRateLimit reports whether a searcher's advertised rate limit allows a request now.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -4,8 +4,6 @@
 // those of the boot clock. The types are not safe for concurrent use.
 package retry
 
-import "time"
-
 // Budget is a token bucket: one instance's share of the retries of one service. Each
 // first attempt adds a fraction of a token, and each retry costs one token. The zero
 // value is ready for use; it has no tokens until the first call of Earn.
@@ -79,46 +77,3 @@
 
 // Refund puts back the token of a retry that never reached a searcher.
 func (b *Budget) Refund() { b.tokens++ }
-
-// coldWindow is the sliding window in which requests to a cold searcher are counted.
-const coldWindow = time.Second
-
-// ColdLimiter limits the requests that one cold searcher gets from this instance. The
-// zero value is ready for use.
-type ColdLimiter struct {
-	// sent holds the times of the requests in the current window, the oldest first.
-	sent []time.Duration
-}
-
-// ColdLimit is the limit on requests to a cold searcher from all instances together.
-// In a second it may get at most PerSecond times Overage, plus Slack requests.
-type ColdLimit struct {
-	PerSecond float64
-	Overage   float64
-	Slack     float64
-	Instances int
-}
-
-// requestsPerWindow returns this instance's share of the limit in one window. Requests
-// that were sent in one window may arrive in the next, so half of the overage and half
-// of the slack stay unused.
-func (l ColdLimit) requestsPerWindow() int {
-	total := l.PerSecond*(1+(l.Overage-1)/2) + l.Slack/2
-	return int(total / float64(max(l.Instances, 1)))
-}
-
-// Allows reports whether one more request may be sent now. It doesn't count that
-// request: RecordSent does.
-func (c *ColdLimiter) Allows(l ColdLimit, now time.Duration) bool {
-	recent := c.sent[:0]
-	for _, t := range c.sent {
-		if now-t < coldWindow {
-			recent = append(recent, t)
-		}
-	}
-	c.sent = recent
-	return len(c.sent) < l.requestsPerWindow()
-}
-
-// RecordSent counts a request that is sent now.
-func (c *ColdLimiter) RecordSent(now time.Duration) { c.sent = append(c.sent, now) }
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -91,3 +91,36 @@
 		}
 	})
 }
+
+// TestColdSearcherIsUsedByManyInstances guards against a cold searcher that gets no requests, or too many, because instances outnumber the requests that it bears.
+func TestColdSearcherIsUsedByManyInstances(t *testing.T) {
+	const (
+		step     = 5 * time.Millisecond
+		duration = 30 * time.Second
+	)
+	rapid.Check(t, func(r *rapid.T) {
+		l := ColdLimit{
+			PerSecond: float64(rapid.IntRange(1, 30).Draw(r, "rate")), Overage: 1.5, Slack: 5,
+			Instances: rapid.IntRange(45, 90).Draw(r, "instances"),
+			TimeOfDay: time.UnixMilli(rapid.Int64Range(1.7e12, 1.8e12).Draw(r, "time of day")),
+		}
+		limiters := make([]ColdLimiter, l.Instances)
+		var sent []time.Duration
+		for now := time.Duration(0); now < duration; now += step {
+			for i := range limiters {
+				own := l
+				own.Position = float64(i) / float64(l.Instances)
+				if limiters[i].Allows(own, now) {
+					limiters[i].RecordSent(now)
+					sent = append(sent, now)
+				}
+			}
+		}
+		if most := float64(mostInWindow(sent, time.Second)); most > l.PerSecond*l.Overage+l.Slack {
+			r.Fatalf("%g requests within a second", most)
+		}
+		if used := float64(len(sent)) / (l.PerSecond * duration.Seconds()); used < 0.4 {
+			r.Fatalf("%.2f of the rate is used", used)
+		}
+	})
+}
