Spread the fetches of an epoch's objects over time

What callers saw: with 79 instances three of 281 requests failed in the two seconds after the store came back from a copy, and 33 were late.

Cause: all instances of a failure domain fetched all objects of all kinds from its leader as soon as its heartbeat named the new epoch. The leader's answers to callers took 300 to 450 ms longer (its lines 'answer is not whole in time' at 17.76 to 17.84 s).

Nothing is urgent then, as what was known stays in force. The fetches wait for up to 1.5 s, drawn for each.

TestFetchesAreSpreadAfterStoreRestore needs the delay.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -41,6 +42,9 @@
 	// uses the same delay for instances in its own failure domain too, because the store
 	// may still report the change.
 	remoteFetchDelay = 600 * time.Millisecond
+	// restoreFetchSpread is the time over which instances fetch all objects when the store has
+	// come back from a copy. One instance serves all others of its failure domain.
+	restoreFetchSpread = 1500 * time.Millisecond
 	// A starting instance asks the seeds every seedRetryInterval, for at most maxSeedWait,
 	// before it calls the store itself.
 	seedRetryInterval = 100 * time.Millisecond
@@ -250,8 +254,8 @@
 // catchUp compares the newest changes of another instance with those of this one, and fetches
 // what this one lacks. An instance that is not a leader fetches the changes at once if the
 // other one is in the same failure domain, else after remoteFetchDelay. A leader restarts its
-// call to the store after restartDelay, and fetches the changes after remoteFetchDelay. Each
-// step is skipped if this instance has the changes by then.
+// call to the store after restartDelay, and fetches the changes after remoteFetchDelay. After a
+// restoration of the store fetches are spread over time. Each step is skipped if this instance has the changes by then.
 func (x *Exchange) catchUp(h heartbeat, from fleet.Instance) {
 	leader := x.config.IsLeader()
 	for kind, m := range x.config.Mirrors {
@@ -259,17 +263,15 @@
 		if !m.NewestPosition().Before(newest) {
 			continue
 		}
-		fetchDelay := remoteFetchDelay
 		if leader {
 			time.AfterFunc(restartDelay, func() {
 				if m.NewestPosition().Before(newest) {
 					m.RestartCall()
 				}
 			})
-		} else if from.FailureDomain == x.config.Self.FailureDomain {
-			fetchDelay = 0
 		}
-		time.AfterFunc(fetchDelay, func() {
+		near := !leader && from.FailureDomain == x.config.Self.FailureDomain
+		time.AfterFunc(fetchDelay(near, m.Position().Epoch, newest.Epoch), func() {
 			if m.NewestPosition().Before(newest) {
 				x.fetch(context.Background(), kind, from.InternalAddress)
 			}
@@ -277,6 +279,19 @@
 	}
 }
 
+// fetchDelay returns how long to wait before changes are fetched from an instance, near or not,
+// that knows changes of an epoch, while this one holds those of another or, if zero, none.
+func fetchDelay(near bool, held, newest int64) time.Duration {
+	delay := remoteFetchDelay
+	if near {
+		delay = 0
+	}
+	if held != 0 && newest > held {
+		delay += rand.N(restoreFetchSpread)
+	}
+	return delay
+}
+
 // fetch fetches the changes of a kind from another instance and applies them. It does nothing
 // if the kind is being fetched already. A failure is only logged.
 func (x *Exchange) fetch(ctx context.Context, kind, address string) {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -174,3 +174,19 @@
 	instance.exchange.FetchFromSeeds(t.Context())
 	qt.Assert(t, instance.mirror.Revision(), qt.Equals, int64(6))
 }
+
+// TestFetchesAreSpreadAfterStoreRestore guards against an instance that is busy with the fetches of its whole failure domain, while callers wait.
+func TestFetchesAreSpreadAfterStoreRestore(t *testing.T) {
+	const fetches, slots = 200, 10
+	var count [slots]int
+	for range fetches {
+		delay := fetchDelay(true, 1, 2)
+		qt.Assert(t, delay >= 0 && delay < restoreFetchSpread, qt.IsTrue)
+		count[delay*slots/restoreFetchSpread]++
+	}
+	for _, n := range count {
+		qt.Check(t, n < fetches/2, qt.IsTrue, qt.Commentf("%v", count))
+	}
+	qt.Check(t, fetchDelay(true, 1, 1), qt.Equals, time.Duration(0))
+	qt.Check(t, fetchDelay(true, 0, 2), qt.Equals, time.Duration(0))
+}
