Have the soak limit searchers

No searcher of the soak advertised a rate limit. One now advertises four requests a second for eight seconds; the limit is checked if no process is disturbed meanwhile.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -17,6 +17,7 @@
 	faults := []func(context.Context, time.Duration){
 		s.storeFault, s.linkFault, s.searcherFault, s.searcherFault, s.searcherFault,
 		s.leave, s.crash, s.killProcess, s.pauseProcess, s.stopProcess,
+		s.limitSearcher,
 	}
 	for {
 		pause := time.Duration(300+s.draw(1500)) * time.Millisecond
@@ -53,6 +54,38 @@
 	s.store.SetFaults(site.StoreFaults{})
 }
 
+const (
+	// searcherLimit is the rate limit that limitSearcher has a searcher advertise, in requests
+	// a second. After limitLearned all processes keep it: in limitWindow the searcher runs
+	// no more than maxLimited requests, one and a half times the limit and five.
+	searcherLimit = 4
+	limitLearned  = 4 * time.Second
+	limitWindow   = 4 * time.Second
+	maxLimited    = 1.5*searcherLimit*float64(limitWindow/time.Second) + 5
+)
+
+// limitSearcher has a searcher advertise a rate limit, which holds while no process is
+// disturbed.
+func (s *soak) limitSearcher(ctx context.Context, _ time.Duration) {
+	one := s.anySearcher()
+	one.SetFaults(site.SearcherFaults{RateLimit: searcherLimit})
+	hold(ctx, limitLearned+limitWindow)
+	since, ended := one.LimitedSince(), time.Now()
+	one.SetFaults(site.SearcherFaults{})
+	if since.IsZero() || ended.Sub(since) < limitLearned || !s.calm(since) {
+		return
+	}
+	n := 0.0
+	for _, r := range s.ledger.Runs() {
+		if r.Searcher == one.ID && r.At.After(ended.Add(-limitWindow)) && r.At.Before(ended) && r.At.After(since.Add(limitLearned)) {
+			n++
+		}
+	}
+	if n > maxLimited {
+		s.report.violate("LIMIT: %s ran %g requests in %s", one.ID, n, limitWindow)
+	}
+}
+
 func (s *soak) anyProcess() *process { return s.gateway[s.draw(len(s.gateway))] }
 
 func (s *soak) linkFault(ctx context.Context, length time.Duration) {
--- a/standin/site/searcher.go
+++ b/standin/site/searcher.go
@@ -97,6 +97,8 @@
 
 	mu     sync.Mutex
 	faults SearcherFaults
+	// limitedSince is since when the present rate limit is advertised, zero if there is none.
+	limitedSince time.Time
 }
 
 // queueLength is how many requests wait for a slot before more are refused.
@@ -124,9 +126,23 @@
 func (s *Searcher) SetFaults(f SearcherFaults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	switch {
+	case f.RateLimit == 0:
+		s.limitedSince = time.Time{}
+	case f.RateLimit != s.faults.RateLimit:
+		s.limitedSince = time.Now()
+	}
 	s.faults = f
 }
 
+// LimitedSince returns since when the searcher advertises its present rate limit, zero if it
+// advertises none.
+func (s *Searcher) LimitedSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limitedSince
+}
+
 // Entry returns what the searcher says of itself in the store.
 func (s *Searcher) Entry(state string) map[string]any {
 	return map[string]any{
