--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -17,7 +17,7 @@
 	faults := []func(context.Context, time.Duration){
 		s.storeFault, s.linkFault, s.searcherFault, s.searcherFault, s.searcherFault,
 		s.leave, s.crash, s.killProcess, s.pauseProcess, s.stopProcess,
-		s.limitSearcher,
+		s.restoreStore, s.limitSearcher,
 	}
 	for {
 		pause := time.Duration(300+s.draw(1500)) * time.Millisecond
@@ -54,6 +54,23 @@
 	s.store.SetFaults(site.StoreFaults{})
 }
 
+// restoreStore has the store come back from a copy that is as old as the fault is long. What the
+// operator and the searchers wrote since is written again a little later.
+func (s *soak) restoreStore(ctx context.Context, length time.Duration) {
+	const outage, rewriteDelay = 300 * time.Millisecond, 500 * time.Millisecond
+	oldCopy := s.store.Copy()
+	hold(ctx, length)
+	s.disturbed.extend(time.Now().Add(outage + rewriteDelay))
+	s.store.SetFaults(site.StoreFaults{Down: true})
+	time.Sleep(outage)
+	before := s.store.Restore(oldCopy)
+	s.store.SetFaults(site.StoreFaults{})
+	time.Sleep(rewriteDelay)
+	for _, kind := range []string{"config", "servers"} {
+		s.store.WriteAgain(kind, before)
+	}
+}
+
 const (
 	// searcherLimit is the rate limit that limitSearcher has a searcher advertise, in requests
 	// a second. After limitLearned all processes keep it: in limitWindow the searcher runs
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -4,6 +4,7 @@
 package site
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -93,14 +94,37 @@
 	return StoreCopy{revision: s.revision, kinds: cloneKinds(s.kinds)}
 }
 
-// Restore replaces the content by that of a copy. All changes since are lost, their revisions
-// are given out again, and the epoch rises.
-func (s *Store) Restore(c StoreCopy) {
+// Restore replaces the content by that of a copy and returns the former content. All changes
+// since are lost, their revisions are given out again, and the epoch rises.
+func (s *Store) Restore(c StoreCopy) StoreCopy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	before := StoreCopy{revision: s.revision, kinds: s.kinds}
 	s.revision, s.kinds, s.history, s.forgotten = c.revision, cloneKinds(c.kinds), nil, c.revision
 	s.epoch++
 	s.wake()
+	return before
+}
+
+// WriteAgain writes the objects of a kind as they were before the last restoration, as their
+// writers do. Objects that were written or removed since stay as they are.
+func (s *Store) WriteAgain(kind string, before StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	touched := make(map[string]bool)
+	for _, c := range s.since(kind, s.forgotten) {
+		touched[c.Object.Meta.Name] = true
+	}
+	for name, o := range before.kinds[kind] {
+		if held, ok := s.kinds[kind][name]; !touched[name] && (!ok || !bytes.Equal(held.Spec, o.Spec)) {
+			s.put(kind, name, o.Spec)
+		}
+	}
+	for name := range s.kinds[kind] {
+		if _, ok := before.kinds[kind][name]; !ok && !touched[name] {
+			s.remove(kind, name)
+		}
+	}
 }
 
 func cloneKinds(kinds map[string]map[string]storedObject) map[string]map[string]storedObject {
