--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -255,7 +255,8 @@
 // what this one lacks. An instance that is not a leader fetches the changes at once if the
 // other one is in the same failure domain, else after remoteFetchDelay. A leader restarts its
 // call to the store after restartDelay, and fetches the changes after remoteFetchDelay. After a
-// restoration of the store fetches are spread over time. Each step is skipped if this instance has the changes by then.
+// restoration of the store the fetches are spread over time. Each step is skipped if this
+// instance has the changes by then.
 func (x *Exchange) catchUp(h heartbeat, from fleet.Instance) {
 	leader := x.config.IsLeader()
 	for kind, m := range x.config.Mirrors {
