--- a/review/stand-in/main.go
+++ b/review/stand-in/main.go
@@ -41,6 +41,7 @@
 	cases := map[string]func(*record, bool) (int, error){
 		"late-refusal": lateRefusal,
 		"stop":         stop,
+		"recovery":     recovery,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-in CASE FOLDER")
--- a/review/stand-in/searcher.go
+++ b/review/stand-in/searcher.go
@@ -56,6 +56,8 @@
 	mu      sync.Mutex
 	waiting int
 	born    int64
+	// lastBeat is when the searcher last was to write its entry.
+	lastBeat time.Time
 }
 
 // start listens on a loopback address and serves connections.
