--- a/review/stand-in/main.go
+++ b/review/stand-in/main.go
@@ -41,6 +41,7 @@
 	cases := map[string]func(*record, bool) (int, error){
 		"late-refusal": lateRefusal,
 		"stop":         stop,
+		"evacuation":   evacuation,
 		"recovery":     recovery,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
