Answer every request that a planned stop takes

What callers saw: requests that came later than 3 s after SIGTERM were passed on and cut at 5.6 s of a grace of 6 s, with no answer, also such as may run only once.

Cause: the times of a stop bounded the listener and the process, but no request. What came late was passed on with all of its deadline, and the process ended.

Change: a stop has a schedule that counts from the signal. A request that may not be answered in it is refused as not run before it is passed on; what is passed on has a deadline within it; at 0.93 of the grace everything open is answered with what is known, and nothing is passed on from then on. The removal of the instance's entry no longer delays the stop (1 s with a store that is silent), and queries for addresses are no longer cut.

--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -23,15 +22,6 @@
 	// directoryTTL is how long callers may cache a directory answer, unless the settings
 	// require less.
 	directoryTTL = 5 * time.Second
-	// A planned stop must be complete within the stop grace, the time from SIGTERM to
-	// SIGKILL. For acceptFraction of this time new connections are still accepted, because
-	// callers may use a cached directory answer. Then open requests may finish, for
-	// drainFraction of the whole stop grace at most.
-	acceptFraction = 0.6
-	drainFraction  = 0.33
-	// drainPollInterval is how often a planned stop checks whether requests are still open.
-	// It is also the timeout of the server's shutdown, which follows.
-	drainPollInterval = 10 * time.Millisecond
 )
 
 // servers holds the HTTP servers of an instance: one for callers, and those for readiness
@@ -107,33 +97,6 @@
 	return done
 }
 
-// stop serves callers for acceptFraction of the grace. It then closes the caller listener
-// and waits until no connection is new or serving a request, for drainFraction of the
-// grace at most. The server's own Shutdown comes last. It closes idle connections and
-// drops any request that is read from then on. Such a request is not forwarded, since its
-// answer could no longer be delivered. stop returns an error if requests are still open
-// when Shutdown times out.
-func (v *servers) stop(grace time.Duration) error {
-	time.Sleep(time.Duration(acceptFraction * float64(grace)))
-	v.stopping.Store(true)
-	_ = v.callerListener.Close() // it accepts no more connections, even if Close fails
-	<-v.acceptDone
-	for end := time.Now().Add(time.Duration(drainFraction * float64(grace))); v.connections.hasNewOrActive() && time.Now().Before(end); {
-		time.Sleep(drainPollInterval)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), drainPollInterval)
-	defer cancel()
-	err := v.callerServer.Shutdown(ctx)
-	unfinished := v.connections.hasActive()
-	for _, server := range v.otherServers {
-		_ = server.Close() // these servers have no open requests that must finish
-	}
-	if unfinished {
-		return errors.Annotate(err, "requests were still open")
-	}
-	return nil
-}
-
 // registerReadiness adds the readiness check. It answers 200 if the instance is ready, else
 // 503.
 func (s *service) registerReadiness(e *echo.Echo) {
--- a/cmd/wharf-gateway/servers_test.go
+++ b/cmd/wharf-gateway/servers_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/wisteriawharf/wisteriawharf/clock"
 )
 
 // lateListener holds back an accepted connection until the listener is closed.
@@ -34,6 +36,15 @@
 	return l.Listener.Close()
 }
 
+// openGate is a requestGate whose requests are served by a handler of the test.
+type openGate struct{}
+
+// AnswerNow implements requestGate.
+func (openGate) AnswerNow() {}
+
+// InFlight implements requestGate.
+func (openGate) InFlight() int64 { return 0 }
+
 // TestStopServesLateConnection guards against a planned stop that drops a request which
 // came just before the listener closed. A server drops every request that it reads after
 // its Shutdown has begun.
@@ -56,6 +67,7 @@
 		answered <- err
 	}()
 	<-l.accepted
-	qt.Assert(t, v.stop(6*time.Second), qt.IsNil)
+	system := clock.System{}
+	qt.Assert(t, v.stop(system, openGate{}, newStopSchedule(system.Boottime(), 6*time.Second)), qt.IsNil)
 	qt.Assert(t, <-answered, qt.IsNil)
 }
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -206,24 +206,3 @@
 		s.dispatch.CloseExcessConnections()
 	}
 }
-
-// deregisterTimeout is the timeout for the removal of the instance's entry from the store.
-const deregisterTimeout = 1 * time.Second
-
-// stop carries out a planned stop. It directs callers to other instances, but still
-// serves them for a time in which cached directory answers expire. Then it waits until
-// open requests have finished, for a limited time. It returns an error if requests are
-// still open after that.
-func (s *service) stop(servers *servers) error {
-	s.log.Info("planned stop", "open", s.gateway.InFlight())
-	s.stopping.Store(true)
-	s.gateway.DisableKeepAlives()
-	s.exchange.SendHeartbeats()
-	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
-	defer cancel()
-	if err := s.store.Delete(ctx, platform.KindInstances, s.self.Name, 0); err != nil {
-		// The other instances also learn from heartbeats that this one is not ready.
-		s.log.Warn("failed to remove the entry of this instance", "error", err.Error())
-	}
-	return servers.stop(s.settings.Bounds.StopGrace)
-}
--- /dev/null
+++ b/cmd/wharf-gateway/stop.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/clock"
+	"github.com/wisteriawharf/wisteriawharf/platform"
+)
+
+// Parts of the stop grace, the time from SIGTERM to SIGKILL. All count from SIGTERM.
+const (
+	// acceptUntil is when the instance stops accepting connections. Until then callers may
+	// still use a cached directory answer.
+	acceptUntil = 0.6
+	// answerUntil is by when all requests are answered.
+	answerUntil = 0.93
+	// writeUntil is by when these answers are written.
+	writeUntil = 0.97
+)
+
+const (
+	// drainPollInterval is how often a planned stop checks whether requests are still open.
+	drainPollInterval = 10 * time.Millisecond
+	// shutdownTimeout is the timeout of the shutdown of a server without open requests.
+	shutdownTimeout = 20 * time.Millisecond
+	// deregisterTimeout is the timeout for the removal of the instance's entry from the store.
+	deregisterTimeout = 1 * time.Second
+)
+
+// stopSchedule holds the times of a planned stop, on the boot clock.
+type stopSchedule struct {
+	acceptUntil, answerBy, writtenBy time.Duration
+}
+
+// newStopSchedule returns the schedule of a stop that began at a time on the boot clock, with
+// the given stop grace.
+func newStopSchedule(began, grace time.Duration) stopSchedule {
+	at := func(share float64) time.Duration { return began + time.Duration(share*float64(grace)) }
+	return stopSchedule{acceptUntil: at(acceptUntil), answerBy: at(answerUntil), writtenBy: at(writeUntil)}
+}
+
+// stop carries out a planned stop. It directs callers to other instances, but serves those that
+// still come, as long as they can be answered within the stop grace. It returns an error if
+// requests are still open at the end.
+func (s *service) stop(servers *servers) error {
+	schedule := newStopSchedule(s.clock.Boottime(), s.settings.Bounds.StopGrace)
+	s.log.Info("planned stop", "open", s.gateway.InFlight())
+	s.stopping.Store(true)
+	s.gateway.BeginStop(schedule.answerBy)
+	s.exchange.SendHeartbeats()
+	go s.deregister()
+	return servers.stop(s.clock, s.gateway, schedule)
+}
+
+// deregister removes the entry of this instance from the store.
+func (s *service) deregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
+	defer cancel()
+	if err := s.store.Delete(ctx, platform.KindInstances, s.self.Name, 0); err != nil {
+		// The other instances also learn from heartbeats that this one is not ready.
+		s.log.Warn("failed to remove the entry of this instance", "error", err.Error())
+	}
+}
+
+// requestGate is the interface of the gateway as a planned stop of its servers uses it.
+type requestGate interface {
+	// AnswerNow refuses new requests, and has those that are being served answered at once.
+	AnswerNow()
+	// InFlight returns the number of requests that are being served.
+	InFlight() int64
+}
+
+// stop closes the listener for callers at the scheduled time and waits until no connection is
+// new or has a request, up to the time when all requests must be answered. From then on
+// requests that arrive on kept connections are refused, and none is passed on to a searcher.
+// stop shuts the servers down when all answers are written, and returns an error if that is not
+// so in time.
+func (v *servers) stop(clock clock.Clock, gate requestGate, schedule stopSchedule) error {
+	time.Sleep(schedule.acceptUntil - clock.Boottime())
+	v.stopping.Store(true)
+	_ = v.callerListener.Close() // it accepts no more connections, even if Close fails
+	<-v.acceptDone
+	waitUntil(clock, schedule.answerBy, func() bool { return !v.connections.hasNewOrActive() })
+	gate.AnswerNow()
+	answered := waitUntil(clock, schedule.writtenBy, func() bool { return gate.InFlight() == 0 && !v.connections.hasActive() })
+	shutdown(v.callerServer)
+	for _, server := range v.otherServers {
+		shutdown(server)
+	}
+	if !answered {
+		return errors.Errorf("%d requests were still open", gate.InFlight())
+	}
+	return nil
+}
+
+// waitUntil waits until a condition holds, but no longer than a time on the boot clock. It
+// reports whether the condition holds.
+func waitUntil(clock clock.Clock, end time.Duration, condition func() bool) bool {
+	for !condition() {
+		if clock.Boottime() >= end {
+			return false
+		}
+		time.Sleep(drainPollInterval)
+	}
+	return true
+}
+
+// shutdown closes a server and its idle connections. Requests that are open after
+// shutdownTimeout are cut.
+func shutdown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close() // closes what is open, which has had its time
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -75,7 +75,7 @@
 		events:         make(chan dispatch.Event, max(len(route.Shards), 1)*maxEventsPerPart),
 		attemptLatency: g.attemptLatencies.forRoute(route.Name),
 	}
-	return c, nil
+	return c, c.stopRefusal()
 }
 
 // maxEventsPerPart is the capacity of a call's events channel for each part. The retries of
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,8 +29,8 @@
 	config  Config
 	metrics *metrics
 	// routingConfig is the configuration in force. It is nil before the first one is set.
-	routingConfig      atomic.Pointer[routing.Config]
-	keepAlivesDisabled atomic.Bool
+	routingConfig atomic.Pointer[routing.Config]
+	stop          plannedStop
 	// inFlight is the number of requests that are being served.
 	inFlight atomic.Int64
 	// requestLog writes, at a limited rate, the log lines that explain single requests.
@@ -46,6 +46,7 @@
 	return &Gateway{
 		config: config, metrics: newMetrics(config.Registry), requestLog: requestlog.NewWriter(config.Log),
 		attemptLatencies: latencyHistograms{byRoute: make(map[string]*latencyHistogram)},
+		stop:             plannedStop{answerNow: make(chan struct{})},
 	}
 }
 
@@ -67,10 +68,6 @@
 // RoutingConfig returns the configuration in force, or nil if none was set.
 func (g *Gateway) RoutingConfig() *routing.Config { return g.routingConfig.Load() }
 
-// DisableKeepAlives makes the gateway close each connection after the next answer on it,
-// by a "Connection: close" header.
-func (g *Gateway) DisableKeepAlives() { g.keepAlivesDisabled.Store(true) }
-
 // InFlight returns the number of requests that are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -79,7 +76,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	started := g.config.Clock.Boottime()
-	if g.keepAlivesDisabled.Load() {
+	if g.stop.begun.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	c, refusal := g.newCall(w, r, started)
@@ -130,7 +127,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // prevents the HTTP server from sniffing one
 	}
-	if g.keepAlivesDisabled.Load() {
+	if g.stop.begun.Load() {
 		h.Set("Connection", "close")
 	}
 	w.WriteHeader(a.status)
--- a/gateway/sharded.go
+++ b/gateway/sharded.go
@@ -59,6 +59,8 @@
 			timer.Stop()
 			q.stopAllAttempts(true)
 			return answer{callerGone: true}
+		case <-c.g.stop.answerNow:
+			c.deadline = min(c.deadline, c.now()) // so that the loop ends
 		case <-timer.C:
 			q.startAllDueAttempts()
 		}
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -25,6 +25,9 @@
 			timer.Stop()
 			p.stopAttempts(c, true)
 			return answer{callerGone: true}
+		case <-c.g.stop.answerNow:
+			timer.Stop()
+			return c.endAtDeadline(p)
 		case <-timer.C:
 			if c.now() >= c.deadline {
 				return c.endAtDeadline(p)
@@ -51,8 +54,8 @@
 	}
 }
 
-// endAtDeadline cancels the attempts of a request whose deadline has passed. It returns a
-// refusal with status 504 if a searcher may have run the request, else with status 503.
+// endAtDeadline cancels the attempts of a request whose deadline has passed, or that must be
+// answered because the instance stops. It returns a refusal with status 504 if a searcher may have run the request, else with status 503.
 func (c *call) endAtDeadline(p *part) answer {
 	p.stopAttempts(c, true)
 	c.logUnansweredOrLate(p)
