Use no connection twice for one request

What callers saw: a request that may run once ran on two searchers, or was refused with 503 although it ran, when a busy searcher repeated a refusal late.

Cause: a late repeat was told from the expected reply by the request's ID alone, which is the same for all attempts of a request, and a request that was refused came back to the same connection. A refusal that states no ID was open to the same with any next request.

Change: the dispatcher leaves out the connections of a request's earlier attempts. A connection is not used again after a reply that does not state its request, and a reply that states one is not taken for that to a request without an ID.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -99,7 +100,11 @@
 	Rank float64
 	// Avoid holds the IDs of the searchers that must not get the request.
 	Avoid []string
-	Kind  Kind
+	// Earlier holds the ended attempts of the same request. Their connections are not used
+	// for it again, because a late repeat of the earlier reply would be taken for the reply
+	// to this attempt.
+	Earlier []*Attempt
+	Kind    Kind
 	// Tag is not used by the dispatcher. The caller can tell its attempts apart by it.
 	Tag int
 	// OnEnd is called once when the attempt has ended, unless it is cancelled or
@@ -128,6 +133,11 @@
 	finished bool
 }
 
+// carriedBy reports whether a connection was used for an earlier attempt of the request.
+func (r *Request) carriedBy(c *connection) bool {
+	return slices.ContainsFunc(r.Earlier, func(a *Attempt) bool { return a.conn == c })
+}
+
 // classify returns the outcome of an exchange from its reply or its error. A reply that
 // has a content encoding or no signature counts as Broken, unless it is Refused.
 func classify(reply *searcher.Reply, err error) Outcome {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -151,3 +151,31 @@
 	qt.Assert(t, sendOne(t, d, First), qt.IsTrue)
 	qt.Assert(t, sendOne(t, d, First), qt.IsFalse)
 }
+
+// TestRetryUsesAnotherConnection guards against a retry at the same searcher on the connection
+// of the earlier attempt, where a late repeat of the earlier reply would be taken for its own.
+// That holds also if the searcher accepts no further connection.
+func TestRetryUsesAnotherConnection(t *testing.T) {
+	d := New(Config{
+		Clock: clock.System{}, InstanceCount: func() int { return 1 }, Log: slog.New(slog.DiscardHandler),
+		Bounds: platform.Bounds{RetryRatio: 1, RetryExtra: 40}, Registry: prometheus.NewRegistry(),
+	})
+	d.SetConfig(routing.NewConfig(1, nil, []*routing.Service{{Name: "s", MaxConnections: 1}}, routing.Limits{}))
+	d.PutSearcher(fleet.Searcher{ID: "i", Service: "s", Address: startShortKeepAliveServer(t), Slots: 2})
+	var earlier []*Attempt
+	for kind := First; len(earlier) < 4; kind = Retry {
+		done := make(chan Event, 1)
+		_, err := d.Start(Request{
+			Service: "s", Method: http.MethodGet, Kind: kind, Deadline: clock.System{}.Boottime() + time.Minute, Earlier: earlier,
+			Encode: func(string, time.Duration) []byte { return []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n") },
+			OnEnd:  func(e Event) { done <- e },
+		})
+		qt.Assert(t, err, qt.IsNil)
+		e := <-done
+		qt.Assert(t, e.Outcome, qt.Equals, Answered)
+		for _, a := range earlier {
+			qt.Assert(t, e.Attempt.conn != a.conn, qt.IsTrue)
+		}
+		earlier = append(earlier, e.Attempt)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -158,7 +158,8 @@
 }
 
 // bind assigns the attempt to a searcher and returns a function that sends the request, to
-// be called without the lock. It uses an idle connection if there is one, else a new one.
+// be called without the lock. It uses an idle connection if there is one that has not carried
+// the request before, else a new one.
 func (d *Dispatcher) bind(a *Attempt, t *target, now time.Duration, wall time.Time) func() {
 	a.target, a.chosenAt = t, now
 	t.addRunning(a)
@@ -168,8 +169,13 @@
 		a.cold = true
 	}
 	d.takeRateLimit(a)
-	conn, stale := t.takeUsable(wall)
+	conn, stale := t.takeUsable(&a.Request, wall)
 	if conn == nil {
+		if t.open-len(stale) >= d.connectionLimit(t.service) && len(t.idle) > 0 {
+			// The idle connections have carried the request before. One makes room.
+			stale = append(stale, t.idle[0])
+			t.idle = slices.Delete(t.idle, 0, 1)
+		}
 		t.open++
 		return func() {
 			closeAll(stale)
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/balance"
@@ -109,12 +110,16 @@
 }
 
 // takeUsable removes idle connections, the last used one first, until one is usable. It
-// returns that one, or nil, and the unusable ones, to be closed.
-func (t *target) takeUsable(now time.Time) (*connection, []*connection) {
+// returns that one, or nil, and the unusable ones, to be closed. Connections that have carried
+// the request before are not used and stay idle.
+func (t *target) takeUsable(r *Request, now time.Time) (*connection, []*connection) {
 	var stale []*connection
-	for len(t.idle) > 0 {
-		c := t.idle[len(t.idle)-1]
-		t.idle = t.idle[:len(t.idle)-1]
+	for i := len(t.idle) - 1; i >= 0; i-- {
+		c := t.idle[i]
+		if r.carriedBy(c) {
+			continue
+		}
+		t.idle = slices.Delete(t.idle, i, i+1)
 		if c.Usable(now) {
 			return c, stale
 		}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -202,6 +202,7 @@
 		DueBy:         c.arrived + c.latencyBudget(),
 		Rank:          c.rank,
 		Avoid:         p.searchersToAvoid(),
+		Earlier:       p.earlier,
 		Kind:          kind,
 		Tag:           p.index,
 		OnEnd:         func(e dispatch.Event) { c.events <- e },
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -18,8 +18,9 @@
 	// index is the index of the part's shard on the route. It is zero on a route with
 	// targets.
 	index int
-	// running holds the attempts that have not ended.
+	// running holds the attempts that have not ended, earlier those that have.
 	running []*dispatch.Attempt
+	earlier []*dispatch.Attempt
 	// possibleRunners holds the IDs of the searchers that may have run the request in
 	// attempts that have ended. refusedBy is the ID of the searcher that refused it last.
 	// Searchers that refused it earlier may get it again.
@@ -82,6 +83,7 @@
 			break
 		}
 	}
+	p.earlier = append(p.earlier, e.Attempt)
 	if len(p.running) == 0 {
 		p.hedgeAt = 0
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -132,7 +132,8 @@
 	f := []site.SearcherFaults{
 		{Shed: 0.6}, {Fail: 0.6}, {Lose: 0.4}, {Garble: true}, {Stranger: true}, {Extra: true},
 		{Silent: true}, {Work: 300 * time.Millisecond},
-	}[s.draw(8)]
+		{Shed: 0.6, RepeatLate: true}, {Shed: 0.6, RepeatLate: true, Unidentified: true},
+	}[s.draw(10)]
 	one.SetFaults(f)
 	hold(ctx, length)
 	one.SetFaults(site.SearcherFaults{})
--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -60,9 +60,9 @@
 
 // Exchange is a request and the callback for its reply.
 type Exchange struct {
-	// RequestID is the caller's identifier of the request. A reply that states another one
-	// is not accepted. If RequestID is empty or the reply states none, the two are not
-	// compared.
+	// RequestID is the caller's identifier of the request, empty if it has none. A reply that
+	// states another one is not accepted. A connection must not carry two requests with the
+	// same identifier, since a late repeat of the first reply would be taken for the second.
 	RequestID string
 	Method    string
 	// RawRequest holds the bytes of the whole request. They must not be changed after the
@@ -224,7 +224,8 @@
 // read reads replies until the connection is closed, and calls Done of the exchange in
 // progress with each reply to it. It closes the connection if the searcher has closed its
 // end, bytes arrive that belong to no exchange, or a reply is malformed, is too large or asks
-// for it. After a reply to another request the connection runs no further exchange.
+// for it. After a reply to another request, or one that does not state its request, the
+// connection runs no further exchange: a repeat of it could not be told from the next reply.
 func (c *Conn) read() {
 	skipped := 0
 	for {
@@ -239,7 +240,7 @@
 			return
 		}
 		reply, mustClose, err := c.readReply(e)
-		if err == nil && e.RequestID != "" && reply.Metadata.RequestID != "" && reply.Metadata.RequestID != e.RequestID {
+		if err == nil && reply.Metadata.RequestID != "" && reply.Metadata.RequestID != e.RequestID {
 			skipped++
 			err = errWrongRequest
 			if skipped <= maxSkippedReplies && !mustClose {
@@ -250,7 +251,8 @@
 			c.fail(err)
 			return
 		}
-		if !c.finish(e, mustClose || skipped > 0 || c.reader.Buffered() > 0) {
+		unidentified := reply.Metadata.RequestID == "" && e.RequestID != ""
+		if !c.finish(e, mustClose || unidentified || skipped > 0 || c.reader.Buffered() > 0) {
 			e.Done(reply, nil)
 			return
 		}
--- a/searcher/conn_test.go
+++ b/searcher/conn_test.go
@@ -105,6 +105,8 @@
 		{"more bytes", okReply("a", "text") + "x", false},
 		{"doubled", okReply("a", "text") + okReply("a", "text"), false},
 		{"reply to another request first", okReply("b", "x") + okReply("a", "text"), false},
+		{"without the request's ID", "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n", false},
+		{"refusal without the request's ID", "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", false},
 		{"close announced", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -155,6 +157,18 @@
 	qt.Assert(t, errors.Is(o.err, ErrNotWritten), qt.IsTrue)
 }
 
+// TestReplyToIdentifiedRequest guards against a late repeat of a reply that is taken for the
+// reply to a request without an ID.
+func TestReplyToIdentifiedRequest(t *testing.T) {
+	conn, searcherEnd, _ := newTestConn(t)
+	done := send(conn, "")
+	go func() {
+		replyOnce(searcherEnd, okReply("b", "strange"))
+		_ = searcherEnd.Close()
+	}()
+	qt.Assert(t, (<-done).err, qt.IsNotNil)
+}
+
 // TestKeepAlive guards against reusing an idle connection that the searcher is about to
 // close because of its idle timeout.
 func TestKeepAlive(t *testing.T) {
--- a/standin/site/searcher.go
+++ b/standin/site/searcher.go
@@ -76,6 +76,9 @@
 	// Garble makes replies break off, Stranger puts a reply to another request
 	// before the right one, Extra sends each reply twice.
 	Garble, Stranger, Extra bool
+	// RepeatLate repeats the former reply on a connection when the next request has been read
+	// there, before it runs. Unidentified leaves the request ID out of refusals.
+	RepeatLate, Unidentified bool
 	// Silent makes requests wait until their callers give up.
 	Silent bool
 	// Work is added to the time that a request takes.
@@ -114,8 +117,8 @@
 		ID: id, Service: service, Domain: domain, ledger: ledger, work: work,
 		slots: make(chan struct{}, slots), address: listener.Addr().String(),
 	}
-	s.server = &http.Server{Handler: s}
-	go func() { _ = s.server.Serve(listener) }() // ends with Stop
+	s.server = &http.Server{Handler: s, ConnContext: withRecordingConn}
+	go func() { _ = s.server.Serve(recordingListener{listener}) }() // ends with Stop
 	return s, nil
 }
 
@@ -167,6 +170,7 @@
 	f := s.faults
 	s.mu.Unlock()
 	s.ledger.arrived()
+	beginReply(r.Context(), f.RepeatLate)
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	if target := r.Header.Get("Target-Instance"); target != "" && target != s.ID {
@@ -182,6 +186,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
 	if rand.Float64() < f.Shed || !s.begin(ctx) {
+		if f.Unidentified {
+			w.Header().Del("Request-Id")
+		}
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
