Soak: callers that use a process until it is gone

The soak's callers ask for addresses every 2 s, so they left a stopping process before the late part of its stop, and cuts there were not seen. Now each process has a caller that keeps 60 connections to it and uses all of them within the time of a stop, with requests that take 0.4 s.

--- a/cmd/wharf-gateway/stop_test.go
+++ b/cmd/wharf-gateway/stop_test.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync"
 	"syscall"
@@ -30,39 +27,9 @@
 	qt.Assert(t, time.Since(began) < stopGrace, qt.IsTrue, qt.Commentf("the stop took %v", time.Since(began)))
 }
 
-// callerConnection is a connection of a caller that keeps it and sends one request at a time,
-// without the repeats of an http.Client.
-type callerConnection struct {
-	conn   net.Conn
-	reader *bufio.Reader
-}
-
-// connect opens a connection to the instance.
-func (i *instance) connect() (*callerConnection, error) {
-	conn, err := net.Dial("tcp", i.settings.CallerAddress)
-	if err != nil {
-		return nil, err
-	}
-	return &callerConnection{conn: conn, reader: bufio.NewReader(conn)}, nil
-}
-
-// ask sends a request and returns the status of its answer, or zero if the connection ends
-// without a whole one.
-func (c *callerConnection) ask(method, path, id string) int {
-	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", method, path, site.Host, id)
-	if err != nil {
-		return 0
-	}
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	if err != nil {
-		return 0
-	}
-	defer func() { _ = response.Body.Close() }()
-	if _, err := io.ReadAll(response.Body); err != nil {
-		return 0
-	}
-	return response.StatusCode
-}
+// requestDeadline is the deadline of the requests to an instance that stops. It is longer than
+// the stop.
+const requestDeadline = 3 * time.Second
 
 // stopLoad sends requests to an instance that stops: some on connections that were kept since
 // before, some on new ones, of routes that may be repeated and that may not.
@@ -75,14 +42,14 @@
 }
 
 // send sends the n-th request on a connection, or on a new one if it is nil.
-func (l *stopLoad) send(c *callerConnection, n int) {
+func (l *stopLoad) send(c *site.Connection, n int) {
 	if c == nil {
 		var err error
-		if c, err = l.target.connect(); err != nil {
+		if c, err = site.Connect(l.target.settings.CallerAddress); err != nil {
 			return // the listener is closed, so the request was not sent
 		}
 	}
-	defer func() { _ = c.conn.Close() }()
+	defer c.Close()
 	id := fmt.Sprintf("q%d", n)
 	method, path := http.MethodGet, "/search/x"
 	switch n % 3 {
@@ -91,7 +58,7 @@
 	case 2:
 		method, path = http.MethodPost, "/book/x"
 	}
-	status := c.ask(method, path, id)
+	status, _ := c.Ask(method, path, id, requestDeadline)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.statuses[id] = status
@@ -136,12 +103,14 @@
 
 			const requests = 120
 			load := &stopLoad{ledger: ledger, target: a, statuses: make(map[string]int)}
-			kept := make([]*callerConnection, requests)
+			kept := make([]*site.Connection, requests)
 			for n := 0; n < requests; n += 2 {
 				var err error
-				kept[n], err = a.connect()
+				kept[n], err = site.Connect(a.settings.CallerAddress)
 				qt.Assert(t, err, qt.IsNil)
-				qt.Assert(t, kept[n].ask(http.MethodGet, "/missing", "warm-up"), qt.Equals, http.StatusNotFound)
+				status, usable := kept[n].Ask(http.MethodGet, "/missing", "warm-up", requestDeadline)
+				qt.Assert(t, status, qt.Equals, http.StatusNotFound)
+				qt.Assert(t, usable, qt.IsTrue)
 			}
 			a.signals <- syscall.SIGTERM
 			var group sync.WaitGroup
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,7 +23,9 @@
 )
 
 const (
-	bookings  = "book"
+	bookings = "book"
+	// orders is the service of the callers that stay.
+	orders    = "order"
 	perDomain = 2
 	callers   = 10
 	// configApply and drain are the promised bounds, settled how long nothing must
@@ -78,6 +80,9 @@
 	for i := range callers {
 		group.Go(func() { s.call(ctx, i) })
 	}
+	for _, p := range s.gateway {
+		group.Go(func() { s.stay(ctx, p) })
+	}
 	group.Go(func() { s.disturb(ctx) })
 	group.Go(func() { s.configure(ctx) })
 	group.Wait()
@@ -92,7 +97,7 @@
 	}
 	s.server = &http.Server{Handler: s.store}
 	go func() { _ = s.server.Serve(listener) }() // ends with stop
-	for _, service := range append(shards, bookings) {
+	for _, service := range append(shards, bookings, orders) {
 		for _, domain := range domains {
 			if err := s.addSearcher(service, domain); err != nil {
 				return err
@@ -151,12 +156,29 @@
 	}
 }
 
+// searcherSize is how long a request takes at the searchers of a service, and how many each runs
+// at once.
+type searcherSize struct {
+	work  time.Duration
+	slots int
+}
+
+// sizeOf returns the size of the searchers of a service. Requests to those of orders take a
+// good part of a planned stop.
+func sizeOf(service string) searcherSize {
+	if service == orders {
+		return searcherSize{work: 400 * time.Millisecond, slots: 40}
+	}
+	return searcherSize{work: 8 * time.Millisecond, slots: 4}
+}
+
 // addSearcher starts a searcher with an ID that was not used before.
 func (s *soak) addSearcher(service, domain string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.started++
-	one, err := site.StartSearcher(fmt.Sprintf("%s-%s-%d", service, domain, s.started), service, domain, 8*time.Millisecond, 4, s.ledger)
+	size := sizeOf(service)
+	one, err := site.StartSearcher(fmt.Sprintf("%s-%s-%d", service, domain, s.started), service, domain, size.work, size.slots, s.ledger)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -170,9 +192,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.store.Put("config", "main", site.Configuration(s.version, append(shards, bookings), []site.Route{
+	s.store.Put("config", "main", site.Configuration(s.version, append(shards, bookings, orders), []site.Route{
 		{Prefix: "/search/", Shards: shards, Idempotent: true, TargetMs: 200},
 		{Prefix: "/book/", Service: bookings, TargetMs: 300},
+		{Prefix: "/order/", Service: orders, Idempotent: true, TargetMs: 500},
 		{Prefix: probePath(s.version), Service: bookings, Idempotent: true, TargetMs: 300},
 	}))
 	return s.version
