Keep entries that are removed and written again within one watch answer

What operators saw: gateways that nothing had disturbed sent requests into an evacuated failure domain for good, after those that followed the store for them were killed while the operator ended and repeated the evacuation.

Cause: a mirror remembered a removal at the revision of the whole watch answer. Another instance applies objects first and removals after, so the removal took out the state that was written after it.

Change: a removal states the revision up to which states are gone, and apart from it the one at which it was known. On related paths: removals of objects that a mirror doesn't hold are remembered for others, and an instance within the revisions that a listing skipped gets all objects.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,9 +67,12 @@
 	epoch    int64
 	revision int64
 	// removals holds the latest removals, the oldest first. It has every removal after
-	// the revision removalsCompleteAfter.
+	// the revision removalsCompleteAfter, except of objects that came and went within a span
+	// of skipped.
 	removals              []removal
 	removalsCompleteAfter int64
+	// skipped holds the latest spans of revisions that listings have skipped, the oldest first.
+	skipped []revisionSpan
 	// newestChange is the highest revision of a change that was applied.
 	newestChange int64
 	// cancelCall cancels the current call to the store, so that the next one starts at
@@ -144,11 +148,13 @@
 	}
 	for name, o := range m.objects {
 		if !listed[name] && o.Revision <= l.Revision && !m.restored.unconfirmed[name] {
-			m.remove(o, l.Revision)
+			m.remove(o, removal{Name: name, Revision: l.Revision, KnownAt: l.Revision})
 		}
 	}
 	if m.revision == 0 {
 		m.removalsCompleteAfter = l.Revision
+	} else {
+		m.recordSkipped(revisionSpan{From: m.revision, To: l.Revision})
 	}
 	m.advance(l.Revision)
 	return true
@@ -191,17 +197,21 @@
 }
 
 // applyRemoval removes an object that the store has removed at a revision, unless the store
-// has written it again since. A removal without a revision always applies. complete is the
+// has written it again since. A removal without a revision always applies. knownAt is the
 // revision up to which the mirror is complete then. The caller holds the lock.
-func (m *Mirror) applyRemoval(name string, revision, complete int64) {
+func (m *Mirror) applyRemoval(name string, revision, knownAt int64) {
 	if held, ok := m.heldRevision(name); ok && revision != 0 && held > revision {
 		return
 	}
 	held, inForce := m.objects[name]
 	m.confirm(name)
+	r := removal{Name: name, Revision: max(revision, held.Revision), KnownAt: knownAt}
 	if inForce {
-		m.remove(held, complete)
+		m.remove(held, r)
+		return
 	}
+	// Another instance may still hold the object.
+	m.recordRemoval(r)
 }
 
 // advance raises the revision of the mirror. The caller holds the lock.
@@ -219,15 +229,32 @@
 	m.config.OnChange(platform.Event{Object: o})
 }
 
-// remove removes an object that no longer exists at the revision, and remembers the
-// removal. The caller holds the lock.
-func (m *Mirror) remove(o platform.StoredObject, revision int64) {
+// remove removes an object and remembers its removal. The caller holds the lock.
+func (m *Mirror) remove(o platform.StoredObject, r removal) {
 	delete(m.objects, o.Name)
-	m.newestChange = max(m.newestChange, revision)
-	m.removals = append(m.removals, removal{Name: o.Name, Revision: revision})
+	m.recordRemoval(r)
+	m.config.OnChange(platform.Event{Object: o, Deleted: true})
+}
+
+// recordRemoval remembers a removal. The caller holds the lock.
+func (m *Mirror) recordRemoval(r removal) {
+	m.newestChange = max(m.newestChange, r.knownAt())
+	m.removals = append(m.removals, r)
 	if excess := len(m.removals) - maxRemovals; excess > 0 {
-		m.removalsCompleteAfter = m.removals[excess-1].Revision
+		m.removalsCompleteAfter = max(m.removalsCompleteAfter, m.removals[excess-1].knownAt())
 		m.removals = append([]removal(nil), m.removals[excess:]...)
 	}
-	m.config.OnChange(platform.Event{Object: o, Deleted: true})
+}
+
+// recordSkipped remembers a span of revisions that the mirror has skipped by a listing, its own
+// or that of another mirror. The caller holds the lock.
+func (m *Mirror) recordSkipped(s revisionSpan) {
+	if s.From >= s.To || slices.Contains(m.skipped, s) {
+		return
+	}
+	if len(m.skipped) == maxSkipped {
+		m.removalsCompleteAfter = max(m.removalsCompleteAfter, m.skipped[0].To)
+		m.skipped = slices.Delete(m.skipped, 0, 1)
+	}
+	m.skipped = append(m.skipped, s)
 }
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -65,7 +65,7 @@
 		m.restored.unconfirmed[name] = true
 	}
 	m.epoch, m.revision, m.newestChange = l.Epoch, l.Revision, l.Revision
-	m.removals, m.removalsCompleteAfter = nil, l.Revision
+	m.removals, m.skipped, m.removalsCompleteAfter = nil, nil, l.Revision
 	for _, o := range l.Objects {
 		m.restoreObject(o)
 	}
@@ -127,7 +127,7 @@
 	settled := m.restored
 	m.restored = restoration{}
 	for name := range settled.unconfirmed {
-		m.remove(m.objects[name], m.revision)
+		m.remove(m.objects[name], removal{Name: name, Revision: m.revision, KnownAt: m.revision})
 	}
 	for name, o := range settled.deferred {
 		m.objects[name] = o
