Soak: planned stops alone

Users saw requests to one searcher end without a status around planned stops, on their own machines.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -227,12 +227,27 @@
 	})
 }
 
+// roll stops the processes as planned, one after the other, until ctx ends.
+func (s *soak) roll(ctx context.Context) {
+	for i := 0; ctx.Err() == nil; i++ {
+		p := s.gateway[i%len(s.gateway)]
+		s.report.fault()
+		s.stopOne(p)
+		for !p.ready() && clock.Pause(ctx, 50*time.Millisecond) == nil {
+			continue
+		}
+	}
+}
+
 // stopProcess stops a process as planned, which must cut no request.
 func (s *soak) stopProcess(context.Context, time.Duration) {
-	s.toProcess(func(p *process) {
-		s.disturbed.extend(time.Now().Add(site.GraceSeconds*time.Second + restartTime))
-		p.signal(syscall.SIGTERM)
-		p.await()
-		s.restart(p)
-	})
+	s.toProcess(s.stopOne)
+}
+
+// stopOne stops a process as planned and starts it again.
+func (s *soak) stopOne(p *process) {
+	s.disturbed.extend(time.Now().Add(site.GraceSeconds*time.Second + restartTime))
+	p.signal(syscall.SIGTERM)
+	p.await()
+	s.restart(p)
 }
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -17,6 +17,7 @@
 	Seed     uint64        `long:"seed" description:"plays one seed; without it fresh seeds are drawn"`
 	Runs     int           `long:"runs" default:"5" description:"how many fresh seeds are played"`
 	Duration time.Duration `long:"duration" default:"30s" description:"length of the load of a run"`
+	Stops    bool          `long:"stops" description:"planned stops of one process after the other, and no other faults"`
 	Out      string        `long:"out" default:"out/soak" description:"directory for the logs of the processes"`
 }
 
@@ -35,7 +36,7 @@
 	fmt.Println("seed requests good partial refused failed cut faults violations")
 	failed := false
 	for _, seed := range seeds {
-		r, err := run(o.Binary, o.Out, seed, o.Duration)
+		r, err := run(plan{binary: o.Binary, out: o.Out, seed: seed, duration: o.Duration, stopsOnly: o.Stops})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -57,9 +57,21 @@
 	disturbed disturbance
 }
 
+// plan says what happens in a run.
+type plan struct {
+	binary string
+	// out is the directory for the logs of the processes.
+	out      string
+	seed     uint64
+	duration time.Duration
+	// stopsOnly says that processes are stopped as planned, one after the other, and that
+	// nothing else happens.
+	stopsOnly bool
+}
+
 // run plays one seed.
-func run(binary, out string, seed uint64, duration time.Duration) (*report, error) {
-	dir, err := filepath.Abs(filepath.Join(out, fmt.Sprint(seed)))
+func run(p plan) (*report, error) {
+	dir, err := filepath.Abs(filepath.Join(p.out, fmt.Sprint(p.seed)))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -67,14 +79,14 @@
 		return nil, errors.Trace(err)
 	}
 	s := &soak{
-		random: rand.New(rand.NewPCG(seed, 0)), store: site.NewStore(), ledger: &site.Ledger{},
-		report: &report{seed: seed, answers: make(map[string]int)},
+		random: rand.New(rand.NewPCG(p.seed, 0)), store: site.NewStore(), ledger: &site.Ledger{},
+		report: &report{seed: p.seed, answers: make(map[string]int)},
 	}
 	defer s.stop()
-	if err := s.start(binary, dir); err != nil {
+	if err := s.start(p.binary, dir); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	ctx, cancel := context.WithTimeout(context.Background(), p.duration)
 	defer cancel()
 	var group sync.WaitGroup
 	for i := range callers {
@@ -83,7 +95,11 @@
 	for _, p := range s.gateway {
 		group.Go(func() { s.stay(ctx, p) })
 	}
-	group.Go(func() { s.disturb(ctx) })
+	if p.stopsOnly {
+		group.Go(func() { s.roll(ctx) })
+	} else {
+		group.Go(func() { s.disturb(ctx) })
+	}
 	group.Go(func() { s.configure(ctx) })
 	group.Wait()
 	s.checkRuns()
--- a/internal/soak/stay.go
+++ b/internal/soak/stay.go
@@ -54,7 +54,7 @@
 // process was neither killed nor paused.
 func (s *soak) ask(ctx context.Context, p *process, c *site.Connection, id string) bool {
 	began := time.Now()
-	status, usable := c.Ask(http.MethodPost, "/order/x", id, patience)
+	status, usable := c.Ask(http.MethodGet, "/order/x", id, patience)
 	if status != 0 {
 		s.report.answer(id, status, 0)
 		return usable
