--- a/cmd/wharf-gateway/service_test.go
+++ b/cmd/wharf-gateway/service_test.go
@@ -122,15 +122,16 @@
 // entry in the store. A request to one of them takes requestTime.
 func (d *deployment) startSearchers(ledger *site.Ledger, requestTime time.Duration) []*site.Searcher {
 	d.t.Helper()
-	return d.startSearchersOf("one", 4, ledger, requestTime)
+	return d.startSearchersOf("one", "one", 4, ledger, requestTime)
 }
 
-// startSearchersOf is startSearchers for a service whose searchers have a number of slots each.
-func (d *deployment) startSearchersOf(service string, slots int, ledger *site.Ledger, requestTime time.Duration) []*site.Searcher {
+// startSearchersOf is startSearchers for a service. The searchers have a number of slots each, and
+// IDs that begin with the prefix.
+func (d *deployment) startSearchersOf(service, prefix string, slots int, ledger *site.Ledger, requestTime time.Duration) []*site.Searcher {
 	d.t.Helper()
 	var all []*site.Searcher
 	for _, domain := range []string{"a", "b"} {
-		s, err := site.StartSearcher(service+"-"+domain, service, domain, requestTime, slots, ledger)
+		s, err := site.StartSearcher(prefix+"-"+domain, service, domain, requestTime, slots, ledger)
 		qt.Assert(d.t, err, qt.IsNil)
 		d.t.Cleanup(s.Stop)
 		d.store.Put("servers", s.ID, s.Entry("ready"))
--- a/cmd/wharf-gateway/stop_test.go
+++ b/cmd/wharf-gateway/stop_test.go
@@ -93,7 +93,7 @@
 			d := newDeployment(t)
 			a := d.startInstance("a")
 			ledger := &site.Ledger{}
-			d.startSearchersOf("one", 200, ledger, work)
+			d.startSearchersOf("one", "one", 200, ledger, work)
 			d.store.Put("config", "main", site.Configuration(1, []string{"one"}, []site.Route{
 				{Prefix: "/safe/", Service: "one", Idempotent: true, TargetMs: 500},
 				{Prefix: "/search/", Shards: []string{"one"}, Idempotent: true, TargetMs: 500},
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"sort"
@@ -153,6 +154,20 @@
 	s.put(kind, name, text)
 }
 
+// PutBytes writes an object whose content is a JSON text that encoding/json may not accept, such
+// as a deeply nested one. It is sent as it is.
+func (s *Store) PutBytes(kind, name string, spec []byte) {
+	token := fmt.Sprintf("%q", fmt.Sprintf("bytes of %s/%s", kind, name))
+	foreignSpecs.Store(token, spec)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, json.RawMessage(token))
+}
+
+// foreignSpecs maps tokens, which stand for the content in stored objects, to the bytes of
+// PutBytes.
+var foreignSpecs sync.Map
+
 // Remove deletes an object.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
@@ -349,5 +364,13 @@
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body) // the caller may have gone
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // a fault of the stand-in
+	}
+	foreignSpecs.Range(func(token, spec any) bool {
+		text = bytes.ReplaceAll(text, []byte(token.(string)), spec.([]byte))
+		return true
+	})
+	_, _ = w.Write(text) // the caller may have gone
 }
