Read the chosen searcher's ID and address from the attempt

Cause: send and dial read them from the target without the lock, while an update of the searcher's entry replaces it. TestEntryChangesWhileRequestsAreSent fails under it without the change.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -120,6 +120,10 @@
 	target   *target
 	conn     *connection
 	chosenAt time.Duration
+	// searcherID and address are those of the chosen searcher. They don't change once it is
+	// chosen, while the target follows its entry.
+	searcherID string
+	address    string
 	// outstanding is the number of requests from this instance that the searcher had not
 	// answered when it was chosen for this one, this one included.
 	outstanding int
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -179,3 +179,30 @@
 		earlier = append(earlier, e.Attempt)
 	}
 }
+
+// TestEntryChangesWhileRequestsAreSent guards against a data race between the requests to a
+// searcher and the updates of its entry.
+func TestEntryChangesWhileRequestsAreSent(t *testing.T) {
+	d := New(Config{
+		Clock: clock.System{}, InstanceCount: func() int { return 1 }, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+	})
+	d.SetConfig(routing.NewConfig(1, nil, []*routing.Service{{Name: "s", MaxConnections: 10}}, routing.Limits{}))
+	one := fleet.Searcher{ID: "i", Service: "s", Address: startShortKeepAliveServer(t), Slots: 2}
+	d.PutSearcher(one)
+	updated := make(chan struct{})
+	go func() {
+		defer close(updated)
+		for range 200 {
+			d.PutSearcher(one)
+			time.Sleep(100 * time.Microsecond)
+		}
+	}()
+	for sending := true; sending; {
+		qt.Assert(t, sendOne(t, d, First), qt.IsTrue)
+		select {
+		case <-updated:
+			sending = false
+		default:
+		}
+	}
+}
--- a/dispatch/giveup.go
+++ b/dispatch/giveup.go
@@ -16,10 +16,7 @@
 func (a *Attempt) SearcherID() string {
 	a.d.mu.Lock()
 	defer a.d.mu.Unlock()
-	if a.target == nil {
-		return ""
-	}
-	return a.target.ID
+	return a.searcherID
 }
 
 // Elapsed returns the time since the searcher was chosen. It is zero while none is chosen.
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -20,7 +20,7 @@
 func (d *Dispatcher) dial(a *Attempt, t *target) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := searcher.Dial(ctx, t.Address, func(c *connection) { d.connectionEnded(t, c) })
+	conn, err := searcher.Dial(ctx, a.address, func(c *connection) { d.connectionEnded(t, c) })
 	d.metrics.dialed(err)
 	if err != nil {
 		d.dialFailed(a, t)
@@ -74,7 +74,7 @@
 	conn.Send(&searcher.Exchange{
 		RequestID:  a.RequestID,
 		Method:     a.Method,
-		RawRequest: a.Encode(a.target.ID, left),
+		RawRequest: a.Encode(a.searcherID, left),
 		Done:       func(reply *searcher.Reply, err error) { d.replied(a, conn, reply, err) },
 	})
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -162,6 +162,7 @@
 // the request before, else a new one.
 func (d *Dispatcher) bind(a *Attempt, t *target, now time.Duration, wall time.Time) func() {
 	a.target, a.chosenAt = t, now
+	a.searcherID, a.address = t.ID, t.Address
 	t.addRunning(a)
 	a.outstanding = len(t.running)
 	if now < t.coldUntil {
