Keep missing searchers while the store does not answer

What callers saw: nearly all queries over shards were refused in a second outage of the store soon after a first one, though all searchers lived.

Cause: an entry that expired in the first outage was given up 2.2 s after it was missed, also if the store was down again and could not be written to.

Change: that time starts anew while an instance's own calls to the store fail.

--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -186,10 +186,20 @@
 		for _, m := range s.mirrors {
 			m.Settle(time.Now())
 		}
-		for _, id := range s.searchers.Expire(now) {
-			s.log.Info("missing searcher is removed, its entry was not written again", "searcher", id)
-			s.dispatch.RemoveSearcher(id)
-		}
+		s.removeMissingSearchers(now)
+	}
+}
+
+// removeMissingSearchers removes searchers whose entries were not written again although the
+// store answers.
+func (s *service) removeMissingSearchers(now time.Duration) {
+	if s.outage.Failing() {
+		s.searchers.HoldMissing(now)
+		return
+	}
+	for _, id := range s.searchers.Expire(now) {
+		s.log.Info("missing searcher is removed, its entry was not written again", "searcher", id)
+		s.dispatch.RemoveSearcher(id)
 	}
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -39,6 +39,27 @@
 	qt.Assert(t, searchers.Len(), qt.Equals, 1)
 }
 
+// TestMissingEntriesAreKeptWhileStoreIsDown guards against the loss of searchers whose entries
+// expired in an outage of the store, when another outage begins before they can be written again.
+func TestMissingEntriesAreKeptWhileStoreIsDown(t *testing.T) {
+	searchers := NewSearchers()
+	for _, id := range []string{"back", "gone"} {
+		searchers.Put(Searcher{ID: id}, 1)
+	}
+	searchers.RecordStoreFailure(time.Second)
+	for _, id := range []string{"back", "gone"} {
+		qt.Assert(t, searchers.Remove(id, 2, time.Second), qt.Equals, MarkedMissing)
+	}
+	ended := time.Second + 4*MissingGracePeriod
+	for now := 2 * time.Second; now <= ended; now += time.Second {
+		searchers.HoldMissing(now)
+	}
+	searchers.HoldMissing(ended)
+	qt.Assert(t, searchers.Expire(ended+MissingGracePeriod-1), qt.HasLen, 0)
+	searchers.Put(Searcher{ID: "back"}, 3)
+	qt.Assert(t, searchers.Expire(ended+MissingGracePeriod), qt.DeepEquals, []string{"gone"})
+}
+
 // newTestInstances returns the set of instance b1, which knows a1, a2 and b2 from their
 // entries. The first letter is the failure domain.
 func newTestInstances(t *testing.T) *Instances {
--- a/fleet/searchers.go
+++ b/fleet/searchers.go
@@ -33,7 +33,8 @@
 	// revision is the store's revision of the entry.
 	revision int64
 	// missing says that the entry is no longer in the store, perhaps only because it
-	// expired during an outage of the store. missingSince is when this was noticed.
+	// expired during an outage of the store. missingSince is when this was noticed, or the
+	// end of a later outage.
 	missing      bool
 	missingSince time.Duration
 }
@@ -47,9 +48,9 @@
 	graceUntil time.Duration
 }
 
-// MissingGracePeriod is how long a missing entry is kept, and how long after a failure of
-// the store an entry that disappears counts as missing. Entries that expired during an
-// outage are written again within this time.
+// MissingGracePeriod is how long a missing entry is kept while the store answers, and how long
+// after a failure of the store an entry that disappears counts as missing. Entries that expired
+// during an outage are written again within this time after it.
 const MissingGracePeriod = 2200 * time.Millisecond
 
 // NewSearchers returns an empty set.
@@ -130,6 +131,18 @@
 	return Removed
 }
 
+// HoldMissing restarts the time for which missing entries are kept. It is to be called while the
+// store is known not to answer, since no searcher can write its entry again then.
+func (set *Searchers) HoldMissing(now time.Duration) {
+	set.mu.Lock()
+	defer set.mu.Unlock()
+	for _, e := range set.entries {
+		if e.missing {
+			e.missingSince = now
+		}
+	}
+}
+
 // Expire removes the entries that have been missing for at least MissingGracePeriod, and
 // returns their IDs.
 func (set *Searchers) Expire(now time.Duration) []string {
