--- a/cmd/wharf-gateway/main.go
+++ b/cmd/wharf-gateway/main.go
@@ -30,6 +30,9 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	// A signal that comes while the settings are read must not end the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var o options
 	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "The settings of the instance are read from the file whose path the platform sets in the environment (docs/settings.md)."
@@ -46,8 +49,6 @@
 		return exitUsage
 	}
 	log := newLog(o.LogLevel).With("instance", settings.Name)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if err := serve(context.Background(), settings, log, signals); err != nil {
 		log.Error("stopped", "error", err.Error())
 		return exitFailed
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -244,10 +244,13 @@
 	s.toProcess(s.stopOne)
 }
 
-// stopOne stops a process as planned and starts it again.
+// stopOne stops a process as planned and starts it again. Further signals change nothing.
 func (s *soak) stopOne(p *process) {
 	s.disturbed.extend(time.Now().Add(site.GraceSeconds*time.Second + restartTime))
-	p.signal(syscall.SIGTERM)
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		p.signal(sig)
+		time.Sleep(50 * time.Millisecond)
+	}
 	p.await()
 	s.restart(p)
 }
