--- a/cmd/wharf-gateway/odd_entries_test.go
+++ b/cmd/wharf-gateway/odd_entries_test.go
@@ -42,13 +42,11 @@
 				if beforeStart {
 					putOdd()
 				}
-				a, b := d.startInstance("a"), d.startInstance("b")
+				d.startInstance("a")
+				b := d.startInstance("b")
 				searchers := d.startSearchers(&site.Ledger{}, time.Millisecond)
 				d.configure(1, "/r/")
-				for _, i := range d.instances {
-					eventually(t, i.settings.Name+" does not serve", func() bool { return i.status("/r/x") == http.StatusOK })
-				}
-				eventually(t, "the instances don't know each other", func() bool { return len(a.addresses("a")) == 2 && len(b.addresses("b")) == 2 })
+				d.awaitServing("/r/x")
 				b.storeRefuses.Store(true) // b learns what happens from a
 				if !beforeStart {
 					putOdd()
--- a/cmd/wharf-gateway/outage_test.go
+++ b/cmd/wharf-gateway/outage_test.go
@@ -14,13 +14,11 @@
 // expired in an outage of the store, when it is down again before they could write them.
 func TestSearchersAreKeptInSecondOutage(t *testing.T) {
 	d := newDeployment(t)
-	a, b := d.startInstance("a"), d.startInstance("b")
+	d.startInstance("a")
+	d.startInstance("b")
 	searchers := d.startSearchers(&site.Ledger{}, time.Millisecond)
 	d.configure(1, "/r/")
-	for _, i := range d.instances {
-		eventually(t, i.settings.Name+" does not serve", func() bool { return i.status("/r/x") == http.StatusOK })
-	}
-	eventually(t, "the instances don't know each other", func() bool { return len(a.addresses("a")) == 2 && len(b.addresses("b")) == 2 })
+	d.awaitServing("/r/x")
 	serve := func(when string, length time.Duration) {
 		for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 			for _, i := range d.instances {
--- a/cmd/wharf-gateway/service_test.go
+++ b/cmd/wharf-gateway/service_test.go
@@ -94,6 +94,17 @@
 	return i
 }
 
+// awaitServing waits until all instances serve a path and know each other.
+func (d *deployment) awaitServing(path string) {
+	d.t.Helper()
+	for _, i := range d.instances {
+		eventually(d.t, i.settings.Name+" does not serve", func() bool { return i.status(path) == http.StatusOK })
+	}
+	for _, i := range d.instances {
+		eventually(d.t, i.settings.Name+" does not know the others", func() bool { return len(i.addresses(i.settings.FailureDomain)) == len(d.instances) })
+	}
+}
+
 // stop starts a planned stop and returns what serve returned. It can be called again.
 func (i *instance) stop() error {
 	select {
