Let open requests finish when a stop ends early

A stop that finds no open connection refuses new requests and ends. A request that was just being read then was answered at once, without its result. It now goes on up to the time by which all are answered. TestRefuseNewLeavesOpenRequests keeps it.

The test of odd entries waits for a condition in place of a time.

--- a/cmd/wharf-gateway/odd_entries_test.go
+++ b/cmd/wharf-gateway/odd_entries_test.go
@@ -26,8 +26,15 @@
 	"two\r\nlines":       `{"backend":"one","address":"127.0.0.1:1","zone":"a","slots":1,"state":"ready","warmup_left_ms":0}`,
 }
 
-// followTime is the time within which all instances know that a searcher drains.
-const followTime = 3 * time.Second
+// allServed sends a number of requests and reports whether all were served.
+func (i *instance) allServed(requests int) bool {
+	for range requests {
+		if i.status("/r/x") != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
 
 // TestOddEntryDoesNotStopFollowing guards against an instance that ends, or that no longer follows
 // the searchers, because another writer left an odd entry among theirs. The entry comes before
@@ -44,7 +51,8 @@
 				}
 				d.startInstance("a")
 				b := d.startInstance("b")
-				searchers := d.startSearchers(&site.Ledger{}, time.Millisecond)
+				ledger := &site.Ledger{}
+				searchers := d.startSearchers(ledger, time.Millisecond)
 				d.configure(1, "/r/")
 				d.awaitServing("/r/x")
 				b.storeRefuses.Store(true) // b learns what happens from a
@@ -56,14 +64,17 @@
 				for _, s := range searchers {
 					d.store.Put("servers", s.ID, s.Entry("draining"))
 				}
-				time.Sleep(followTime)
+				for _, i := range d.instances {
+					eventually(t, i.settings.Name+" goes on to use searchers that drain", func() bool {
+						before := ledger.Arrivals()
+						return i.allServed(20) && ledger.Arrivals() == before
+					})
+				}
 				for _, s := range searchers {
 					s.Stop()
 				}
 				for _, i := range d.instances {
-					for range 10 {
-						qt.Assert(t, i.status("/r/x"), qt.Equals, http.StatusOK, qt.Commentf("%s", i.settings.Name))
-					}
+					qt.Assert(t, i.allServed(10), qt.IsTrue, qt.Commentf("%s", i.settings.Name))
 				}
 			})
 		}
--- a/cmd/wharf-gateway/servers_test.go
+++ b/cmd/wharf-gateway/servers_test.go
@@ -39,8 +39,8 @@
 // openGate is a requestGate whose requests are served by a handler of the test.
 type openGate struct{}
 
-// AnswerNow implements requestGate.
-func (openGate) AnswerNow() {}
+// RefuseNew implements requestGate.
+func (openGate) RefuseNew() {}
 
 // InFlight implements requestGate.
 func (openGate) InFlight() int64 { return 0 }
--- a/cmd/wharf-gateway/stop.go
+++ b/cmd/wharf-gateway/stop.go
@@ -68,24 +68,24 @@
 
 // requestGate is the interface of the gateway as a planned stop of its servers uses it.
 type requestGate interface {
-	// AnswerNow refuses new requests, and has those that are being served answered at once.
-	AnswerNow()
+	// RefuseNew refuses all requests from now on. Those that are being served go on.
+	RefuseNew()
 	// InFlight returns the number of requests that are being served.
 	InFlight() int64
 }
 
 // stop closes the listener for callers at the scheduled time and waits until no connection is
 // new or has a request, up to the time when all requests must be answered. From then on
-// requests that arrive on kept connections are refused, and none is passed on to a searcher.
-// stop shuts the servers down when all answers are written, and returns an error if that is not
-// so in time.
+// requests that arrive on kept connections are refused, so that none is passed on between the
+// last check and the end. stop shuts the servers down when all answers are written, and returns
+// an error if that is not so in time.
 func (v *servers) stop(clock clock.Clock, gate requestGate, schedule stopSchedule) error {
 	time.Sleep(schedule.acceptUntil - clock.Boottime())
 	v.stopping.Store(true)
 	_ = v.callerListener.Close() // it accepts no more connections, even if Close fails
 	<-v.acceptDone
 	waitUntil(clock, schedule.answerBy, func() bool { return !v.connections.hasNewOrActive() })
-	gate.AnswerNow()
+	gate.RefuseNew()
 	answered := waitUntil(clock, schedule.writtenBy, func() bool { return gate.InFlight() == 0 && !v.connections.hasActive() })
 	shutdown(v.callerServer)
 	for _, server := range v.otherServers {
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -55,7 +55,8 @@
 }
 
 // endAtDeadline cancels the attempts of a request whose deadline has passed, or that must be
-// answered because the instance stops. It returns a refusal with status 504 if a searcher may have run the request, else with status 503.
+// answered because the instance stops. It returns a refusal with status 504 if a searcher may
+// have run the request, else with status 503.
 func (c *call) endAtDeadline(p *part) answer {
 	p.stopAttempts(c, true)
 	c.logUnansweredOrLate(p)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -17,7 +16,6 @@
 	// answerNow is closed when the requests that are still being served must be answered at
 	// once, with what is known of them.
 	answerNow chan struct{}
-	closeOnce sync.Once
 }
 
 // BeginStop begins a planned stop. From now on each connection is closed after its next answer,
@@ -29,15 +27,13 @@
 		return
 	}
 	g.stop.begun.Store(true)
-	time.AfterFunc(answerBy-g.config.Clock.Boottime(), g.AnswerNow)
+	time.AfterFunc(answerBy-g.config.Clock.Boottime(), func() { close(g.stop.answerNow) })
 }
 
-// AnswerNow ends the part of a planned stop in which requests are served: new ones are refused,
-// and those that are being served are answered without a further wait.
-func (g *Gateway) AnswerNow() {
-	g.stop.begun.Store(true)
+// RefuseNew refuses all requests from now on. Those that are being served go on.
+func (g *Gateway) RefuseNew() {
 	g.stop.answerBy.Store(1) // in the past
-	g.stop.closeOnce.Do(func() { close(g.stop.answerNow) })
+	g.stop.begun.Store(true)
 }
 
 // stopRefusal returns the refusal of a request that may not be answered before the end of a
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -78,3 +78,18 @@
 		})
 	}
 }
+
+// TestRefuseNewLeavesOpenRequests guards against a request that is answered without its result,
+// because it came just before the instance stopped taking requests.
+func TestRefuseNewLeavesOpenRequests(t *testing.T) {
+	h := newHarness(t, "one")
+	h.configure(1, routing.Route{Targets: oneTarget, TargetLatency: time.Minute, Timeout: time.Minute})
+	h.setFaults("one", site.SearcherFaults{Work: 300 * time.Millisecond})
+	answers := make(chan result, 1)
+	go func() { answers <- h.do(t, "POST", "/r/x", "book", 0) }()
+	eventually(t, func() bool { return h.ledger.Arrivals() == 1 })
+	h.gateway.RefuseNew()
+	qt.Assert(t, (<-answers).status, qt.Equals, http.StatusOK)
+	qt.Assert(t, h.do(t, "POST", "/r/x", "book", 0).status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, h.ledger.Arrivals(), qt.Equals, 1)
+}
