--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -107,7 +107,8 @@
 	}
 	for _, p := range s.gateway {
 		if p.node.Callers == address && p.sound(began) {
-			s.report.violate("LOST: %s at %s, asked at %s: %v", id, p.node.Name, began.UTC().Format(time.RFC3339Nano), err)
+			s.report.violate("LOST: %s at %s, asked at %s, ended after %s, ran %d times: %v",
+				id, p.node.Name, began.UTC().Format(time.RFC3339Nano), time.Since(began), s.ledger.Count(id), err)
 		}
 	}
 }
