Test that a refused shard is named, without a race against the soft deadline

Cause: TestPartial failed once beside load with "deadline passed before an answer" in place of "failure domain is out of service". The soft deadline of 50 ms passed before the refusal of the third shard was read, and the answer then truly says that the shard had no answer in time.

Change: the boot time of the entry stops in the test, so the soft deadline can't pass first. The checks are the same.

--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,6 +134,7 @@
 // each of three failure domains.
 type world struct {
 	entry   *Entry
+	clock   stoppableClock
 	state   *control.State
 	brokers []*fakeBroker
 	shards  int
@@ -151,6 +153,24 @@
 
 func searcherID(shard int, domain string) string { return fmt.Sprintf("u-%d-%s", shard, domain) }
 
+// stoppableClock is the clock of the machine until its boot time is stopped. It is safe for
+// concurrent use.
+type stoppableClock struct {
+	clock.System
+	stoppedAt atomic.Int64
+}
+
+// Boottime implements clock.Clock.
+func (c *stoppableClock) Boottime() time.Duration {
+	if at := c.stoppedAt.Load(); at != 0 {
+		return time.Duration(at)
+	}
+	return c.System.Boottime()
+}
+
+// stop keeps Boottime where it is.
+func (c *stoppableClock) stop() { c.stoppedAt.Store(int64(c.Boottime())) }
+
 func newWorld(t *testing.T, shards int, extra string) *world {
 	t.Helper()
 	ca, err := identity.NewDevCA(t.TempDir())
@@ -182,7 +202,7 @@
 		{Path: "orders.yaml", Text: ordersYAML},
 	}})
 	w.entry, err = New(Config{
-		ID: "entry", CallerAddress: "127.0.0.1:7001", State: w.state, Clock: clock.System{},
+		ID: "entry", CallerAddress: "127.0.0.1:7001", State: w.state, Clock: &w.clock,
 		Node: listen(t, ca, "entry", nil), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Registry: prometheus.NewRegistry(),
 	})
--- a/entry/search_test.go
+++ b/entry/search_test.go
@@ -169,6 +169,7 @@
 		enough  bool
 	}{{"0.75", true}, {"0.9", false}} {
 		w := newWorld(t, 4, "soft_deadline: 50ms\nmin_coverage: "+test.minimum)
+		w.clock.stop() // the soft deadline must not pass before the refusal is read
 		w.answerAll(func(_ *fakeBroker, b *peer.Batch, p peer.Part) ([]*peer.PartReply, error) {
 			if p.Shard == 2 {
 				return one(refusal(b, p, result.DomainOut))
