Planned stop: log what is open at its end and when its phases ended

When a planned stop cut requests, the log named their number alone. Whether a request was unread, waiting for a searcher, at one, or being written could not be told, and neither when the listener closed or new requests were refused.

Each stop writes a line with the times of its phases, the requests that were answered and refused, and the connections that were closed idle or cut.

TestExplainOpenAtEnd; go test -race ./gateway ./requestlog ./cmd/wharf-gateway passes.

--- a/cmd/wharf-gateway/connections.go
+++ b/cmd/wharf-gateway/connections.go
@@ -66,6 +66,13 @@
 	return false
 }
 
+// count returns how many connections are idle, and how many are new or serve a request.
+func (t *connTracker) count() (idle, newOrActive int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.idleSince), len(t.newOrActive)
+}
+
 // run closes connections that are idle for too long. It never returns.
 func (t *connTracker) run() {
 	for range time.Tick(idleCheckInterval) {
--- a/cmd/wharf-gateway/servers_test.go
+++ b/cmd/wharf-gateway/servers_test.go
@@ -45,6 +45,9 @@
 // InFlight implements requestGate.
 func (openGate) InFlight() int64 { return 0 }
 
+// LogOpen implements requestGate.
+func (openGate) LogOpen() int { return 0 }
+
 // TestStopServesLateConnection guards against a planned stop that drops a request which
 // came just before the listener closed. A server drops every request that it reads after
 // its Shutdown has begun.
@@ -68,6 +71,7 @@
 	}()
 	<-l.accepted
 	system := clock.System{}
-	qt.Assert(t, v.stop(system, openGate{}, newStopSchedule(system.Boottime(), 6*time.Second)), qt.IsNil)
+	_, err = v.stop(system, openGate{}, newStopSchedule(system.Boottime(), 6*time.Second))
+	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, <-answered, qt.IsNil)
 }
--- a/cmd/wharf-gateway/stop.go
+++ b/cmd/wharf-gateway/stop.go
@@ -33,14 +33,14 @@
 
 // stopSchedule holds the times of a planned stop, on the boot clock.
 type stopSchedule struct {
-	acceptUntil, answerBy, writtenBy time.Duration
+	began, acceptUntil, answerBy, writtenBy time.Duration
 }
 
 // newStopSchedule returns the schedule of a stop that began at a time on the boot clock, with
 // the given stop grace.
 func newStopSchedule(began, grace time.Duration) stopSchedule {
 	at := func(share float64) time.Duration { return began + time.Duration(share*float64(grace)) }
-	return stopSchedule{acceptUntil: at(acceptUntil), answerBy: at(answerUntil), writtenBy: at(writeUntil)}
+	return stopSchedule{began: began, acceptUntil: at(acceptUntil), answerBy: at(answerUntil), writtenBy: at(writeUntil)}
 }
 
 // stop carries out a planned stop. It directs callers to other instances, but serves those that
@@ -53,7 +53,28 @@
 	s.gateway.BeginStop(schedule.answerBy)
 	s.exchange.SendHeartbeats()
 	go s.deregister()
-	return servers.stop(s.clock, s.gateway, schedule)
+	phases, err := servers.stop(s.clock, s.gateway, schedule)
+	answered, refused := s.gateway.StopCounts()
+	s.log.Info("planned stop ended", append(phases.attributes(schedule.began), "answered", answered, "refused", refused)...)
+	return err
+}
+
+// stopPhases holds when the phases of a planned stop ended, on the boot clock, and how many
+// connections of callers its end closed.
+type stopPhases struct {
+	listenerClosed, newRefused, drained, ended time.Duration
+	// closedIdle counts connections without a request, cut the others.
+	closedIdle, cut int
+}
+
+// attributes returns the attributes of a log line. The times in it are in milliseconds since the
+// stop began.
+func (p stopPhases) attributes(began time.Duration) []any {
+	return []any{
+		"listener_closed_ms", (p.listenerClosed - began).Milliseconds(), "new_refused_ms", (p.newRefused - began).Milliseconds(),
+		"drained_ms", (p.drained - began).Milliseconds(), "ended_ms", (p.ended - began).Milliseconds(),
+		"connections_closed_idle", p.closedIdle, "connections_cut", p.cut,
+	}
 }
 
 // deregister removes the entry of this instance from the store.
@@ -72,6 +93,8 @@
 	RefuseNew()
 	// InFlight returns the number of requests that are being served.
 	InFlight() int64
+	// LogOpen logs the requests that are being served and returns their number.
+	LogOpen() int
 }
 
 // stop closes the listener for callers at the scheduled time and waits until no connection is
@@ -79,22 +102,32 @@
 // requests that arrive on kept connections are refused, so that none is passed on between the
 // last check and the end. stop shuts the servers down when all answers are written, and returns
 // an error if that is not so in time.
-func (v *servers) stop(clock clock.Clock, gate requestGate, schedule stopSchedule) error {
+func (v *servers) stop(clock clock.Clock, gate requestGate, schedule stopSchedule) (stopPhases, error) {
+	var phases stopPhases
 	time.Sleep(schedule.acceptUntil - clock.Boottime())
 	v.stopping.Store(true)
 	_ = v.callerListener.Close() // it accepts no more connections, even if Close fails
 	<-v.acceptDone
+	phases.listenerClosed = clock.Boottime()
 	waitUntil(clock, schedule.answerBy, func() bool { return !v.connections.hasNewOrActive() })
 	gate.RefuseNew()
+	phases.newRefused = clock.Boottime()
 	answered := waitUntil(clock, schedule.writtenBy, func() bool { return gate.InFlight() == 0 && !v.connections.hasActive() })
+	phases.drained = clock.Boottime()
+	open := 0
+	if !answered {
+		open = gate.LogOpen()
+	}
+	phases.closedIdle, phases.cut = v.connections.count()
 	shutdown(v.callerServer)
 	for _, server := range v.otherServers {
 		shutdown(server)
 	}
+	phases.ended = clock.Boottime()
 	if !answered {
-		return errors.Errorf("%d requests were still open", gate.InFlight())
+		return phases, errors.Errorf("%d requests were still open", open)
 	}
-	return nil
+	return phases, nil
 }
 
 // waitUntil waits until a condition holds, but no longer than a time on the boot clock. It
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -19,6 +19,7 @@
 // call is the state of a caller's request while it is served.
 type call struct {
 	g             *Gateway
+	open          *openRequest
 	ctx           context.Context
 	route         *routing.Route
 	callerRequest platform.RequestMetadata
--- a/gateway/explain_test.go
+++ b/gateway/explain_test.go
@@ -82,3 +82,19 @@
 	qt.Assert(t, text, qt.Contains, "not answered with status 504: no answer in time")
 	qt.Assert(t, text, qt.Matches, `(?s).*\n  one: from \d+ ms on at one-[abc]: let go\n.*`)
 }
+
+// TestExplainOpenAtEnd guards against a request that a stop cuts and about which the log says
+// neither how far it came nor which searcher has it.
+func TestExplainOpenAtEnd(t *testing.T) {
+	h := newHarness(t, "one")
+	h.configure(1, routing.Route{Targets: oneTarget, TargetLatency: time.Minute, Timeout: time.Minute})
+	h.setFaults("one", site.SearcherFaults{Work: time.Minute})
+	done := make(chan result, 1)
+	go func() { done <- h.do(t, "POST", "/r/x", "book", 0) }()
+	eventually(t, func() bool { return h.ledger.Arrivals() == 1 })
+	qt.Assert(t, h.gateway.LogOpen(), qt.Equals, 1)
+	h.beginStop(0)
+	r := <-done
+	qt.Assert(t, h.log.explain(t, r.id), qt.Matches, `(?s).*request is still open at the end: at a searcher after \d+ ms \(route .*\), with one-.*`)
+	eventually(t, func() bool { return h.gateway.LogOpen() == 0 })
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,8 @@
 	stop          plannedStop
 	// inFlight is the number of requests that are being served.
 	inFlight atomic.Int64
+	// open holds these requests.
+	open openRequests
 	// requestLog writes, at a limited rate, the log lines that explain single requests.
 	requestLog *requestlog.Writer
 	// attemptLatencies holds the latencies of the attempts of each route.
@@ -47,6 +49,7 @@
 		config: config, metrics: newMetrics(config.Registry), requestLog: requestlog.NewWriter(config.Log),
 		attemptLatencies: latencyHistograms{byRoute: make(map[string]*latencyHistogram)},
 		stop:             plannedStop{answerNow: make(chan struct{})},
+		open:             openRequests{all: make(map[*openRequest]struct{})},
 	}
 }
 
@@ -76,20 +79,26 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	started := g.config.Clock.Boottime()
+	open := g.open.add(r, started)
+	defer g.open.remove(open)
 	if g.stop.begun.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	c, refusal := g.newCall(w, r, started)
 	if refusal != nil {
+		open.answering()
 		g.refuse(w, r, refusal)
 		return
 	}
+	c.open = open
+	open.read(c.route.Name)
 	var a answer
 	if len(c.route.Shards) > 0 {
 		a = c.serveSharded()
 	} else {
 		a = c.serveSingle()
 	}
+	open.answering()
 	g.write(w, r, c, a)
 }
 
@@ -142,5 +151,6 @@
 		outcome = "partial"
 	}
 	g.metrics.outcomes.WithLabelValues(outcome).Inc()
+	g.stop.countAnswer()
 	g.metrics.answerLatency.Observe((g.config.Clock.Boottime() - c.arrived).Seconds())
 }
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -66,6 +66,7 @@
 	}
 	p.retryAt = 0
 	p.running = append(p.running, a)
+	c.open.started(a)
 	p.hedgeAt = 0
 	if c.route.Idempotent && p.possibleRuns+len(p.running) < c.route.MaxAttempts {
 		p.hedgeAt = c.now() + c.hedgeDelay()
@@ -84,6 +85,7 @@
 		}
 	}
 	p.earlier = append(p.earlier, e.Attempt)
+	c.open.ended(e.Attempt)
 	if len(p.running) == 0 {
 		p.hedgeAt = 0
 	}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -28,6 +28,7 @@
 		platform.SetRetryAfter(w.Header(), response.retryAfter)
 	}
 	g.metrics.refusals.WithLabelValues(response.reason).Inc()
+	g.stop.countRefusal()
 	if response.status >= http.StatusInternalServerError && g.requestLog.Allow() {
 		callerRequest, _ := platform.ReadRequestMetadata(r.Header) // the ID is read even if there is an error
 		g.requestLog.Write(requestlog.Refused, "request", callerRequest.ID, "path", r.URL.Path, "status", response.status, "reason", response.reason)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -16,6 +16,29 @@
 	// answerNow is closed when the requests that are still being served must be answered at
 	// once, with what is known of them.
 	answerNow chan struct{}
+	// answered and refused count the requests that were answered by searchers and refused since
+	// the stop began.
+	answered, refused atomic.Int64
+}
+
+// countAnswer counts an answer of a searcher.
+func (s *plannedStop) countAnswer() {
+	if s.begun.Load() {
+		s.answered.Add(1)
+	}
+}
+
+// countRefusal counts a refusal.
+func (s *plannedStop) countRefusal() {
+	if s.begun.Load() {
+		s.refused.Add(1)
+	}
+}
+
+// StopCounts returns how many requests were answered by searchers, and how many were refused,
+// since a planned stop began.
+func (g *Gateway) StopCounts() (answered, refused int64) {
+	return g.stop.answered.Load(), g.stop.refused.Load()
 }
 
 // BeginStop begins a planned stop. From now on each connection is closed after its next answer,
--- a/requestlog/explain.go
+++ b/requestlog/explain.go
@@ -85,6 +85,7 @@
 			}
 		}
 	}
+	all = append(all, l.Searchers...)
 	add(l.Attempts)
 	for _, attempts := range l.AttemptsByShard {
 		add(attempts)
@@ -102,6 +103,12 @@
 		fmt.Fprintf(&b, " with status %d: %s\n", l.Status, l.Reason)
 	case PartialOrLate:
 		fmt.Fprintf(&b, ": %d of %d shards after %d ms, %d needed (route %s)\n", l.Answered, l.Shards, l.AfterMs, l.Needed, l.Route)
+	case OpenAtEnd:
+		fmt.Fprintf(&b, ": %s after %d ms (route %s)", l.Stage, l.AfterMs, l.Route)
+		if len(l.Searchers) > 0 {
+			fmt.Fprintf(&b, ", with %s", strings.Join(l.Searchers, ", "))
+		}
+		b.WriteString("\n")
 	case UnansweredOrLate:
 		fmt.Fprintf(&b, ": after %d ms (route %s)\n", l.AfterMs, l.Route)
 	default:
--- a/requestlog/line.go
+++ b/requestlog/line.go
@@ -10,6 +10,8 @@
 	// UnansweredOrLate says that a request that needs only one searcher got no successful
 	// answer, or a late one.
 	UnansweredOrLate = "no answer in time"
+	// OpenAtEnd says that a request was still being served when the instance ended.
+	OpenAtEnd = "request is still open at the end"
 )
 
 // keyLeftOut is the key for the number of lines that were left out before a line.
@@ -51,6 +53,10 @@
 	AttemptsByShard map[string][]AttemptRecord `json:"open"`
 	// Searcher is set in lines about one searcher.
 	Searcher string `json:"searcher"`
+	// Stage and Searchers say how far a request that is still open has come, and which
+	// searchers have it.
+	Stage     string   `json:"stage"`
+	Searchers []string `json:"searchers"`
 	// LeftOut is the number of lines that were left out before this one.
 	LeftOut int64 `json:"lines_left_out"`
 }
