Planned stop: answer requests that were read late, come in pieces or wait in the queue

Callers saw a kept connection end without a status, or a new one reset, around a planned stop.

- TestStopAnswersRequestReadLate: the process has the bytes of a request, but its goroutine has not gone on when the connections are closed.
- TestStopAnswersHeadInPieces: the same for a head of which a part has come.
Unexpected EOF.

Ruled out: a connection between Accept and its first state. Serve reports the new state before it returns, and the stop waits for that.

A connection of a caller now decides itself whether it ends. The stop sets a read deadline in the past; the goroutine that reads then takes what has arrived, which is answered or refused with 503, and ends the connection only if there is nothing. Bytes that were read make it busy before the server parses them. Shutdown begins when no connection is left, or when the time to write answers is over. The listener returns all completed connections before it closes.

A connection that is closed with nothing unread tells its caller at once. HTTP/1.1 leaves one gap: a request that arrives after the last look and before the close gets no answer, and was not passed on.

--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -34,6 +34,7 @@
 	callerListener net.Listener
 	acceptDone     chan struct{}
 	connections    *connTracker
+	callers        callerConns
 	stopping       atomic.Bool
 	// failed receives the error of each server that stops outside of a planned stop.
 	failed chan error
@@ -43,15 +44,11 @@
 // listen on one of the addresses. Servers that have started by then keep running.
 func (s *service) startServers() (*servers, error) {
 	v := &servers{failed: make(chan error, 4), connections: newConnTracker(s.idleTimeout)}
-	v.callerServer = &http.Server{
-		Handler: s.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: v.connections.setState,
-	}
-	var err error
-	if v.callerListener, err = net.Listen("tcp", s.settings.CallerAddress); err != nil {
+	callerListener, err := net.Listen("tcp", s.settings.CallerAddress)
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	v.acceptDone = v.serve(v.callerServer, v.callerListener)
+	v.serveCallers(s.gateway, callerListener)
 	for address, register := range map[string]func(*echo.Echo){
 		s.settings.ReadyAddress:     s.registerReadiness,
 		s.settings.DirectoryAddress: s.registerDirectory,
@@ -74,6 +71,24 @@
 	return v, nil
 }
 
+// serveCallers starts the server for callers.
+func (v *servers) serveCallers(handler http.Handler, listener net.Listener) {
+	v.callerListener = &callerListener{Listener: listener, conns: &v.callers}
+	v.callerServer = &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: v.setState,
+	}
+	v.acceptDone = v.serve(v.callerServer, v.callerListener)
+}
+
+// setState records the new state of a connection. It is the ConnState hook of the server.
+func (v *servers) setState(c net.Conn, state http.ConnState) {
+	v.connections.setState(c, state)
+	if caller, ok := c.(*callerConn); ok && state == http.StateIdle {
+		caller.becameIdle()
+	}
+}
+
 // idleTimeout returns the idle timeout of the current configuration, or zero if there is no
 // configuration yet.
 func (s *service) idleTimeout() time.Duration {
--- a/cmd/wharf-gateway/stop.go
+++ b/cmd/wharf-gateway/stop.go
@@ -106,19 +106,28 @@
 	var phases stopPhases
 	time.Sleep(schedule.acceptUntil - clock.Boottime())
 	v.stopping.Store(true)
-	_ = v.callerListener.Close() // it accepts no more connections, even if Close fails
-	<-v.acceptDone
+	if l, ok := v.callerListener.(*callerListener); ok {
+		l.finish()
+	} else {
+		_ = v.callerListener.Close() // it accepts no more connections, even if Close fails
+	}
+	<-v.acceptDone // the server has closed the listener
 	phases.listenerClosed = clock.Boottime()
 	waitUntil(clock, schedule.answerBy, func() bool { return !v.connections.hasNewOrActive() })
 	gate.RefuseNew()
 	phases.newRefused = clock.Boottime()
-	answered := waitUntil(clock, schedule.writtenBy, func() bool { return gate.InFlight() == 0 && !v.connections.hasActive() })
+	phases.closedIdle, _ = v.connections.count()
+	v.callers.endIdle()
+	waitUntil(clock, schedule.writtenBy, func() bool {
+		return gate.InFlight() == 0 && !v.connections.hasActive() && v.callers.count() == 0
+	})
+	answered := gate.InFlight() == 0 && !v.connections.hasActive()
 	phases.drained = clock.Boottime()
 	open := 0
 	if !answered {
 		open = gate.LogOpen()
 	}
-	phases.closedIdle, phases.cut = v.connections.count()
+	_, phases.cut = v.connections.count()
 	shutdown(v.callerServer)
 	for _, server := range v.otherServers {
 		shutdown(server)
