Close no idle connection of a caller on which a request has arrived

What callers saw: a reset, or a closed connection without an answer, on a kept connection whose next request crossed the idle timeout, most of all after a new configuration that shortens the timeout or after a pause of the process, when many connections are too old at once.

Cause: the server counts a connection as idle until it has read a whole head. The idle check closed connections whose request lay unread in the socket or was being read; a request that was read just then was passed on to a searcher, and its answer had no connection.

Change: a connection is closed only if no bytes lie unread and none were read since the cutoff, and a connection that was closed so delivers nothing any more, so no request of it is passed on. A check that comes late, after a pause of the process, closes nothing; the next one does. The connections keep CloseWrite, which the server needs to deliver an early answer.

Before, with the close as it was: TestIdleCloseKeepsConnectionWithUnreadRequest, TestIdleCloseDropsNoReadRequest, TestIdleCloseKeepsConnectionWhoseRequestIsBeingRead and TestPauseOfProcessClosesNoConnection fail. After: go test -race ./cmd/wharf-gateway -run 'TestIdle|TestPause|TestUnread' -count=20: ok.

--- a/cmd/wharf-gateway/connections.go
+++ b/cmd/wharf-gateway/connections.go
@@ -4,7 +4,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // idleCheckInterval is how often idle connections are checked. A connection is closed only
@@ -20,6 +23,8 @@
 type connTracker struct {
 	// idleTimeout returns the configured idle timeout. Zero means that there is none.
 	idleTimeout func() time.Duration
+	// lastCheck is when idle connections were last checked. Only run uses it.
+	lastCheck time.Time
 
 	mu sync.Mutex
 	// idleSince holds when each idle connection became idle. newOrActive holds the state
@@ -68,10 +73,20 @@
 
 // run closes connections that are idle for too long. It never returns.
 func (t *connTracker) run() {
+	t.lastCheck = time.Now()
 	for range time.Tick(idleCheckInterval) {
-		if limit := t.idleTimeout(); limit > 0 {
-			t.closeIdle(time.Now().Add(-limit - idleSlack))
-		}
+		t.check(time.Now())
+	}
+}
+
+// check closes connections that are idle for too long. It closes none if the check is late,
+// because the process was paused or got no processor time: it may not have looked yet at
+// requests that came meanwhile.
+func (t *connTracker) check(now time.Time) {
+	late := now.Sub(t.lastCheck) > idleCheckInterval+idleSlack
+	t.lastCheck = now
+	if limit := t.idleTimeout(); limit > 0 && !late {
+		t.closeIdle(now.Add(-limit - idleSlack))
 	}
 }
 
@@ -80,9 +95,92 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, since := range t.idleSince {
-		if since.Before(cutoff) {
-			_ = c.Close() // the server detects the close and cleans up
-			delete(t.idleSince, c)
+		if since.Before(cutoff) && closeIfQuiet(c, cutoff) {
+			delete(t.idleSince, c) // the server detects the close and cleans up
 		}
 	}
 }
+
+// closeIfQuiet closes a connection and reports true, unless bytes were read from it after the
+// cutoff or lie unread: the server counts a connection as idle until it has read a whole head.
+func closeIfQuiet(c net.Conn, cutoff time.Time) bool {
+	if c, ok := c.(*callerConn); ok {
+		return c.closeIfQuiet(cutoff)
+	}
+	if hasUnread(c) {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+// listener returns a listener whose connections the tracker can close without cutting a request.
+func (t *connTracker) listener(l net.Listener) net.Listener { return callerListener{l} }
+
+// callerListener accepts connections of callers.
+type callerListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newCallerConn(c), nil
+}
+
+// callerConn is a connection of a caller. Once it was closed as idle it delivers nothing, so that
+// no request is served that can't be answered.
+type callerConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// lastRead is when bytes were last read.
+	lastRead time.Time
+	// closedIdle says that closeIfQuiet has closed the connection.
+	closedIdle bool
+}
+
+func newCallerConn(c net.Conn) *callerConn { return &callerConn{Conn: c} }
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closedIdle {
+		return 0, net.ErrClosed
+	}
+	if n > 0 {
+		c.lastRead = time.Now()
+	}
+	return n, err
+}
+
+func (c *callerConn) closeIfQuiet(cutoff time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastRead.After(cutoff) || hasUnread(c.Conn) {
+		return false
+	}
+	c.closedIdle = true
+	_ = c.Conn.Close()
+	return true
+}
+
+// CloseWrite ends the answers on the connection. The server calls it before it closes a
+// connection whose request it did not read to the end, so that its answer is not reset.
+func (c *callerConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return tcp.CloseWrite()
+	}
+	return errors.NotSupportedf("close of one direction")
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := c.Conn.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errors.NotSupportedf("connection without a socket")
+}
--- /dev/null
+++ b/cmd/wharf-gateway/connections_test.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// heldConn holds back what was read until release is closed, once taken was closed.
+type heldConn struct {
+	net.Conn
+	taken   chan struct{}
+	release chan struct{}
+	once    sync.Once
+}
+
+// Read implements net.Conn.
+func (c *heldConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.once.Do(func() { close(c.taken) })
+	<-c.release
+	return n, err
+}
+
+// idleConnTracker returns a tracker of which a connection has been idle for a minute.
+func idleConnTracker(c net.Conn) *connTracker {
+	t := newConnTracker(func() time.Duration { return time.Second })
+	t.setState(c, http.StateIdle)
+	t.idleSince[c] = time.Now().Add(-time.Minute)
+	return t
+}
+
+// TestIdleCloseKeepsConnectionWithUnreadRequest guards against an idle connection that is closed
+// while its next request lies unread.
+func TestIdleCloseKeepsConnectionWithUnreadRequest(t *testing.T) {
+	accepted, dialed := connectedPair(t)
+	c := newCallerConn(accepted)
+	tracker := idleConnTracker(c)
+	_, err := dialed.Write([]byte("GET "))
+	qt.Assert(t, err, qt.IsNil)
+	eventually(t, "the bytes do not arrive", func() bool { return hasUnread(accepted) })
+	tracker.closeIdle(time.Now().Add(-time.Second))
+	b := make([]byte, 4)
+	_, err = io.ReadFull(c, b)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(b), qt.Equals, "GET ")
+}
+
+// TestIdleCloseDropsNoReadRequest guards against a request that is read from a connection and
+// served although the connection was closed as idle meanwhile.
+func TestIdleCloseDropsNoReadRequest(t *testing.T) {
+	accepted, dialed := connectedPair(t)
+	held := &heldConn{Conn: accepted, taken: make(chan struct{}), release: make(chan struct{})}
+	c := newCallerConn(held)
+	tracker := idleConnTracker(c)
+	_, err := dialed.Write([]byte("GET "))
+	qt.Assert(t, err, qt.IsNil)
+	read := make(chan error, 1)
+	go func() {
+		n, err := c.Read(make([]byte, 4))
+		qt.Check(t, n, qt.Equals, 0)
+		read <- err
+	}()
+	<-held.taken
+	tracker.closeIdle(time.Now().Add(-time.Second))
+	close(held.release)
+	qt.Assert(t, <-read, qt.ErrorIs, net.ErrClosed)
+}
+
+// TestIdleCloseKeepsConnectionWhoseRequestIsBeingRead guards against a request that is cut
+// because its connection still counts as idle while the head is being read.
+func TestIdleCloseKeepsConnectionWhoseRequestIsBeingRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	tracker := newConnTracker(func() time.Duration { return time.Second })
+	server := &http.Server{ConnState: tracker.setState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })}
+	go func() { _ = server.Serve(tracker.listener(l)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	dialed, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = dialed.Close() }()
+	replies := bufio.NewReader(dialed)
+	ask := func(pieces ...string) error {
+		for i, piece := range pieces {
+			if _, err := dialed.Write([]byte(piece)); err != nil {
+				return err
+			}
+			if i == 0 && len(pieces) > 1 {
+				tracker.awaitRead(t)
+				tracker.closeIdle(time.Now().Add(-time.Second))
+			}
+		}
+		response, err := http.ReadResponse(replies, nil)
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	}
+	qt.Assert(t, ask("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), qt.IsNil)
+	eventually(t, "the connection does not become idle", func() bool { return tracker.makeIdleSince(time.Now().Add(-time.Minute)) })
+	qt.Assert(t, ask("GET / HTTP/1.1\r\nHo", "st: a\r\n\r\n"), qt.IsNil)
+}
+
+// awaitRead waits until the only connection was read within the last half second.
+func (t *connTracker) awaitRead(test *testing.T) {
+	test.Helper()
+	eventually(test, "the bytes are not read", func() bool {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for c := range t.idleSince {
+			cc := c.(*callerConn)
+			cc.mu.Lock()
+			defer cc.mu.Unlock()
+			return time.Since(cc.lastRead) < time.Minute/2
+		}
+		return true
+	})
+}
+
+// makeIdleSince sets since when the idle connections are idle. It reports whether there is one.
+func (t *connTracker) makeIdleSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.idleSince {
+		t.idleSince[c] = at
+		cc := c.(*callerConn)
+		cc.mu.Lock()
+		cc.lastRead = at
+		cc.mu.Unlock()
+	}
+	return len(t.idleSince) > 0
+}
+
+// TestPauseOfProcessClosesNoConnection guards against connections that are closed as idle after a
+// pause of the process, before it has looked at the requests that came meanwhile.
+func TestPauseOfProcessClosesNoConnection(t *testing.T) {
+	accepted, _ := connectedPair(t)
+	c := newCallerConn(accepted)
+	tracker := idleConnTracker(c)
+	start := time.Now()
+	tracker.lastCheck = start.Add(-10 * idleCheckInterval)
+	tracker.check(start)
+	qt.Assert(t, tracker.idleSince, qt.HasLen, 1)
+	tracker.check(start.Add(idleCheckInterval))
+	qt.Assert(t, tracker.idleSince, qt.HasLen, 0)
+}
--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -51,7 +51,7 @@
 	if v.callerListener, err = net.Listen("tcp", s.settings.CallerAddress); err != nil {
 		return nil, errors.Trace(err)
 	}
-	v.acceptDone = v.serve(v.callerServer, v.callerListener)
+	v.acceptDone = v.serve(v.callerServer, v.connections.listener(v.callerListener))
 	for address, register := range map[string]func(*echo.Echo){
 		s.settings.ReadyAddress:     s.registerReadiness,
 		s.settings.DirectoryAddress: s.registerDirectory,
