Send queued requests on when the request before them ends with its connection

What callers saw: a request waited until its deadline and was refused with 503, "no searcher had room in time", although the searcher was free.

Cause: when a connection ends by itself (a reply that asks for the close or can't be told from the next one, or a broken exchange), queued requests are launched before its request has ended. A searcher at its limit of concurrent requests had no room then, and the end of the request launched nothing, because closing the connection was to do so.

Change: the end of a request launches queued requests also when its connection is not kept.

Before: go test ./dispatch -run TestQueueGoesOnAfterConnectionEnds: both cases fail, "a request is still queued, and nothing runs". After: go test -race ./dispatch -count=5: ok.

--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -152,8 +152,10 @@
 		t.idle = append(t.idle, conn)
 		return t.service.launchQueued(d)
 	}
-	// Closing the connection calls connectionEnded, which launches queued attempts.
-	return []func(){conn.Close}
+	// The room of the request is free now. That of the connection is once it is closed: then
+	// connectionEnded launches queued attempts, but it has been called before if the connection
+	// ended by itself.
+	return append(t.service.launchQueued(d), conn.Close)
 }
 
 // connectionEnded is called once for each opened connection, when it can't be used any
