Deliver a reply that is there when the time of a request ends

What callers saw: a 504, a refusal or a partial answer at their deadline or at the end of a planned stop, although the searchers' replies had arrived.

Cause: the end of the time and a reply that waits to be handled were chosen between at random, and what still waited when the wait for shards was over was dropped. A pause of the process, or little processor time, makes both come at once.

Change: replies that are there when the time ends are taken before the request is ended. No attempt is started then.

--- a/gateway/sharded.go
+++ b/gateway/sharded.go
@@ -31,6 +31,21 @@
 // serveSharded serves a request of a route with shards: it sends the request to one
 // searcher of each shard and merges their answers.
 func (c *call) serveSharded() answer {
+	q := c.newShardedQuery()
+	if withoutRoom := q.countWithoutRoom(); len(q.parts)-withoutRoom < q.needed {
+		return answer{refusal: c.notRunRefusal("shards have no room")}
+	}
+	for _, p := range q.parts {
+		if !c.startAttempt(p, dispatch.First) {
+			p.givenUp = true
+			q.givenUpParts++
+		}
+	}
+	return q.awaitAnswer()
+}
+
+// newShardedQuery returns a query without attempts.
+func (c *call) newShardedQuery() *shardedQuery {
 	q := &shardedQuery{
 		call:      c,
 		needed:    c.route.MinShards(),
@@ -41,36 +56,42 @@
 	for i, service := range c.route.Shards {
 		q.parts = append(q.parts, &part{service: service, index: i})
 	}
-	if withoutRoom := q.countWithoutRoom(); len(q.parts)-withoutRoom < q.needed {
-		return answer{refusal: c.notRunRefusal("shards have no room")}
-	}
-	for _, p := range q.parts {
-		if !c.startAttempt(p, dispatch.First) {
-			p.givenUp = true
-			q.givenUpParts++
-		}
-	}
+	return q
+}
+
+// awaitAnswer waits for the parts and returns the answer.
+func (q *shardedQuery) awaitAnswer() answer {
 	for !q.done() {
 		timer := time.NewTimer(q.untilNextDue())
 		select {
-		case e := <-c.events:
-			q.updatePart(e.Attempt.Tag, func(p *part) { c.attemptEnded(p, e) })
-		case <-c.ctx.Done():
+		case e := <-q.events:
+			q.updatePart(e.Attempt.Tag, func(p *part) { q.attemptEnded(p, e) })
+		case <-q.ctx.Done():
 			timer.Stop()
 			q.stopAllAttempts(true)
 			return answer{callerGone: true}
-		case <-c.g.stop.answerNow:
-			c.deadline = min(c.deadline, c.now()) // so that the loop ends
+		case <-q.g.stop.answerNow:
+			q.deadline = min(q.deadline, q.now()) // so that the loop ends
 		case <-timer.C:
 			q.startAllDueAttempts()
 		}
 		timer.Stop()
 	}
+	q.takeReplies()
 	q.stopAllAttempts(false)
 	q.logPartialOrLate()
 	return q.answer()
 }
 
+// takeReplies adds the replies that are there already when the wait is over.
+func (q *shardedQuery) takeReplies() {
+	for len(q.events) > 0 { // no other goroutine receives
+		if e := <-q.events; e.Outcome == dispatch.Answered {
+			q.updatePart(e.Attempt.Tag, func(p *part) { q.attemptEnded(p, e) })
+		}
+	}
+}
+
 // countWithoutRoom returns the number of shards that can't take the request, because they
 // have no usable searcher, or because all their searchers are busy and the request may not
 // be queued. If the other shards are too few for an answer, the caller must not send the
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -16,6 +16,11 @@
 	if !c.startAttempt(p, dispatch.First) {
 		return answer{refusal: c.notRunRefusal(p.lastOutcome())}
 	}
+	return c.awaitAnswer(p)
+}
+
+// awaitAnswer waits until the part has ended or no more time is left, and returns the answer.
+func (c *call) awaitAnswer(p *part) answer {
 	for !p.ended() {
 		timer := time.NewTimer(p.nextDue(c.deadline) - c.now())
 		select {
@@ -26,15 +31,20 @@
 			p.stopAttempts(c, true)
 			return answer{callerGone: true}
 		case <-c.g.stop.answerNow:
-			timer.Stop()
-			return c.endAtDeadline(p)
+			c.deadline = min(c.deadline, c.now()) // no attempt follows
 		case <-timer.C:
-			if c.now() >= c.deadline {
-				return c.endAtDeadline(p)
+			if c.now() < c.deadline {
+				c.startDueAttempts(p, c.now())
 			}
-			c.startDueAttempts(p, c.now())
 		}
 		timer.Stop()
+		if c.now() >= c.deadline {
+			c.takeEnded(p)
+			break
+		}
+	}
+	if !p.ended() {
+		return c.endAtDeadline(p)
 	}
 	p.stopAttempts(c, false)
 	c.logUnansweredOrLate(p)
@@ -44,6 +54,13 @@
 	return c.failedAnswer(p)
 }
 
+// takeEnded records the ends of attempts that nothing has waited for yet, up to the first answer.
+func (c *call) takeEnded(p *part) {
+	for len(c.events) > 0 && !p.ended() { // no other goroutine receives
+		c.attemptEnded(p, <-c.events)
+	}
+}
+
 // logUnansweredOrLate logs the request and its attempts if it has no answer, or one later
 // than the target latency, unless the rate limit of the log is reached.
 func (c *call) logUnansweredOrLate(p *part) {
