Write no empty success to a caller that closed its sending side

What callers saw: a 200 without a body for a request that was cancelled.

Cause: the server cancels a request when its caller closes the sending side, and sends a 200 if the handler returns without an answer. The request is still cancelled, since the close can't be told from that of a caller that is gone, whose searchers must not go on; the caller now gets a 502, which promises nothing.

Before: go test ./gateway -run TestHalf: got 200, want 502. After: go test -race ./gateway -run 'TestHalf|TestCallerGone' -count=20: ok.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,16 +102,18 @@
 	missingParts int
 	// refusal is set instead of the fields above if the gateway answers without a searcher.
 	refusal *refusal
-	// callerGone says that the caller has cancelled the request, so nothing is written.
+	// callerGone says that the caller has closed its end, so the request was cancelled.
 	callerGone bool
 }
 
 // write sends the answer to the caller, counts its outcome and observes its latency. If the
-// answer is a refusal, it only calls refuse. If the caller is gone, it only counts that. A
+// answer is a refusal, it only calls refuse. If the caller is gone, it only counts that, and
+// writes that there is no result, since a caller that closed only its sending side still reads. A
 // failed write is logged and counted like any other.
 func (g *Gateway) write(w http.ResponseWriter, r *http.Request, c *call, a answer) {
 	if a.callerGone {
 		g.metrics.outcomes.WithLabelValues("caller gone").Inc()
+		http.Error(w, "caller closed its end", http.StatusBadGateway)
 		return
 	}
 	if a.refusal != nil {
