Serve requests for which no time limit is set

What callers saw: 503 at once, "no searcher had room in time", on each request without a deadline of a route without a timeout.

Cause: no limit was taken for a limit of zero. Such a request now has 30 s.

Before: go test ./gateway -run TestRequestWithoutTimeLimit: got 503, want 200, single and sharded. After: the same with -race -count=5: ok.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -69,6 +69,9 @@
 	if callerRequest.CallerTimeout > 0 && (timeout <= 0 || callerRequest.CallerTimeout < timeout) {
 		timeout = callerRequest.CallerTimeout
 	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
 	c := &call{
 		g: g, ctx: r.Context(), route: route, callerRequest: callerRequest, method: r.Method, body: body,
 		head: requestHead(r, len(body)), arrived: arrived, deadline: arrived + timeout,
@@ -78,6 +81,10 @@
 	return c, c.stopRefusal()
 }
 
+// defaultTimeout is the time limit of a request for which neither its caller nor its route sets
+// one.
+const defaultTimeout = 30 * time.Second
+
 // maxEventsPerPart is the capacity of a call's events channel for each part. The retries of
 // a part are limited accordingly, so that an attempt that ends never blocks on the channel.
 const maxEventsPerPart = 16
