Bound the hedges of a request by the ends that it can hold

What callers saw: requests that waited behind connections whose attempts could not end.

Cause: the ends of a request's attempts go through a channel with 16 places for each of its parts. A route with more attempts than that may have more hedges running at once; when they end after the request is over, the end of one waits for ever, and so does the connection or the request that launches it.

Change: a part has at most 16 attempts running.

Before: go test ./gateway -run TestEndsOfMany: "24 attempts may end before the request looks again". After: the same with -race -count=5: ok.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -85,8 +85,9 @@
 // one.
 const defaultTimeout = 30 * time.Second
 
-// maxEventsPerPart is the capacity of a call's events channel for each part. The retries of
-// a part are limited accordingly, so that an attempt that ends never blocks on the channel.
+// maxEventsPerPart is the capacity of a call's events channel for each part. The retries and
+// hedges of a part are limited accordingly, so that an attempt that ends never blocks on the
+// channel.
 const maxEventsPerPart = 16
 
 // headersTooLarge reports whether the request URI and the headers together exceed the
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -67,7 +67,7 @@
 	p.retryAt = 0
 	p.running = append(p.running, a)
 	p.hedgeAt = 0
-	if c.route.Idempotent && p.possibleRuns+len(p.running) < c.route.MaxAttempts {
+	if c.route.Idempotent && len(p.running) < maxEventsPerPart && p.possibleRuns+len(p.running) < c.route.MaxAttempts {
 		p.hedgeAt = c.now() + c.hedgeDelay()
 	}
 	return true
