--- a/cmd/wharf-gateway/connections.go
+++ b/cmd/wharf-gateway/connections.go
@@ -20,6 +20,8 @@
 type connTracker struct {
 	// idleTimeout returns the configured idle timeout. Zero means that there is none.
 	idleTimeout func() time.Duration
+	// lastCheck is when idle connections were last checked. Only run uses it.
+	lastCheck time.Time
 
 	mu sync.Mutex
 	// idleSince holds when each idle connection became idle. newOrActive holds the state
@@ -75,10 +77,20 @@
 
 // run closes connections that are idle for too long. It never returns.
 func (t *connTracker) run() {
+	t.lastCheck = time.Now()
 	for range time.Tick(idleCheckInterval) {
-		if limit := t.idleTimeout(); limit > 0 {
-			t.closeIdle(time.Now().Add(-limit - idleSlack))
-		}
+		t.check(time.Now())
+	}
+}
+
+// check closes connections that are idle for too long. It closes none if the check is late,
+// because the process was paused or got no processor time: it may not have looked yet at
+// requests that came meanwhile.
+func (t *connTracker) check(now time.Time) {
+	late := now.Sub(t.lastCheck) > idleCheckInterval+idleSlack
+	t.lastCheck = now
+	if limit := t.idleTimeout(); limit > 0 && !late {
+		t.closeIdle(now.Add(-limit - idleSlack))
 	}
 }
 
@@ -87,9 +99,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, since := range t.idleSince {
-		if since.Before(cutoff) {
-			_ = c.Close() // the server detects the close and cleans up
-			delete(t.idleSince, c)
+		if !since.Before(cutoff) {
+			continue
+		}
+		if caller, ok := c.(*callerConn); ok {
+			caller.end()
+		} else {
+			_ = c.Close()
 		}
+		delete(t.idleSince, c) // the server detects the close and cleans up
 	}
 }
