Tests: give instances addresses that other test processes do not use

Cause: instances of the tests listen at addresses that depend on their number alone, with fixed internal ports. Two runs of the package at once took each other's addresses, and an instance that can't listen does not start. Seen as "i4 does not serve" in TestOddEntryDoesNotStopFollowing.

--- a/cmd/wharf-gateway/service_test.go
+++ b/cmd/wharf-gateway/service_test.go
@@ -43,7 +43,7 @@
 
 // lastInstanceNumber is the number of the last instance that was started. The name and the
 // IP address of an instance are derived from its number. Tests don't reset the number, so
-// names and addresses are never used twice.
+// names are never used twice, and addresses only after 250 instances.
 var lastInstanceNumber atomic.Int64
 
 func newDeployment(t *testing.T) *deployment {
@@ -60,7 +60,8 @@
 func (d *deployment) startInstance(domain string) *instance {
 	d.t.Helper()
 	n := lastInstanceNumber.Add(1)
-	ip := fmt.Sprintf("127.77.%d.%d", n/200, n%200+1)
+	// Other test processes may run on the machine, so the process ID is in the address.
+	ip := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, os.Getpid()/100%200, n%250+1)
 	ports, err := site.FreePorts(ip, 4)
 	qt.Assert(d.t, err, qt.IsNil)
 	address := func(i int) string { return fmt.Sprintf("%s:%d", ip, ports[i]) }
