Let callers keep connections as long as was allowed when they became idle

What callers saw: a reset of a kept connection just as they used it again, after a new configuration with a shorter idle timeout. Callers use a connection that has been idle for up to a share of the timeout that they know.

Cause: the new timeout was applied to connections that had become idle under the former one, so that all of them that were older were closed within a second.

Change: a connection is closed when it is idle for longer than both the present timeout and the one that was configured when it became idle.

Before: go test ./cmd/wharf-gateway -run TestShorterIdle: fails, the kept connection is closed 2.5 s after it became idle under a timeout of 15 s. After: go test -race ./cmd/wharf-gateway -run 'TestShorterIdle|TestIdle|TestPause|TestUnread' -count=20: ok.

--- a/cmd/wharf-gateway/connections.go
+++ b/cmd/wharf-gateway/connections.go
@@ -18,7 +18,8 @@
 )
 
 // connTracker tracks the connections of callers and closes those that have been idle for
-// longer than the current configuration allows. The idle timeout of http.Server is not used
+// longer than the configuration allows, both the current one and that of the time when they
+// became idle: a caller may keep a connection for as long as was allowed then. The idle timeout of http.Server is not used
 // for this, because it can't be changed while the server runs.
 type connTracker struct {
 	// idleTimeout returns the configured idle timeout. Zero means that there is none.
@@ -27,25 +28,32 @@
 	lastCheck time.Time
 
 	mu sync.Mutex
-	// idleSince holds when each idle connection became idle. newOrActive holds the state
-	// of the other open connections.
-	idleSince   map[net.Conn]time.Time
+	// idle holds the idle connections. newOrActive holds the state of the other open
+	// connections.
+	idle        map[net.Conn]idleConn
 	newOrActive map[net.Conn]http.ConnState
 }
 
+// idleConn is the state of an idle connection.
+type idleConn struct {
+	// since is when it became idle, timeout the idle timeout that was configured then.
+	since   time.Time
+	timeout time.Duration
+}
+
 func newConnTracker(idleTimeout func() time.Duration) *connTracker {
-	return &connTracker{idleTimeout: idleTimeout, idleSince: make(map[net.Conn]time.Time), newOrActive: make(map[net.Conn]http.ConnState)}
+	return &connTracker{idleTimeout: idleTimeout, idle: make(map[net.Conn]idleConn), newOrActive: make(map[net.Conn]http.ConnState)}
 }
 
 // setState records the new state of a connection. It is the ConnState hook of the server.
 func (t *connTracker) setState(c net.Conn, state http.ConnState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.idleSince, c)
+	delete(t.idle, c)
 	delete(t.newOrActive, c)
 	switch state {
 	case http.StateIdle:
-		t.idleSince[c] = time.Now()
+		t.idle[c] = idleConn{since: time.Now(), timeout: t.idleTimeout()}
 	case http.StateNew, http.StateActive:
 		t.newOrActive[c] = state
 	}
@@ -85,18 +93,20 @@
 func (t *connTracker) check(now time.Time) {
 	late := now.Sub(t.lastCheck) > idleCheckInterval+idleSlack
 	t.lastCheck = now
-	if limit := t.idleTimeout(); limit > 0 && !late {
-		t.closeIdle(now.Add(-limit - idleSlack))
+	if timeout := t.idleTimeout(); timeout > 0 && !late {
+		t.closeIdle(now, timeout)
 	}
 }
 
-// closeIdle closes the connections that have been idle since before the cutoff.
-func (t *connTracker) closeIdle(cutoff time.Time) {
+// closeIdle closes the connections that have been idle for longer than the timeout and the one
+// that was configured when they became idle.
+func (t *connTracker) closeIdle(now time.Time, timeout time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for c, since := range t.idleSince {
-		if since.Before(cutoff) && closeIfQuiet(c, cutoff) {
-			delete(t.idleSince, c) // the server detects the close and cleans up
+	for c, idle := range t.idle {
+		cutoff := now.Add(-max(timeout, idle.timeout) - idleSlack)
+		if idle.since.Before(cutoff) && closeIfQuiet(c, cutoff) {
+			delete(t.idle, c) // the server detects the close and cleans up
 		}
 	}
 }
--- a/cmd/wharf-gateway/connections_test.go
+++ b/cmd/wharf-gateway/connections_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -32,7 +33,7 @@
 func idleConnTracker(c net.Conn) *connTracker {
 	t := newConnTracker(func() time.Duration { return time.Second })
 	t.setState(c, http.StateIdle)
-	t.idleSince[c] = time.Now().Add(-time.Minute)
+	t.idle[c] = idleConn{since: time.Now().Add(-time.Minute), timeout: time.Second}
 	return t
 }
 
@@ -45,7 +46,7 @@
 	_, err := dialed.Write([]byte("GET "))
 	qt.Assert(t, err, qt.IsNil)
 	eventually(t, "the bytes do not arrive", func() bool { return hasUnread(accepted) })
-	tracker.closeIdle(time.Now().Add(-time.Second))
+	tracker.closeIdle(time.Now(), time.Second)
 	b := make([]byte, 4)
 	_, err = io.ReadFull(c, b)
 	qt.Assert(t, err, qt.IsNil)
@@ -68,7 +69,7 @@
 		read <- err
 	}()
 	<-held.taken
-	tracker.closeIdle(time.Now().Add(-time.Second))
+	tracker.closeIdle(time.Now(), time.Second)
 	close(held.release)
 	qt.Assert(t, <-read, qt.ErrorIs, net.ErrClosed)
 }
@@ -93,7 +94,7 @@
 			}
 			if i == 0 && len(pieces) > 1 {
 				tracker.awaitRead(t)
-				tracker.closeIdle(time.Now().Add(-time.Second))
+				tracker.closeIdle(time.Now(), time.Second)
 			}
 		}
 		response, err := http.ReadResponse(replies, nil)
@@ -113,7 +114,7 @@
 	eventually(test, "the bytes are not read", func() bool {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		for c := range t.idleSince {
+		for c := range t.idle {
 			cc := c.(*callerConn)
 			cc.mu.Lock()
 			defer cc.mu.Unlock()
@@ -127,14 +128,14 @@
 func (t *connTracker) makeIdleSince(at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for c := range t.idleSince {
-		t.idleSince[c] = at
+	for c := range t.idle {
+		t.idle[c] = idleConn{since: at, timeout: time.Second}
 		cc := c.(*callerConn)
 		cc.mu.Lock()
 		cc.lastRead = at
 		cc.mu.Unlock()
 	}
-	return len(t.idleSince) > 0
+	return len(t.idle) > 0
 }
 
 // TestPauseOfProcessClosesNoConnection guards against connections that are closed as idle after a
@@ -146,7 +147,34 @@
 	start := time.Now()
 	tracker.lastCheck = start.Add(-10 * idleCheckInterval)
 	tracker.check(start)
-	qt.Assert(t, tracker.idleSince, qt.HasLen, 1)
+	qt.Assert(t, tracker.idle, qt.HasLen, 1)
 	tracker.check(start.Add(idleCheckInterval))
-	qt.Assert(t, tracker.idleSince, qt.HasLen, 0)
+	qt.Assert(t, tracker.idle, qt.HasLen, 0)
+}
+
+// TestShorterIdleTimeoutLeavesKeptConnections guards against kept connections that are closed under
+// their callers by a new configuration: a caller keeps a connection as long as was allowed when its
+// last request ended.
+func TestShorterIdleTimeoutLeavesKeptConnections(t *testing.T) {
+	const before, after = 15 * time.Second, 1 * time.Second
+	limit := before
+	tracker := newConnTracker(func() time.Duration { return limit })
+	first, _ := connectedPair(t)
+	kept := newCallerConn(first)
+	tracker.setState(kept, http.StateIdle)
+	start := time.Now()
+	limit = after
+	second, _ := connectedPair(t)
+	later := newCallerConn(second)
+	tracker.setState(later, http.StateIdle)
+	open := func(c net.Conn) bool { return !errors.Is(c.SetDeadline(time.Time{}), net.ErrClosed) }
+	checkAt := func(at time.Duration) {
+		tracker.lastCheck = start.Add(at)
+		tracker.check(start.Add(at))
+	}
+	checkAt(after + idleSlack + time.Second)
+	qt.Check(t, open(kept), qt.IsTrue)
+	qt.Check(t, open(later), qt.IsFalse)
+	checkAt(before + idleSlack + time.Second)
+	qt.Check(t, open(kept), qt.IsFalse)
 }
