--- a/cmd/wharf-gateway/connections_test.go
+++ b/cmd/wharf-gateway/connections_test.go
@@ -13,8 +13,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// heldConn holds back what was read until release is closed, once taken was closed.
-type heldConn struct {
+// pausedConn holds back what was read until release is closed, once taken was closed.
+type pausedConn struct {
 	net.Conn
 	taken   chan struct{}
 	release chan struct{}
@@ -22,7 +22,7 @@
 }
 
 // Read implements net.Conn.
-func (c *heldConn) Read(b []byte) (int, error) {
+func (c *pausedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.once.Do(func() { close(c.taken) })
 	<-c.release
@@ -57,7 +57,7 @@
 // served although the connection was closed as idle meanwhile.
 func TestIdleCloseDropsNoReadRequest(t *testing.T) {
 	accepted, dialed := connectedPair(t)
-	held := &heldConn{Conn: accepted, taken: make(chan struct{}), release: make(chan struct{})}
+	held := &pausedConn{Conn: accepted, taken: make(chan struct{}), release: make(chan struct{})}
 	c := newCallerConn(held)
 	tracker := idleConnTracker(c)
 	_, err := dialed.Write([]byte("GET "))
