--- a/gateway/end_test.go
+++ b/gateway/end_test.go
@@ -20,6 +20,7 @@
 	r.Header.Set("Request-Id", id)
 	c, refused := h.gateway.newCall(httptest.NewRecorder(), r, h.gateway.config.Clock.Boottime())
 	qt.Assert(t, refused, qt.IsNil)
+	c.open = h.gateway.open.add(r, c.arrived)
 	return c
 }
 
