Read a searcher's early reply however late this process gets to it

What callers saw: 502, "searcher broke off", although the searcher had replied whole, to a request whose body it did not read before it closed.

Cause: after a failed write the connection was closed here when 5 ms had passed without the reply. A process that gets little processor time reads it later.

Change: the reader ends the exchange, with the reply or with the end of the connection, which comes by itself after what the searcher sent. The error of the write is kept for an exchange without a reply. Only a searcher that has not closed is waited for, no longer than 1 s.

Before: go test ./searcher -run TestReplyAfterFailedWriteReadLate: "broken pipe". After: go test -race ./searcher -count=3: ok.

--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -91,6 +91,8 @@
 	// request is fully written, or short enough to be written in one piece.
 	pending *Exchange
 	written bool
+	// writeErr is why the request could not be written, nil if it could.
+	writeErr error
 	// err is why the connection was closed, nil while it is open.
 	err error
 	// reusableUntil is the time up to which the idle connection may be used.
@@ -137,6 +139,9 @@
 		c.mu.Unlock()
 		return
 	}
+	if c.writeErr != nil {
+		err = c.writeErr
+	}
 	c.err = err
 	e := c.pending
 	c.pending = nil
@@ -198,21 +203,22 @@
 	c.mu.Unlock()
 }
 
-// failUnlessReplied closes the connection after a failed write, unless the exchange ends
-// within earlyReplyWait. A searcher may have replied and closed the connection before it read
-// the whole request; this leaves time to read that reply.
+// failUnlessReplied ends the connection after a failed write with that error, unless the reply
+// arrives. A searcher may have replied and closed the connection before it read the whole request.
+// The reader ends by itself then, with the reply or with the end of the connection; the time that
+// it gets bounds only the wait for a searcher that has not closed.
 func (c *Conn) failUnlessReplied(e *Exchange, err error) {
-	time.Sleep(earlyReplyWait)
 	c.mu.Lock()
-	waiting := c.pending == e
-	c.mu.Unlock()
-	if waiting {
-		c.fail(err)
+	defer c.mu.Unlock()
+	if c.err != nil || c.pending != e {
+		return
 	}
+	c.written, c.writeErr = false, err
+	_ = c.raw.SetReadDeadline(time.Now().Add(earlyReplyWait)) // fails only if the connection is closed
 }
 
-// earlyReplyWait is the time to read a reply that arrived before the write failed.
-const earlyReplyWait = 5 * time.Millisecond
+// earlyReplyWait is the longest wait for a reply after a failed write.
+const earlyReplyWait = 1 * time.Second
 
 // current returns the exchange in progress, nil if there is none.
 func (c *Conn) current() *Exchange {
