Soak: planned stops that overlap, at the size of a deployment

Callers saw requests that ended without an answer around planned stops, in deployments of nine instances of which several stop at once. The soak stopped one of six instances after the other, and none of its requests took longer than 0.4 s.

A LOST line names the path and the time since SIGTERM.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -64,16 +64,16 @@
 	}
 	var bodies [][]byte
 	seen := make(map[string]bool)
-	for _, service := range shards {
+	for _, service := range s.size.shards {
 		if slices.Contains(a.Parts, site.Seal(service, id)) {
 			bodies = append(bodies, site.Records(service, path))
 			seen[service] = true
 		}
 	}
 	switch {
-	case len(seen) != len(a.Parts) || len(a.Parts)+a.Missing != len(shards):
+	case len(seen) != len(a.Parts) || len(a.Parts)+a.Missing != len(s.size.shards):
 		s.report.violate("MIXED: %s names parts %v and %d missing", id, a.Parts, a.Missing)
-	case float64(len(a.Parts)) < site.MinShare*float64(len(shards)):
+	case float64(len(a.Parts)) < site.MinShare*float64(len(s.size.shards)):
 		s.report.violate("MIXED: %s has too few parts, %v", id, a.Parts)
 	case a.Body != string(gather.Greatest(bodies, site.TopK)):
 		s.report.violate("MIXED: %s has other records than those of its parts", id)
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -13,12 +13,13 @@
 )
 
 type options struct {
-	Binary   string        `long:"binary" default:"bin/wharf-gateway" description:"the program under test"`
-	Seed     uint64        `long:"seed" description:"plays one seed; without it fresh seeds are drawn"`
-	Runs     int           `long:"runs" default:"5" description:"how many fresh seeds are played"`
-	Duration time.Duration `long:"duration" default:"30s" description:"length of the load of a run"`
-	Stops    bool          `long:"stops" description:"planned stops of one process after the other, and no other faults"`
-	Out      string        `long:"out" default:"out/soak" description:"directory for the logs of the processes"`
+	Binary    string        `long:"binary" default:"bin/wharf-gateway" description:"the program under test"`
+	Seed      uint64        `long:"seed" description:"plays one seed; without it fresh seeds are drawn"`
+	Runs      int           `long:"runs" default:"5" description:"how many fresh seeds are played"`
+	Duration  time.Duration `long:"duration" default:"30s" description:"length of the load of a run"`
+	Stops     bool          `long:"stops" description:"planned stops of one process after the other, and no other faults"`
+	Instances int           `long:"instances" description:"with --stops: that many instances, with overlapping stops"`
+	Out       string        `long:"out" default:"out/soak" description:"directory for the logs of the processes"`
 }
 
 func main() {
@@ -33,10 +34,10 @@
 			seeds = append(seeds, rand.Uint64N(1<<32)+1)
 		}
 	}
-	fmt.Println("seed requests good partial refused failed cut faults violations")
+	fmt.Println("seed requests good partial refused failed cut faults violations in_stops")
 	failed := false
 	for _, seed := range seeds {
-		r, err := run(plan{binary: o.Binary, out: o.Out, seed: seed, duration: o.Duration, stopsOnly: o.Stops})
+		r, err := run(plan{binary: o.Binary, out: o.Out, seed: seed, duration: o.Duration, stopsOnly: o.Stops, instances: o.Instances})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -32,6 +32,9 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 
+	// started and stopped are when the process was started and told to stop last.
+	started, stopped time.Time
+
 	// unplanned is until when the process is killed or paused.
 	unplanned disturbance
 }
@@ -40,7 +43,7 @@
 func processIP(i int) string { return fmt.Sprintf("127.88.%d.%d", os.Getpid()%250, i+1) }
 
 // newProcess prepares a gateway. All gateways of a deployment serve at the same ports.
-func newProcess(binary, dir string, i int, domain string, ports []int, link *relay.TCP, seeds []string) (*process, error) {
+func newProcess(binary, dir string, i int, domain string, ports []int, grace int, link *relay.TCP, seeds []string) (*process, error) {
 	ip := processIP(i)
 	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 	p := &process{
@@ -48,7 +51,7 @@
 		node: site.Node{
 			Name: fmt.Sprintf("gateway-%s-%d", domain, i), IP: ip, Domain: domain,
 			Callers: at(ports[0]), Ready: at(ports[1]), Directory: at(ports[2]), Exchange: at(ports[3]),
-			InternalPort: 18740, Store: link.Address(), Seeds: seeds,
+			InternalPort: 18740, Store: link.Address(), Seeds: seeds, StopGrace: grace,
 		},
 	}
 	p.file = filepath.Join(dir, p.node.Name+".yaml")
@@ -70,13 +73,16 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.command = command
+	p.command, p.started = command, time.Now()
 	return nil
 }
 
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if s == syscall.SIGTERM && !p.stopped.After(p.started) {
+		p.stopped = time.Now()
+	}
 	if p.command != nil {
 		_ = p.command.Process.Signal(s) // it may have ended
 	}
@@ -93,6 +99,14 @@
 	}
 }
 
+// lastStop returns when the process was told to stop last, and whether it has not been started
+// since.
+func (p *process) lastStop() (at time.Time, stopping bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopped, p.stopped.After(p.started)
+}
+
 func (p *process) kill() {
 	p.signal(syscall.SIGCONT)
 	p.signal(syscall.SIGKILL)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 )
 
@@ -18,6 +19,7 @@
 	failed     int
 	unanswered int
 	faults     int
+	inStops    int
 	violations []string
 }
 
@@ -49,6 +51,13 @@
 	r.faults++
 }
 
+// inStop notes a request to an instance that was stopping.
+func (r *report) inStop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inStops++
+}
+
 func (r *report) violate(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -60,14 +69,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	total := r.good + r.partial + r.refused + r.failed + r.unanswered
-	return fmt.Sprint(r.seed, " ", total, " ", r.good, " ", r.partial, " ", r.refused, " ", r.failed, " ", r.unanswered, " ", r.faults, " ", len(r.violations))
+	return fmt.Sprint(r.seed, " ", total, " ", r.good, " ", r.partial, " ", r.refused, " ", r.failed, " ", r.unanswered, " ", r.faults, " ", len(r.violations), " ", r.inStops)
 }
 
 // checkRuns compares what ran with what the callers were told.
 func (s *soak) checkRuns() {
 	ran := make(map[string]int)
 	for _, run := range s.ledger.Runs() {
-		if run.Path == "/book/x" {
+		if strings.HasPrefix(run.Path, "/book/") {
 			ran[run.RequestID]++
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -17,17 +17,13 @@
 	"github.com/wisteriawharf/wisteriawharf/standin/site"
 )
 
-var (
-	domains = []string{"a", "b", "c"}
-	shards  = []string{"s0", "s1", "s2", "s3", "s4"}
-)
+var domains = []string{"a", "b", "c"}
 
 const (
 	bookings = "book"
 	// orders is the service of the callers that stay.
-	orders    = "order"
-	perDomain = 2
-	callers   = 10
+	orders  = "order"
+	callers = 10
 	// configApply and drain are the promised bounds, settled how long nothing must
 	// have been disturbed for them to hold, and stretched what holds otherwise.
 	configApply = 3 * time.Second
@@ -40,6 +36,7 @@
 
 // soak is one run.
 type soak struct {
+	size    deployment
 	random  *rand.Rand
 	store   *site.Store
 	server  *http.Server
@@ -67,6 +64,9 @@
 	// stopsOnly says that processes are stopped as planned, one after the other, and that
 	// nothing else happens.
 	stopsOnly bool
+	// instances, if not zero, is the number of gateways of a deployment whose planned stops
+	// overlap.
+	instances int
 }
 
 // run plays one seed.
@@ -79,9 +79,13 @@
 		return nil, errors.Trace(err)
 	}
 	s := &soak{
+		size:   usualDeployment(),
 		random: rand.New(rand.NewPCG(p.seed, 0)), store: site.NewStore(), ledger: &site.Ledger{},
 		report: &report{seed: p.seed, answers: make(map[string]int)},
 	}
+	if p.instances > 0 {
+		s.size = overlappingDeployment(p.instances)
+	}
 	defer s.stop()
 	if err := s.start(p.binary, dir); err != nil {
 		return nil, err
@@ -89,21 +93,30 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.duration)
 	defer cancel()
 	var group sync.WaitGroup
+	if p.instances > 0 {
+		s.overlap(ctx, &group)
+	} else {
+		s.usual(ctx, &group, p.stopsOnly)
+	}
+	group.Go(func() { s.configure(ctx) })
+	group.Wait()
+	s.checkRuns()
+	return s.report, nil
+}
+
+// usual starts the callers and faults of a run at the usual size.
+func (s *soak) usual(ctx context.Context, group *sync.WaitGroup, stopsOnly bool) {
 	for i := range callers {
 		group.Go(func() { s.call(ctx, i) })
 	}
 	for _, p := range s.gateway {
 		group.Go(func() { s.stay(ctx, p) })
 	}
-	if p.stopsOnly {
+	if stopsOnly {
 		group.Go(func() { s.roll(ctx) })
 	} else {
 		group.Go(func() { s.disturb(ctx) })
 	}
-	group.Go(func() { s.configure(ctx) })
-	group.Wait()
-	s.checkRuns()
-	return s.report, nil
 }
 
 func (s *soak) start(binary, dir string) error {
@@ -113,10 +126,12 @@
 	}
 	s.server = &http.Server{Handler: s.store}
 	go func() { _ = s.server.Serve(listener) }() // ends with stop
-	for _, service := range append(shards, bookings, orders) {
-		for _, domain := range domains {
-			if err := s.addSearcher(service, domain); err != nil {
-				return err
+	for _, service := range s.size.services() {
+		for i, domain := range domains {
+			for range s.size.searchers(service)[i] {
+				if err := s.addSearcher(service, domain); err != nil {
+					return err
+				}
 			}
 		}
 	}
@@ -126,12 +141,12 @@
 		return errors.Trace(err)
 	}
 	var seeds []string
-	for i := range len(domains) * perDomain {
+	for i, domain := range s.size.instances {
 		link, err := relay.NewTCP(listener.Addr().String())
 		if err != nil {
 			return errors.Trace(err)
 		}
-		p, err := newProcess(binary, dir, i, domains[i/perDomain], ports, link, seeds)
+		p, err := newProcess(binary, dir, i, domain, ports, s.size.grace, link, seeds)
 		if err != nil {
 			return err
 		}
@@ -172,28 +187,12 @@
 	}
 }
 
-// searcherSize is how long a request takes at the searchers of a service, and how many each runs
-// at once.
-type searcherSize struct {
-	work  time.Duration
-	slots int
-}
-
-// sizeOf returns the size of the searchers of a service. Requests to those of orders take a
-// good part of a planned stop.
-func sizeOf(service string) searcherSize {
-	if service == orders {
-		return searcherSize{work: 400 * time.Millisecond, slots: 40}
-	}
-	return searcherSize{work: 8 * time.Millisecond, slots: 4}
-}
-
 // addSearcher starts a searcher with an ID that was not used before.
 func (s *soak) addSearcher(service, domain string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.started++
-	size := sizeOf(service)
+	size := s.size.searcher(service)
 	one, err := site.StartSearcher(fmt.Sprintf("%s-%s-%d", service, domain, s.started), service, domain, size.work, size.slots, s.ledger)
 	if err != nil {
 		return errors.Trace(err)
@@ -208,8 +207,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.store.Put("config", "main", site.Configuration(s.version, append(shards, bookings, orders), []site.Route{
-		{Prefix: "/search/", Shards: shards, Idempotent: true, TargetMs: 200},
+	s.store.Put("config", "main", site.Configuration(s.version, s.size.services(), []site.Route{
+		{Prefix: "/search/", Shards: s.size.shards, Idempotent: true, TargetMs: 200},
 		{Prefix: "/book/", Service: bookings, TargetMs: 300},
 		{Prefix: "/order/", Service: orders, Idempotent: true, TargetMs: 500},
 		{Prefix: probePath(s.version), Service: bookings, Idempotent: true, TargetMs: 300},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,6 +28,15 @@
 	qt.Assert(t, r.faults > 1, qt.IsTrue, qt.Commentf("%s", r))
 }
 
+// TestOverlappingStopsCutNoRequest guards against requests that end without an answer when several
+// of nine instances stop at once, with work that may take longer than what is left of the stop.
+func TestOverlappingStopsCutNoRequest(t *testing.T) {
+	r, err := run(plan{binary: buildGateway(t), out: t.TempDir(), seed: 1, duration: 20 * time.Second, stopsOnly: true, instances: 9})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.violations, qt.HasLen, 0, qt.Commentf("%v", r.violations))
+	qt.Assert(t, r.faults > 1 && r.inStops > 0, qt.IsTrue, qt.Commentf("%s", r))
+}
+
 // TestSoak guards against promises that break under faults which overlap: short
 // runs of fixed seeds.
 func TestSoak(t *testing.T) {
--- a/internal/soak/stay.go
+++ b/internal/soak/stay.go
@@ -32,7 +32,7 @@
 		if len(kept) > 0 {
 			c := kept[0]
 			kept = kept[1:]
-			if s.ask(ctx, p, c, fmt.Sprintf("%s-%d", p.node.Name, i)) {
+			if s.ask(ctx, p, c, http.MethodGet, "/order/x", fmt.Sprintf("%s-%d", p.node.Name, i), patience) {
 				kept = append(kept, c)
 			} else {
 				c.Close()
@@ -49,12 +49,15 @@
 	stayThink       = site.GraceSeconds * time.Second / keptConnections
 )
 
-// ask sends an order on a kept connection and reports whether the connection can be used again.
+// ask sends a request on a connection and reports whether the connection can be used again.
 // One that was passed on, or is older than lossSlack, must not end without an answer, if the
 // process was neither killed nor paused.
-func (s *soak) ask(ctx context.Context, p *process, c *site.Connection, id string) bool {
+func (s *soak) ask(ctx context.Context, p *process, c *site.Connection, method, path, id string, deadline time.Duration) bool {
 	began := time.Now()
-	status, usable := c.Ask(http.MethodGet, "/order/x", id, patience)
+	if _, stopping := p.lastStop(); stopping {
+		s.report.inStop()
+	}
+	status, usable := c.Ask(method, path, id, deadline)
 	if status != 0 {
 		s.report.answer(id, status, 0)
 		return usable
@@ -64,9 +67,10 @@
 	}
 	waited := time.Since(began)
 	s.report.cut()
+	stopped, _ := p.lastStop()
 	if runs := s.ledger.Count(id); p.sound(began) && (runs > 0 || waited > lossSlack) {
-		s.report.violate("LOST: %s at %s on a kept connection, asked at %s, ended after %s, ran %d times",
-			id, p.node.Name, began.UTC().Format(time.RFC3339Nano), waited, runs)
+		s.report.violate("LOST: %s %s %s at %s, asked at %s, %s after SIGTERM, ended after %s, ran %d times",
+			id, method, path, p.node.Name, began.UTC().Format(time.RFC3339Nano), began.Sub(stopped), waited, runs)
 	}
 	return false
 }
--- a/standin/site/node.go
+++ b/standin/site/node.go
@@ -16,13 +16,19 @@
 	InternalPort int
 	Store        string
 	Seeds        []string
+	// StopGrace is the time from SIGTERM to SIGKILL in seconds. Zero means GraceSeconds.
+	StopGrace int
 }
 
-// GraceSeconds is the time from SIGTERM to SIGKILL in the settings file.
+// GraceSeconds is the usual time from SIGTERM to SIGKILL in the settings file.
 const GraceSeconds = 3
 
 // File returns the text of the settings file.
 func (n Node) File() string {
+	grace := n.StopGrace
+	if grace == 0 {
+		grace = GraceSeconds
+	}
 	text := fmt.Sprintf(`node_name: %q
 ip: %q
 zone: %q
@@ -44,7 +50,7 @@
   ttl_max_s: 2
 platform: {address: %q}
 seeds:
-`, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, GraceSeconds, n.Store)
+`, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, grace, n.Store)
 	for _, s := range n.Seeds {
 		text += fmt.Sprintf("  - %q\n", s)
 	}
--- a/standin/site/searcher.go
+++ b/standin/site/searcher.go
@@ -200,7 +200,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	select {
-	case <-time.After(s.work + f.Work):
+	case <-time.After(s.work + f.Work + askedWork(r)):
 	case <-r.Context().Done():
 		return
 	}
@@ -215,6 +215,17 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// WorkQuery is the query parameter by which a request adds to its own work, in milliseconds.
+const WorkQuery = "work_ms"
+
+func askedWork(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.URL.Query().Get(WorkQuery))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func (s *Searcher) begin(ctx context.Context) bool {
 	if len(s.slots) == cap(s.slots)+queueLength {
 		return false
