Test of reply forms: the stand-in keeps its connections as its replies say

The stand-in closed each connection after one reply that promised to keep it, so a later request could be sent on a connection that was about to end, and got a true 502 ("searcher broke off"). It failed so once in a whole run of the package at a load average of 13. The checks are the same.

--- a/gateway/reply_forms_test.go
+++ b/gateway/reply_forms_test.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -13,6 +16,40 @@
 	"github.com/wisteriawharf/wisteriawharf/standin/site"
 )
 
+// startKeepingReplier starts a searcher that answers each request with a form of a reply, in which
+// it puts the request ID, and returns its address. It closes a connection only if the reply says so
+// or the other side has closed it.
+func startKeepingReplier(t *testing.T, form string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, err = fmt.Fprintf(c, form, request.Header.Get("Request-Id"))
+			if err != nil || strings.Contains(form, "Connection: close") {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
 // TestWholeReplyNeverCutsCaller guards against a caller's connection that is cut, or an answer that
 // is lost, because of the form of a searcher's whole reply.
 func TestWholeReplyNeverCutsCaller(t *testing.T) {
@@ -37,12 +74,10 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarness(t)
-			searcher := startReplier(t)
-			h.dispatcher.PutSearcher(fleet.Searcher{ID: "r", Service: "raw", Address: searcher.listener.Addr().String(), FailureDomain: "a", Slots: 3})
+			address := startKeepingReplier(t, c.reply)
+			h.dispatcher.PutSearcher(fleet.Searcher{ID: "r", Service: "raw", Address: address, FailureDomain: "a", Slots: 3})
 			h.searchers["raw"] = nil
 			h.configure(1, routing.Route{Targets: []routing.WeightedService{{Service: "raw", Weight: 1}}})
-			reply := func(id string) string { return fmt.Sprintf(c.reply, id) }
-			searcher.reply.Store(&reply)
 			// The second request on a connection is answered only if the first answer was whole.
 			kept, err := site.Connect(h.server.Listener.Addr().String())
 			qt.Assert(t, err, qt.IsNil)
