Tests of the gateway: separate addresses for each test process

Two runs of these tests at the same time used the same addresses and internal ports, and failed with "does not serve": TestOddEntryDoesNotStopFollowing/many_slots in two runs of mine beside others, TestStopPausedProcess in 6 of 8 cases beside another.

--- a/cmd/wharf-gateway/process_test.go
+++ b/cmd/wharf-gateway/process_test.go
@@ -41,7 +41,7 @@
 func startProcess(t *testing.T, store string) *gatewayProcess {
 	t.Helper()
 	n := lastInstanceNumber.Add(1)
-	ip := fmt.Sprintf("127.77.%d.%d", n/200, n%200+1)
+	ip := instanceIP(n)
 	ports, err := site.FreePorts(ip, 4)
 	qt.Assert(t, err, qt.IsNil)
 	address := func(i int) string { return fmt.Sprintf("%s:%d", ip, ports[i]) }
--- a/cmd/wharf-gateway/service_test.go
+++ b/cmd/wharf-gateway/service_test.go
@@ -51,6 +51,13 @@
 	return &deployment{t: t, store: site.NewStore()}
 }
 
+// instanceIP returns the IP address of an instance. Test processes that run at the same time use
+// different addresses, because the internal ports are the same.
+func instanceIP(n int64) string {
+	const networks = 128
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%networks, n/200, n%200+1)
+}
+
 // firstInternalPort is the first internal port of each instance. It must be the same on all
 // instances, because they send heartbeats to the same port of each other's IP address.
 const firstInternalPort = 17740
@@ -60,7 +67,7 @@
 func (d *deployment) startInstance(domain string) *instance {
 	d.t.Helper()
 	n := lastInstanceNumber.Add(1)
-	ip := fmt.Sprintf("127.77.%d.%d", n/200, n%200+1)
+	ip := instanceIP(n)
 	ports, err := site.FreePorts(ip, 4)
 	qt.Assert(d.t, err, qt.IsNil)
 	address := func(i int) string { return fmt.Sprintf("%s:%d", ip, ports[i]) }
