Callers: bodies of all requests together take from a bounded budget

Cause: the bound of a body is that of the configuration, which may state none, and nothing bounded all bodies together. Callers with bodies without end took memory until the process ended, and the requests of all others ended with it.

Change: bodies take their buffers from a budget before these are allocated, and larger ones the copies that attempts write. A body that doesn't fit is refused with 503 and Retry-After before anything is passed on, and the connection closes without reading the rest. The bytes are given back once the request is answered.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
@@ -26,6 +27,8 @@
 	// head is the encoded head of the request that is the same for all attempts.
 	head []byte
 	body []byte
+	// memory is what the body and its copies take from the budget of the process.
+	memory *memory.Holding
 	// arrived and deadline are times on the boot clock.
 	arrived  time.Duration
 	deadline time.Duration
@@ -61,21 +64,29 @@
 	if route == nil {
 		return nil, &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
-	body, bodyRefusal := readBody(w, r, config.Limits)
-	if bodyRefusal != nil {
-		return nil, bodyRefusal
-	}
 	timeout := route.Timeout
 	if callerRequest.CallerTimeout > 0 && (timeout <= 0 || callerRequest.CallerTimeout < timeout) {
 		timeout = callerRequest.CallerTimeout
 	}
 	c := &call{
-		g: g, ctx: r.Context(), route: route, callerRequest: callerRequest, method: r.Method, body: body,
-		head: requestHead(r, len(body)), arrived: arrived, deadline: arrived + timeout,
+		g: g, ctx: r.Context(), route: route, callerRequest: callerRequest, method: r.Method,
+		memory: g.config.Memory.Hold(), arrived: arrived, deadline: arrived + timeout,
 		events:         make(chan dispatch.Event, max(len(route.Shards), 1)*maxEventsPerPart),
 		attemptLatency: g.attemptLatencies.forRoute(route.Name),
 	}
-	return c, c.stopRefusal()
+	refusal := c.readBody(w, r, config.Limits)
+	if refusal == nil {
+		c.head = requestHead(r, len(c.body))
+		refusal = c.takeCopies()
+	}
+	if refusal == nil {
+		refusal = c.stopRefusal()
+	}
+	if refusal != nil {
+		c.memory.Release()
+		return nil, refusal
+	}
+	return c, nil
 }
 
 // maxEventsPerPart is the capacity of a call's events channel for each part. The retries of
@@ -97,26 +108,52 @@
 	return n > limits.MaxHeaderBytes
 }
 
-// readBody reads the whole body of a request. It returns a refusal if the body is larger
-// than the limit, if there is one, or can't be read.
-func readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) ([]byte, *refusal) {
+// readBody reads the whole body of a request. It returns a refusal if the body is larger than the
+// limit, if there is one, if the process has no memory for it, or if it
+// breaks off.
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) *refusal {
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
+		return nil
 	}
 	reader := io.Reader(r.Body)
 	if limits.MaxBodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
 	}
-	body, err := io.ReadAll(reader)
+	body, err := c.memory.ReadAll(reader)
 	if err == nil {
-		return body, nil
+		c.body = body
+		return nil
 	}
+	// Without it the server reads on after a refused body before it sends the answer.
+	w.Header().Set("Connection", "close")
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
+	}
+	if errors.Is(err, memory.ErrExhausted) {
+		return c.memoryRefusal()
 	}
-	return nil, &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
+	return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
 }
 
+// takeCopies takes the memory of the copies of the body that the attempts write. The copies of
+// small requests are not taken, because they are written at once.
+func (c *call) takeCopies() *refusal {
+	if len(c.body) <= maxUncountedCopyBytes {
+		return nil
+	}
+	copies := int64(max(len(c.route.Shards), 1))
+	if c.memory.Grow(copies*int64(len(c.head)+len(c.body))) != nil {
+		return c.memoryRefusal()
+	}
+	return nil
+}
+
+// maxUncountedCopyBytes is the largest body whose copies are not taken from the memory budget.
+const maxUncountedCopyBytes = 2 << 10
+
+// memoryRefusal returns the refusal of a request for which the process has no memory.
+func (c *call) memoryRefusal() *refusal { return c.notRunRefusal("memory is in use by other requests") }
+
 // hopByHopHeaders are the headers that are not forwarded: those that apply to one connection
 // only, and Content-Length and Expect.
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/requestlog"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
@@ -22,6 +23,8 @@
 	Clock      clock.Clock
 	Log        *slog.Logger
 	Registry   prometheus.Registerer
+	// Memory bounds the bodies of all requests together. Nil means no bound.
+	Memory *memory.Budget
 }
 
 // Gateway is the http.Handler that serves callers. It is safe for concurrent use.
@@ -84,6 +87,7 @@
 		g.refuse(w, r, refusal)
 		return
 	}
+	defer c.memory.Release()
 	var a answer
 	if len(c.route.Shards) > 0 {
 		a = c.serveSharded()
