Callers: a body must be there by the deadline of its request

Cause: nothing bounded the time of a body, so a caller that sent it slowly held the request and its memory for ever, past the timeout of the route.

Change: the body is read up to the deadline, then the answer is 408, which promises that the request was not run.

Result: TestSlowBodyEndsAtDeadline failed before (no answer within 10 s) and passes.

--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -109,6 +109,18 @@
 	qt.Assert(t, h.do(t, "POST", "/r/x", "small", 0).status, qt.Equals, http.StatusOK)
 }
 
+// TestSlowBodyEndsAtDeadline guards against a body that is sent slowly and held longer than the
+// request may take. The answer must not promise less than is known: the request has not run.
+func TestSlowBodyEndsAtDeadline(t *testing.T) {
+	h := newHarness(t, "one")
+	h.configureBodies(300 * time.Millisecond)
+	for _, length := range []string{"Content-Length: 100", "Transfer-Encoding: chunked"} {
+		c := h.open(t, length)
+		qt.Assert(t, readAnswer(t, c).StatusCode, qt.Equals, http.StatusRequestTimeout, qt.Commentf("%s", length))
+	}
+	qt.Assert(t, h.ledger.Arrivals(), qt.Equals, 0)
+}
+
 // TestBrokenOffBodyIsNoRequest guards against a body that breaks off and is passed on as whole.
 func TestBrokenOffBodyIsNoRequest(t *testing.T) {
 	h := newHarness(t, "one")
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -109,8 +110,8 @@
 }
 
 // readBody reads the whole body of a request. It returns a refusal if the body is larger than the
-// limit, if there is one, if the process has no memory for it, or if it
-// breaks off.
+// limit, if there is one, if the process has no memory for it, if it isn't there by the deadline,
+// or if it breaks off.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) *refusal {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
@@ -119,8 +120,14 @@
 	if limits.MaxBodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
 	}
+	connection := http.NewResponseController(w)
+	if c.deadline > c.arrived {
+		// A response writer without deadlines has no connection that could be slow.
+		_ = connection.SetReadDeadline(time.Now().Add(c.deadline - c.now()))
+	}
 	body, err := c.memory.ReadAll(reader)
 	if err == nil {
+		_ = connection.SetReadDeadline(time.Time{}) // as above
 		c.body = body
 		return nil
 	}
@@ -132,6 +139,9 @@
 	if errors.Is(err, memory.ErrExhausted) {
 		return c.memoryRefusal()
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &refusal{status: http.StatusRequestTimeout, reason: "body did not arrive in time"}
+	}
 	return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
 }
 
