Instances: replies without end, and many deltas at once, take from a bounded budget

Cause: a reply of another instance was bounded by 64 MiB, and those of several kinds were read at once. The delta for another instance was encoded as a whole for each that asked, however many asked at once and however slowly they read.

Change: what is read, decoded and encoded is taken from a budget first. A reply that doesn't fit is a failed fetch, and a delta that doesn't fit is answered with 503; the other instance asks again with the next heartbeat. Headers of replies are bounded by 64 KiB.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -22,7 +22,9 @@
 	"github.com/wisteriawharf/wisteriawharf/balance"
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
+	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
 const (
@@ -31,7 +33,10 @@
 	fetchTimeout = 2 * time.Second
 	seedTimeout  = 400 * time.Millisecond
 	// maxReplyBytes bounds the body of a reply. A longer one is cut and can't be decoded.
+	// The objects of 95,000 searchers of 300 bytes have 29 MB.
 	maxReplyBytes = 64 << 20
+	// maxReplyHeaderBytes bounds the headers of a reply.
+	maxReplyHeaderBytes = 64 << 10
 
 	// restartDelay is the time from when a leader hears of a newer change from another
 	// instance until it restarts its call to the store. Until then the store may still
@@ -89,8 +94,11 @@
 	// OnStoreOutage is called for each heartbeat of an instance that does not reach the
 	// store.
 	OnStoreOutage func()
-	Clock         clock.Clock
-	Log           *slog.Logger
+	// Memory bounds the bytes of all replies together, those that are received and those that
+	// are sent. Nil means no bound.
+	Memory *memory.Budget
+	Clock  clock.Clock
+	Log    *slog.Logger
 }
 
 // Exchange sends the heartbeats of this instance, receives those of the others, and
@@ -126,7 +134,7 @@
 	}
 	return &Exchange{
 		config: config, socket: socket, heartbeatPort: address.Port,
-		client:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		client:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHeaderBytes}},
 		fetching: make(map[string]bool),
 	}, nil
 }
@@ -144,10 +152,34 @@
 		if err := echo.QueryParamsBinder(c).MustInt64("after", &after.Revision).Int64("epoch", &after.Epoch).BindError(); err != nil {
 			return echo.NewHTTPError(http.StatusBadRequest, "after or epoch is not a number")
 		}
-		return c.JSON(http.StatusOK, m.Since(after))
+		return x.sendDelta(c, m.Since(after))
 	})
 }
 
+// sendDelta answers with a delta, or with 503 if there is no memory for its encoding. The other
+// instance asks again when it hears of the changes again.
+func (x *Exchange) sendDelta(c echo.Context, d mirror.Delta) error {
+	held := x.config.Memory.Hold()
+	defer held.Release()
+	if held.Grow(encodedBytes(d)) != nil {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "memory is in use by other requests")
+	}
+	return c.JSON(http.StatusOK, d)
+}
+
+// elementBytes is about what an object takes in an encoded delta, beside its name and content, or
+// what a removal takes.
+const elementBytes = 64
+
+// encodedBytes returns about how many bytes a delta takes once encoded.
+func encodedBytes(d mirror.Delta) int64 {
+	n := elementBytes * (1 + len(d.Objects) + len(d.Removed) + len(d.Skipped))
+	for _, o := range d.Objects {
+		n += len(o.Name) + len(o.Spec)
+	}
+	return int64(n)
+}
+
 // Run sends and receives heartbeats until ctx ends, and then closes the socket.
 func (x *Exchange) Run(ctx context.Context) {
 	go x.receive()
@@ -200,8 +232,8 @@
 		if seed == x.config.Self.InternalAddress {
 			continue
 		}
-		var h heartbeat
-		if err := x.get(ctx, seed, pathInstance, seedTimeout, &h); err != nil {
+		h, err := x.askInstance(ctx, seed)
+		if err != nil {
 			x.config.Log.Debug("seed does not answer", "address", seed, "error", err.Error())
 			continue
 		}
@@ -215,6 +247,15 @@
 	return answered
 }
 
+// askInstance requests the heartbeat of another instance.
+func (x *Exchange) askInstance(ctx context.Context, address string) (heartbeat, error) {
+	held := x.config.Memory.Hold()
+	defer held.Release()
+	var h heartbeat
+	err := x.get(ctx, address, pathInstance, seedTimeout, &h, held)
+	return h, err
+}
+
 // hasListings reports whether the mirrors of all kinds have a listing.
 func (x *Exchange) hasListings() bool {
 	for _, m := range x.config.Mirrors {
@@ -301,10 +342,12 @@
 	}
 	defer x.endFetch(kind)
 	m := x.config.Mirrors[kind]
+	held := x.config.Memory.Hold()
+	defer held.Release()
 	var d mirror.Delta
-	held := m.Position()
-	path := fmt.Sprintf("/v1/objects/%s?after=%d&epoch=%d", kind, held.Revision, held.Epoch)
-	if err := x.get(ctx, address, path, fetchTimeout, &d); err != nil {
+	position := m.Position()
+	path := fmt.Sprintf("/v1/objects/%s?after=%d&epoch=%d", kind, position.Revision, position.Epoch)
+	if err := x.get(ctx, address, path, fetchTimeout, &d, held); err != nil {
 		x.config.Log.Warn("objects could not be fetched", "kind", kind, "from", address, "error", err.Error())
 		return
 	}
@@ -333,9 +376,9 @@
 }
 
 // get requests a path from another instance and decodes the JSON body of the response into
-// reply. It fails if the instance can't be reached, if the status is not 200, if the body can't
-// be decoded, or after the timeout.
-func (x *Exchange) get(ctx context.Context, address, path string, timeout time.Duration, reply any) error {
+// reply, both of which take from held. It fails if the instance can't be reached, if the status
+// is not 200, if the body can't be decoded or held, or after the timeout.
+func (x *Exchange) get(ctx context.Context, address, path string, timeout time.Duration, reply any, held *memory.Holding) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
@@ -350,9 +393,12 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Errorf("status %d", response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	body, err := held.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if err := held.Grow(platform.DecodedBytes(body)); err != nil {
+		return errors.Trace(err)
+	}
 	return errors.Trace(json.Unmarshal(body, reply))
 }
