--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -20,6 +20,7 @@
 	"github.com/wisteriawharf/wisteriawharf/exchange"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/gateway"
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
@@ -27,6 +28,8 @@
 const (
 	// periodicInterval is the time between two runs of the periodic tasks.
 	periodicInterval = 250 * time.Millisecond
+	// memoryBudgetBytes bounds the bytes that the process holds for its peers all together.
+	memoryBudgetBytes = 64 << 20
 )
 
 // service is a gateway instance with all its components.
@@ -44,6 +47,8 @@
 	exchange  *exchange.Exchange
 	self      fleet.Instance
 	outage    mirror.OutageTracker
+	// memory is the budget of the bytes that the instance holds for peers all together.
+	memory *memory.Budget
 	// startedAt is when the instance started, as returned by Boottime of the clock.
 	startedAt time.Duration
 	// processorTime measures the load of this instance. Only runPeriodicTasks uses it.
@@ -65,6 +70,7 @@
 	s := &service{
 		settings: settings, log: log, clock: clock.System{}, registry: prometheus.NewRegistry(),
 		searchers: fleet.NewSearchers(),
+		memory:    memory.NewBudget(memoryBudgetBytes),
 		self: fleet.Instance{
 			Name: settings.Name, FailureDomain: settings.FailureDomain, CallerAddress: settings.CallerAddress,
 			ReadyAddress: settings.ReadyAddress, InternalAddress: settings.ExchangeAddress, StartUnixMs: time.Now().UnixMilli(),
@@ -80,17 +86,18 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	s.store.Memory = s.memory
 	s.dispatch = dispatch.New(dispatch.Config{
 		Instance: settings.Name, FailureDomain: settings.FailureDomain, RegionOf: settings.RegionOf, Bounds: settings.Bounds, Clock: s.clock,
 		InstanceCount: func() int { return int(s.budgetSharers.Load()) },
 		Position:      func() float64 { return math.Float64frombits(s.position.Load()) }, Log: log, Registry: s.registry,
 	})
-	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry})
+	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, Memory: s.memory})
 	s.createMirrors()
 	s.exchange, err = exchange.Listen(exchange.Config{
 		Self: s.self, HeartbeatAddress: internalPortAddress(settings, heartbeatPortOffset), Seeds: settings.Seeds, Instances: s.instances, Mirrors: s.mirrors, InstanceKind: platform.KindInstances,
 		Ready: s.ready, IsLeader: s.isLeader, Clock: s.clock, Log: log, Reports: s.dispatch.TakeReports, OnReports: s.dispatch.ApplyReports,
-		StoreReachable: func() bool { return !s.outage.Failing() }, OnStoreOutage: s.recordStoreFailure,
+		StoreReachable: func() bool { return !s.outage.Failing() }, OnStoreOutage: s.recordStoreFailure, Memory: s.memory,
 	})
 	return s, errors.Trace(err)
 }
