Callers: heads of all requests together take from the memory budget

Cause: a head was bounded by 256 KiB and 20 s, and nothing bounded all of them, so that a few thousand connections took more than the memory of the process.

Change: the bytes of a head, and what its lines take decoded, are taken from the budget while it is read, and given back when its request is answered.

--- /dev/null
+++ b/cmd/wharf-gateway/heads_endless_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wisteriawharf/wisteriawharf/standin/site"
+)
+
+// TestHeadsWithoutEndTogether guards against callers whose heads have no end, and that together
+// exceed the memory of a process although each head is bounded.
+func TestHeadsWithoutEndTogether(t *testing.T) {
+	const callers, smallRequests = 2000, 20
+	d := newDeployment(t)
+	store := httptest.NewServer(d.store)
+	t.Cleanup(func() { store.CloseClientConnections(); store.Close() })
+	p := startLimitedProcess(t, "127.79.1.2", strings.TrimPrefix(store.URL, "http://"))
+	d.startSearchers(&site.Ledger{}, time.Millisecond)
+	d.configure(1, "/r/")
+	eventually(t, "the gateway does not serve", func() bool { return p.serve() == http.StatusOK })
+
+	// All heads but the last bytes of each, so that none is refused for its size alone.
+	head := "POST /r/x HTTP/1.1\r\nHost: " + host + "\r\n" + strings.Repeat("A: "+strings.Repeat("x", 100)+"\r\n", 200<<10/105)
+	var sent sync.WaitGroup
+	for range callers {
+		c, err := net.Dial("tcp", p.caller)
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = c.Close() })
+		sent.Go(func() {
+			qt.Check(t, c.SetWriteDeadline(time.Now().Add(time.Minute)), qt.IsNil)
+			_, _ = io.WriteString(c, head) // a head that is refused is not read to its end
+		})
+	}
+	sent.Wait()
+	p.checkMemory(t)
+	for range smallRequests {
+		qt.Assert(t, p.serve(), qt.Equals, http.StatusOK)
+	}
+	p.checkMemory(t)
+}
--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -45,13 +45,18 @@
 	v := &servers{failed: make(chan error, 4), connections: newConnTracker(s.idleTimeout)}
 	v.callerServer = &http.Server{
 		Handler: s.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: v.connections.setState,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if head, ok := c.(*headConn); ok {
+				head.setState(state)
+			}
+			v.connections.setState(c, state)
+		},
 	}
 	var err error
 	if v.callerListener, err = net.Listen("tcp", s.settings.CallerAddress); err != nil {
 		return nil, errors.Trace(err)
 	}
-	v.acceptDone = v.serve(v.callerServer, v.callerListener)
+	v.acceptDone = v.serve(v.callerServer, &headListener{Listener: v.callerListener, budget: s.memory})
 	for address, register := range map[string]func(*echo.Echo){
 		s.settings.ReadyAddress:     s.registerReadiness,
 		s.settings.DirectoryAddress: s.registerDirectory,
