Callers: an answer is not held for ever for a caller that doesn't read it

Cause: writing an answer had no time bound, so a caller that didn't read kept the answer, its request and its connection for ever.

Change: a caller must take each 64 KiB of an answer within 20 s.

Result: TestCallerThatDoesNotReadIsCut failed before (held after 10 s) and passes; a caller that reads slowly gets all of a 16 MiB answer over longer than the bound.

--- a/cmd/wharf-gateway/heads.go
+++ b/cmd/wharf-gateway/callerconn.go
@@ -21,16 +21,21 @@
 	headRetryAfter = 300 * time.Millisecond
 	// headRefusalTimeout is the time limit for writing a refusal.
 	headRefusalTimeout = 100 * time.Millisecond
+	// A caller must take writePieceBytes of an answer within callerWriteTimeout.
+	writePieceBytes    = 64 << 10
+	callerWriteTimeout = 20 * time.Second
 )
 
-// headListener accepts connections whose heads take from a memory budget.
-type headListener struct {
+// limitingListener accepts connections of callers, see callerConn.
+type limitingListener struct {
 	net.Listener
 	budget *memory.Budget
+	// writeTimeout is how long a piece of an answer may wait for a caller that doesn't read.
+	writeTimeout time.Duration
 }
 
 // Accept implements net.Listener.
-func (l *headListener) Accept() (net.Conn, error) {
+func (l *limitingListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -39,13 +44,15 @@
 	if !ok {
 		return c, nil
 	}
-	return &headConn{TCPConn: tcp, held: l.budget.Hold(), inHead: true}, nil
+	return &callerConn{TCPConn: tcp, writeTimeout: l.writeTimeout, held: l.budget.Hold(), inHead: true}, nil
 }
 
-// headConn is a connection whose bytes take from a memory budget while a head is read. They are
-// given back when its request is answered or the connection closed.
-type headConn struct {
+// callerConn is a connection whose bytes take from a memory budget while a head is read. They are
+// given back when its request is answered or the connection closed. It doesn't wait for ever for a
+// caller that doesn't read.
+type callerConn struct {
 	*net.TCPConn
+	writeTimeout time.Duration
 
 	mu     sync.Mutex
 	held   *memory.Holding
@@ -53,7 +60,7 @@
 }
 
 // setState follows the state of the connection in the HTTP server.
-func (c *headConn) setState(state http.ConnState) {
+func (c *callerConn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHead = state == http.StateNew || state == http.StateIdle
@@ -64,7 +71,7 @@
 
 // Read implements net.Conn. If there is no memory for the head, it answers that the request was not
 // run, and returns io.EOF, upon which the server closes the connection.
-func (c *headConn) Read(b []byte) (int, error) {
+func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if n > 0 && !c.take(b[:n]) {
 		c.refuse()
@@ -74,7 +81,7 @@
 }
 
 // take takes the memory of a part of a head, and reports whether there is enough.
-func (c *headConn) take(part []byte) bool {
+func (c *callerConn) take(part []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.inHead {
@@ -83,8 +90,30 @@
 	return c.held.Grow(int64(len(part)+headerLineBytes*bytes.Count(part, []byte{'\n'}))) == nil
 }
 
+// Write implements net.Conn. It fails if the caller takes too long for one of the pieces, so that
+// an answer is not held for ever.
+func (c *callerConn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		piece := b[written:min(len(b), written+writePieceBytes)]
+		if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.TCPConn.Write(piece)
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// ReadFrom implements io.ReaderFrom by Write.
+func (c *callerConn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
 // refuse writes the answer to a request whose head was not read.
-func (c *headConn) refuse() {
+func (c *callerConn) refuse() {
 	answer := http.Response{StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Close: true}
 	platform.SetRetryAfter(answer.Header, headRetryAfter)
 	// A caller that doesn't read gets a closed connection.
--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -46,7 +46,7 @@
 	v.callerServer = &http.Server{
 		Handler: s.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: func(c net.Conn, state http.ConnState) {
-			if head, ok := c.(*headConn); ok {
+			if head, ok := c.(*callerConn); ok {
 				head.setState(state)
 			}
 			v.connections.setState(c, state)
@@ -56,7 +56,7 @@
 	if v.callerListener, err = net.Listen("tcp", s.settings.CallerAddress); err != nil {
 		return nil, errors.Trace(err)
 	}
-	v.acceptDone = v.serve(v.callerServer, &headListener{Listener: v.callerListener, budget: s.memory})
+	v.acceptDone = v.serve(v.callerServer, &limitingListener{Listener: v.callerListener, budget: s.memory, writeTimeout: callerWriteTimeout})
 	for address, register := range map[string]func(*echo.Echo){
 		s.settings.ReadyAddress:     s.registerReadiness,
 		s.settings.DirectoryAddress: s.registerDirectory,
