Gateway: the servers for health checks, the directory, instances and metrics limit their callers as well

Cause: the heads of requests to these servers were bounded by 1 MiB each and by nothing together; a request could take for ever to arrive and its answer to be read.

Change: all servers take heads from the memory budget, bound each by 256 KiB, a whole request by 20 s, each 64 KiB of an answer by 20 s and an idle connection by 5 minutes.

--- a/cmd/wharf-gateway/callerconn.go
+++ b/cmd/wharf-gateway/limitedconn.go
@@ -21,12 +21,12 @@
 	headRetryAfter = 300 * time.Millisecond
 	// headRefusalTimeout is the time limit for writing a refusal.
 	headRefusalTimeout = 100 * time.Millisecond
-	// A caller must take writePieceBytes of an answer within callerWriteTimeout.
+	// A caller must take writePieceBytes of an answer within answerWriteTimeout.
 	writePieceBytes    = 64 << 10
-	callerWriteTimeout = 20 * time.Second
+	answerWriteTimeout = 20 * time.Second
 )
 
-// limitingListener accepts connections of callers, see callerConn.
+// limitingListener accepts connections that are limited, see limitedConn.
 type limitingListener struct {
 	net.Listener
 	budget *memory.Budget
@@ -44,13 +44,13 @@
 	if !ok {
 		return c, nil
 	}
-	return &callerConn{TCPConn: tcp, writeTimeout: l.writeTimeout, held: l.budget.Hold(), inHead: true}, nil
+	return &limitedConn{TCPConn: tcp, writeTimeout: l.writeTimeout, held: l.budget.Hold(), inHead: true}, nil
 }
 
-// callerConn is a connection whose bytes take from a memory budget while a head is read. They are
+// limitedConn is a connection whose bytes take from a memory budget while a head is read. They are
 // given back when its request is answered or the connection closed. It doesn't wait for ever for a
 // caller that doesn't read.
-type callerConn struct {
+type limitedConn struct {
 	*net.TCPConn
 	writeTimeout time.Duration
 
@@ -59,8 +59,21 @@
 	inHead bool
 }
 
+// followLimited returns a ConnState hook that tells connections their state before it calls next,
+// which may be nil.
+func followLimited(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+	return func(c net.Conn, state http.ConnState) {
+		if limited, ok := c.(*limitedConn); ok {
+			limited.setState(state)
+		}
+		if next != nil {
+			next(c, state)
+		}
+	}
+}
+
 // setState follows the state of the connection in the HTTP server.
-func (c *callerConn) setState(state http.ConnState) {
+func (c *limitedConn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHead = state == http.StateNew || state == http.StateIdle
@@ -71,7 +84,7 @@
 
 // Read implements net.Conn. If there is no memory for the head, it answers that the request was not
 // run, and returns io.EOF, upon which the server closes the connection.
-func (c *callerConn) Read(b []byte) (int, error) {
+func (c *limitedConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if n > 0 && !c.take(b[:n]) {
 		c.refuse()
@@ -81,7 +94,7 @@
 }
 
 // take takes the memory of a part of a head, and reports whether there is enough.
-func (c *callerConn) take(part []byte) bool {
+func (c *limitedConn) take(part []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.inHead {
@@ -92,7 +105,7 @@
 
 // Write implements net.Conn. It fails if the caller takes too long for one of the pieces, so that
 // an answer is not held for ever.
-func (c *callerConn) Write(b []byte) (int, error) {
+func (c *limitedConn) Write(b []byte) (int, error) {
 	written := 0
 	for {
 		piece := b[written:min(len(b), written+writePieceBytes)]
@@ -108,12 +121,12 @@
 }
 
 // ReadFrom implements io.ReaderFrom by Write.
-func (c *callerConn) ReadFrom(r io.Reader) (int64, error) {
+func (c *limitedConn) ReadFrom(r io.Reader) (int64, error) {
 	return io.Copy(struct{ io.Writer }{c}, r)
 }
 
 // refuse writes the answer to a request whose head was not read.
-func (c *callerConn) refuse() {
+func (c *limitedConn) refuse() {
 	answer := http.Response{StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Close: true}
 	platform.SetRetryAfter(answer.Header, headRetryAfter)
 	// A caller that doesn't read gets a closed connection.
--- a/cmd/wharf-gateway/callerconn_test.go
+++ b/cmd/wharf-gateway/limitedconn_test.go
@@ -24,15 +24,11 @@
 	qt.Assert(t, err, qt.IsNil)
 	served := make(chan int64, 100)
 	server := &http.Server{
-		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served <- budget.Used() }),
-		ConnState: func(c net.Conn, state http.ConnState) {
-			head, ok := c.(*callerConn)
-			qt.Check(t, ok, qt.IsTrue)
-			head.setState(state)
-		},
+		Handler:   http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served <- budget.Used() }),
+		ConnState: followLimited(nil),
 	}
 	go func() {
-		_ = server.Serve(&limitingListener{Listener: listener, budget: budget, writeTimeout: callerWriteTimeout})
+		_ = server.Serve(&limitingListener{Listener: listener, budget: budget, writeTimeout: answerWriteTimeout})
 	}()
 	t.Cleanup(func() { _ = server.Close() })
 	head := "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("A:b\r\n", 100) + "\r\n"
--- a/cmd/wharf-gateway/peers_endless_test.go
+++ b/cmd/wharf-gateway/peers_endless_test.go
@@ -27,6 +27,7 @@
 // limitedProcess is a gateway that runs as a process of its own with a memory limit.
 type limitedProcess struct {
 	caller     string
+	exchange   string
 	heartbeats string
 	pid        int
 	ended      chan error
@@ -56,7 +57,7 @@
 	command := exec.Command(binary)
 	command.Env = append(os.Environ(), "WISTERIAWHARF_NODE_FILE="+file)
 	qt.Assert(t, command.Start(), qt.IsNil)
-	p := &limitedProcess{caller: at(ports[0]), heartbeats: at(firstInternalPort + heartbeatPortOffset), pid: command.Process.Pid, ended: make(chan error, 1)}
+	p := &limitedProcess{caller: at(ports[0]), exchange: at(ports[3]), heartbeats: at(firstInternalPort + heartbeatPortOffset), pid: command.Process.Pid, ended: make(chan error, 1)}
 	go func() { p.ended <- command.Wait() }()
 	t.Cleanup(func() { _ = command.Process.Kill() })
 	return p
--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
@@ -19,6 +20,9 @@
 	// apply even if the configuration allows more.
 	headerTimeout  = 20 * time.Second
 	maxHeaderBytes = 256 << 10
+	// otherIdleTimeout is how long a connection to a server other than that for callers may be
+	// idle.
+	otherIdleTimeout = 5 * time.Minute
 	// directoryTTL is how long callers may cache a directory answer, unless the settings
 	// require less.
 	directoryTTL = 5 * time.Second
@@ -34,7 +38,9 @@
 	callerListener net.Listener
 	acceptDone     chan struct{}
 	connections    *connTracker
-	stopping       atomic.Bool
+	// memory is the budget for the heads of requests.
+	memory   *memory.Budget
+	stopping atomic.Bool
 	// failed receives the error of each server that stops outside of a planned stop.
 	failed chan error
 }
@@ -42,21 +48,16 @@
 // startServers opens all listeners and starts the servers. It returns an error if it can't
 // listen on one of the addresses. Servers that have started by then keep running.
 func (s *service) startServers() (*servers, error) {
-	v := &servers{failed: make(chan error, 4), connections: newConnTracker(s.idleTimeout)}
+	v := &servers{memory: s.memory, failed: make(chan error, 4), connections: newConnTracker(s.idleTimeout)}
 	v.callerServer = &http.Server{
 		Handler: s.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			if head, ok := c.(*callerConn); ok {
-				head.setState(state)
-			}
-			v.connections.setState(c, state)
-		},
+		ConnState: v.connections.setState,
 	}
 	var err error
 	if v.callerListener, err = net.Listen("tcp", s.settings.CallerAddress); err != nil {
 		return nil, errors.Trace(err)
 	}
-	v.acceptDone = v.serve(v.callerServer, &limitingListener{Listener: v.callerListener, budget: s.memory, writeTimeout: callerWriteTimeout})
+	v.acceptDone = v.serve(v.callerServer, v.callerListener)
 	for address, register := range map[string]func(*echo.Echo){
 		s.settings.ReadyAddress:     s.registerReadiness,
 		s.settings.DirectoryAddress: s.registerDirectory,
@@ -67,7 +68,10 @@
 	} {
 		e := echo.New()
 		register(e)
-		server := &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
+		server := &http.Server{
+			Handler: e, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ReadTimeout: headerTimeout, IdleTimeout: otherIdleTimeout,
+		}
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, errors.Trace(err)
@@ -90,8 +94,10 @@
 
 // serve runs a server in the background. The returned channel is closed when the server
 // has stopped accepting connections. If that happens outside of a planned stop, the error
-// is sent to v.failed.
+// is sent to v.failed. The connections are limited, see limitedConn.
 func (v *servers) serve(server *http.Server, listener net.Listener) chan struct{} {
+	listener = &limitingListener{Listener: listener, budget: v.memory, writeTimeout: answerWriteTimeout}
+	server.ConnState = followLimited(server.ConnState)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
