--- a/cmd/wharf-gateway/callers.go
+++ b/cmd/wharf-gateway/callers.go
@@ -178,9 +178,10 @@
 	return 0, io.EOF
 }
 
-// callerListener accepts connections of callers and adds them to a set.
+// callerListener accepts connections of callers, limits them and adds them to a set.
 type callerListener struct {
 	net.Listener
+	limits  limitingListener
 	conns   *callerConns
 	closing atomic.Bool
 }
@@ -192,7 +193,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.conns.add(c), nil
+	return l.conns.add(l.limits.limit(c)), nil
 }
 
 func (l *callerListener) acceptInner() (net.Conn, error) {
--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
@@ -19,6 +20,9 @@
 	// apply even if the configuration allows more.
 	headerTimeout  = 20 * time.Second
 	maxHeaderBytes = 256 << 10
+	// otherIdleTimeout is how long a connection to a server other than that for callers may be
+	// idle.
+	otherIdleTimeout = 5 * time.Minute
 	// directoryTTL is how long callers may cache a directory answer, unless the settings
 	// require less.
 	directoryTTL = 5 * time.Second
@@ -35,7 +39,9 @@
 	acceptDone     chan struct{}
 	connections    *connTracker
 	callers        callerConns
-	stopping       atomic.Bool
+	// memory is the budget for the heads of requests.
+	memory   *memory.Budget
+	stopping atomic.Bool
 	// failed receives the error of each server that stops outside of a planned stop.
 	failed chan error
 }
@@ -43,7 +49,7 @@
 // startServers opens all listeners and starts the servers. It returns an error if it can't
 // listen on one of the addresses. Servers that have started by then keep running.
 func (s *service) startServers() (*servers, error) {
-	v := &servers{failed: make(chan error, 4), connections: newConnTracker(s.idleTimeout)}
+	v := &servers{memory: s.memory, failed: make(chan error, 4), connections: newConnTracker(s.idleTimeout)}
 	callerListener, err := net.Listen("tcp", s.settings.CallerAddress)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -59,12 +65,17 @@
 	} {
 		e := echo.New()
 		register(e)
-		server := &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
+		server := &http.Server{
+			Handler: e, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ReadTimeout: headerTimeout, IdleTimeout: otherIdleTimeout,
+		}
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		v.serve(server, listener)
+		limited := v.limits()
+		limited.Listener = listener
+		v.serve(server, &limited)
 		v.otherServers = append(v.otherServers, server)
 	}
 	go v.connections.run()
@@ -73,7 +84,7 @@
 
 // serveCallers starts the server for callers.
 func (v *servers) serveCallers(handler http.Handler, listener net.Listener) {
-	v.callerListener = &callerListener{Listener: listener, conns: &v.callers}
+	v.callerListener = &callerListener{Listener: listener, limits: v.limits(), conns: &v.callers}
 	v.callerServer = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: v.setState,
@@ -98,10 +109,16 @@
 	return 0
 }
 
+// limits returns the limits of all connections that are accepted, see limitedConn.
+func (v *servers) limits() limitingListener {
+	return limitingListener{budget: v.memory, writeTimeout: answerWriteTimeout}
+}
+
 // serve runs a server in the background. The returned channel is closed when the server
 // has stopped accepting connections. If that happens outside of a planned stop, the error
-// is sent to v.failed.
+// is sent to v.failed. The listener limits its connections, see limits.
 func (v *servers) serve(server *http.Server, listener net.Listener) chan struct{} {
+	server.ConnState = followLimited(server.ConnState)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/cmd/wharf-gateway/service_test.go
+++ b/cmd/wharf-gateway/service_test.go
@@ -43,7 +43,7 @@
 
 // lastInstanceNumber is the number of the last instance that was started. The name and the
 // IP address of an instance are derived from its number. Tests don't reset the number, so
-// names are never used twice, and addresses only after 250 instances.
+// names and addresses are never used twice in a process.
 var lastInstanceNumber atomic.Int64
 
 func newDeployment(t *testing.T) *deployment {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
@@ -27,6 +29,8 @@
 	// head is the encoded head of the request that is the same for all attempts.
 	head []byte
 	body []byte
+	// memory is what the body and its copies take from the budget of the process.
+	memory *memory.Holding
 	// arrived and deadline are times on the boot clock.
 	arrived  time.Duration
 	deadline time.Duration
@@ -62,10 +66,6 @@
 	if route == nil {
 		return nil, &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
-	body, bodyRefusal := readBody(w, r, config.Limits)
-	if bodyRefusal != nil {
-		return nil, bodyRefusal
-	}
 	timeout := route.Timeout
 	if callerRequest.CallerTimeout > 0 && (timeout <= 0 || callerRequest.CallerTimeout < timeout) {
 		timeout = callerRequest.CallerTimeout
@@ -74,12 +74,24 @@
 		timeout = defaultTimeout
 	}
 	c := &call{
-		g: g, ctx: r.Context(), route: route, callerRequest: callerRequest, method: r.Method, body: body,
-		head: requestHead(r, len(body)), arrived: arrived, deadline: arrived + timeout,
+		g: g, ctx: r.Context(), route: route, callerRequest: callerRequest, method: r.Method,
+		memory: g.config.Memory.Hold(), arrived: arrived, deadline: arrived + timeout,
 		events:         make(chan dispatch.Event, max(len(route.Shards), 1)*maxEventsPerPart),
 		attemptLatency: g.attemptLatencies.forRoute(route.Name),
 	}
-	return c, c.stopRefusal()
+	refusal := c.readBody(w, r, config.Limits)
+	if refusal == nil {
+		c.head = requestHead(r, len(c.body))
+		refusal = c.takeCopies()
+	}
+	if refusal == nil {
+		refusal = c.stopRefusal()
+	}
+	if refusal != nil {
+		c.memory.Release()
+		return nil, refusal
+	}
+	return c, nil
 }
 
 // defaultTimeout is the time limit of a request for which neither its caller nor its route sets
@@ -106,26 +118,61 @@
 	return n > limits.MaxHeaderBytes
 }
 
-// readBody reads the whole body of a request. It returns a refusal if the body is larger
-// than the limit, if there is one, or can't be read.
-func readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) ([]byte, *refusal) {
+// readBody reads the whole body of a request. It returns a refusal if the body is larger than the
+// limit, if there is one, if the process has no memory for it, if it isn't there by the deadline,
+// or if it breaks off.
+func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) *refusal {
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
+		return nil
 	}
 	reader := io.Reader(r.Body)
 	if limits.MaxBodyBytes > 0 {
 		reader = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
 	}
-	body, err := io.ReadAll(reader)
+	connection := http.NewResponseController(w)
+	if c.deadline > c.arrived {
+		// A response writer without deadlines has no connection that could be slow.
+		_ = connection.SetReadDeadline(time.Now().Add(c.deadline - c.now()))
+	}
+	body, err := c.memory.ReadAll(reader)
 	if err == nil {
-		return body, nil
+		_ = connection.SetReadDeadline(time.Time{}) // as above
+		c.body = body
+		return nil
 	}
+	// Without it the server reads on after a refused body before it sends the answer.
+	w.Header().Set("Connection", "close")
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		return nil, &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
+	}
+	if errors.Is(err, memory.ErrExhausted) {
+		return c.memoryRefusal()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &refusal{status: http.StatusRequestTimeout, reason: "body did not arrive in time"}
 	}
-	return nil, &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
+	return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
 }
 
+// takeCopies takes the memory of the copies of the body that the attempts write. The copies of
+// small requests are not taken, because they are written at once.
+func (c *call) takeCopies() *refusal {
+	if len(c.body) <= maxUncountedCopyBytes {
+		return nil
+	}
+	copies := int64(max(len(c.route.Shards), 1))
+	if c.memory.Grow(copies*int64(len(c.head)+len(c.body))) != nil {
+		return c.memoryRefusal()
+	}
+	return nil
+}
+
+// maxUncountedCopyBytes is the largest body whose copies are not taken from the memory budget.
+const maxUncountedCopyBytes = 2 << 10
+
+// memoryRefusal returns the refusal of a request for which the process has no memory.
+func (c *call) memoryRefusal() *refusal { return c.notRunRefusal("memory is in use by other requests") }
+
 // hopByHopHeaders are the headers that are not forwarded: those that apply to one connection
 // only, and Content-Length and Expect.
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
