Read the memory limit of an instance and share a budget of it

Cause: an instance did not know the memory above which the platform ends it, so nothing could be bounded by it. The budget has no users yet.

--- a/cmd/wharf-gateway/main.go
+++ b/cmd/wharf-gateway/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
@@ -48,6 +49,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	memory.LimitRuntime(settings.MemoryBytes)
 	log := newLog(o.LogLevel).With("instance", settings.Name)
 	if err := serve(context.Background(), settings, log, signals); err != nil {
 		log.Error("stopped", "error", err.Error())
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -20,6 +20,7 @@
 	"github.com/wisteriawharf/wisteriawharf/exchange"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/gateway"
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
@@ -44,6 +45,8 @@
 	exchange  *exchange.Exchange
 	self      fleet.Instance
 	outage    mirror.OutageTracker
+	// memory is the budget of the bytes that the instance holds for peers all together.
+	memory *memory.Budget
 	// startedAt is when the instance started, as returned by Boottime of the clock.
 	startedAt time.Duration
 	// processorTime measures the load of this instance. Only runPeriodicTasks uses it.
@@ -65,6 +68,7 @@
 	s := &service{
 		settings: settings, log: log, clock: clock.System{}, registry: prometheus.NewRegistry(),
 		searchers: fleet.NewSearchers(),
+		memory:    memory.ProcessBudget(settings.MemoryBytes),
 		self: fleet.Instance{
 			Name: settings.Name, FailureDomain: settings.FailureDomain, CallerAddress: settings.CallerAddress,
 			ReadyAddress: settings.ReadyAddress, InternalAddress: settings.ExchangeAddress, StartUnixMs: time.Now().UnixMilli(),
