Bound the memory of all replies of searchers together

Callers saw their requests end with the process: the platform ends it above 284 MB. Each reply was bounded by 8 MiB and their number was not, so replies without end from many searchers at once took hundreds of MB.

Change: the head and the body of a reply are read in steps that the budget of the process must grant; a reply past it fails at once, nothing waits for the budget. A growing buffer counts with its copy. A reply stays counted until the call that received it has written its answer, or until the attempt that nobody waits for drops it. A reply that can't be an answer (unsigned, encoded, stated length above the limit) fails when its head is read; one with a stated length of up to 4 KiB is still read, so that its connection is kept. Of a refusal only the head is needed. A rest that was not read is no longer drained before the connection is closed. New metrics: bytes held and their limit, failed replies and what was read of them by reason, and a log line at most once a second.

Four cases of TestReplyParsing got a signature, since unsigned replies without a length are no longer read to their end; what they check is unchanged.

--- /dev/null
+++ b/cmd/wharf-gateway/endless_test.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wisteriawharf/wisteriawharf/standin/site"
+)
+
+const signedHead = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n"
+
+// endlessReplies are replies without end, by kind: what is sent once and what is sent again and again.
+var endlessReplies = []struct{ name, start, rest string }{
+	{"until close", signedHead + "\r\n", strings.Repeat("x", 1<<16)},
+	{"large chunks", signedHead + "Transfer-Encoding: chunked\r\n\r\n", "10000\r\n" + strings.Repeat("x", 1<<16) + "\r\n"},
+	{"tiny chunks", signedHead + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 10_000)},
+	{"huge length", signedHead + "Content-Length: 1000000000000\r\n\r\n", strings.Repeat("x", 1<<16)},
+	{"length at the limit", signedHead + "Content-Length: 8388608\r\n\r\n", strings.Repeat("x", 1<<16)},
+	{"without signature", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1<<16)},
+	{"encoded", signedHead + "Content-Encoding: gzip\r\n\r\n", strings.Repeat("x", 1<<16)},
+	{"head", signedHead, strings.Repeat("A: b\r\n", 1000)},
+	{"interim", "", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 1000)},
+	{"garbage", "", strings.Repeat("\x00", 1<<16)},
+}
+
+// serveEndlessly replies without end on each connection to a new searcher, in all kinds in turn,
+// and returns the searcher's address.
+func serveEndlessly(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for i := 0; ; i++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			reply := endlessReplies[i%len(endlessReplies)]
+			go func() {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, err := io.WriteString(conn, reply.start)
+				for err == nil {
+					_, err = io.WriteString(conn, reply.rest)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// startProcess builds the gateway without the race detector, which multiplies its memory, starts
+// it with a memory limit, and returns its caller address, its process and a channel with its end.
+func startProcess(t *testing.T, store string, memoryMB int) (string, *os.Process, chan error) {
+	t.Helper()
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "wharf-gateway")
+	text, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", text))
+	const ip = "127.79.0.1"
+	ports, err := site.FreePorts(ip, 4)
+	qt.Assert(t, err, qt.IsNil)
+	at := func(i int) string { return net.JoinHostPort(ip, strconv.Itoa(ports[i])) }
+	node := site.Node{
+		Name: "gateway", IP: ip, Domain: "a", Callers: at(0), Ready: at(1), Directory: at(2), Exchange: at(3),
+		InternalPort: firstInternalPort, Store: store,
+	}
+	file := filepath.Join(dir, "settings.yaml")
+	settings := fmt.Sprintf("%slimits: {memory_mb: %d}\n", node.File(), memoryMB)
+	qt.Assert(t, os.WriteFile(file, []byte(settings), 0o600), qt.IsNil)
+	command := exec.Command(binary)
+	command.Env = append(os.Environ(), "WISTERIAWHARF_NODE_FILE="+file)
+	qt.Assert(t, command.Start(), qt.IsNil)
+	ended := make(chan error, 1)
+	go func() { ended <- command.Wait() }()
+	t.Cleanup(func() { _ = command.Process.Kill() })
+	return at(0), command.Process, ended
+}
+
+// peakBytes returns the peak of the resident memory of a process, in bytes.
+func peakBytes(t *testing.T, pid int) int64 {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	qt.Assert(t, err, qt.IsNil)
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kib, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			qt.Assert(t, err, qt.IsNil)
+			return kib << 10
+		}
+	}
+	t.Fatal("the kernel states no peak of the memory")
+	return 0
+}
+
+// TestEndlessRepliesTogether guards against replies without end from many searchers at once, which
+// together exceed the memory of a process although each of them is bounded.
+func TestEndlessRepliesTogether(t *testing.T) {
+	const memoryMB, callers, waves, halves = 284, 200, 5, 6
+	d := newDeployment(t)
+	store := httptest.NewServer(d.store)
+	t.Cleanup(func() { store.CloseClientConnections(); store.Close() })
+	caller, process, ended := startProcess(t, strings.TrimPrefix(store.URL, "http://"), memoryMB)
+	for i := range halves {
+		sound, err := site.StartSearcher(fmt.Sprintf("sound-%d", i), "one", "a", 5*time.Millisecond, 200, &site.Ledger{})
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(sound.Stop)
+		d.store.Put("servers", sound.ID, sound.Entry("ready"))
+		entry := sound.Entry("ready")
+		entry["address"] = serveEndlessly(t)
+		d.store.Put("servers", fmt.Sprintf("endless-%d", i), entry)
+	}
+	d.store.Put("config", "main", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "r", "host": host, "path_prefix": "/", "route_type": "idempotent",
+			"timeout_ms": 5000, "target_latency_ms": 2000, "backend": "one", "attempts": 3,
+		}},
+		"services": []any{map[string]any{"name": "one", "health_path": "/health", "max_connections": 2000}},
+		"limits":   map[string]any{"max_header_bytes": 8192, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+	client := &http.Client{Timeout: 10 * time.Second}
+	status := func(path string) int {
+		request, err := http.NewRequest(http.MethodGet, "http://"+caller+path, nil)
+		qt.Check(t, err, qt.IsNil)
+		request.Host = host
+		response, err := client.Do(request)
+		if err != nil {
+			return 0
+		}
+		defer func() { _ = response.Body.Close() }()
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return 0
+		}
+		return response.StatusCode
+	}
+	eventually(t, "the gateway does not serve", func() bool { return status("/warm") == http.StatusOK })
+	for wave := range waves {
+		var mu sync.Mutex
+		byStatus := make(map[int]int)
+		var done sync.WaitGroup
+		for i := range callers {
+			done.Go(func() {
+				s := status(fmt.Sprintf("/%d-%d", wave, i))
+				mu.Lock()
+				defer mu.Unlock()
+				byStatus[s]++
+			})
+		}
+		done.Wait()
+		t.Logf("wave %d: %v, peak %d MB", wave, byStatus, peakBytes(t, process.Pid)/1e6)
+		qt.Check(t, byStatus[0], qt.Equals, 0, qt.Commentf("callers without an answer in wave %d", wave))
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("the process has ended: %v", err)
+	default:
+	}
+	peak := peakBytes(t, process.Pid)
+	qt.Assert(t, peak < memoryMB*1e6, qt.IsTrue, qt.Commentf("peak of %d MB", peak/1e6))
+}
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -39,7 +39,8 @@
 	Attempt *Attempt
 	Outcome Outcome
 	// Reply is the searcher's reply. It is set if the outcome is Answered, Failed or
-	// Refused, and also for a Broken attempt if a reply came that can't be trusted.
+	// Refused, and also for a Broken attempt if a reply came that can't be trusted. The
+	// receiver of an Answered or Failed event releases it.
 	Reply *searcher.Reply
 	// Latency is the time from the choice of the searcher to the outcome. It is zero if
 	// the request was never handed to a connection.
@@ -152,7 +153,7 @@
 		return Broken
 	case reply.Metadata.NotExecuted:
 		return Refused
-	case reply.Metadata.ContentEncoded || reply.Metadata.Signature == "":
+	case !reply.Usable():
 		return Broken
 	case reply.Status/100 == 2:
 		return Answered
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -13,6 +13,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/retry"
 	"github.com/wisteriawharf/wisteriawharf/routing"
@@ -58,6 +59,8 @@
 	// Position returns the place of this instance in the order of those instances, from 0 to
 	// below 1. It is 0 if Position is nil.
 	Position func() float64
+	// Memory is the budget of the process for the replies that it holds. It may be nil.
+	Memory   *memory.Budget
 	Log      *slog.Logger
 	Registry prometheus.Registerer
 }
@@ -67,6 +70,8 @@
 type Dispatcher struct {
 	config  Config
 	metrics *metrics
+	// failureLog limits the log lines about replies that failed.
+	failureLog logLimit
 
 	mu sync.Mutex
 	// configVersion is the version of the configuration in force, zero if there is none.
@@ -84,7 +89,7 @@
 	}
 	return &Dispatcher{
 		config:     config,
-		metrics:    newMetrics(config.Registry),
+		metrics:    newMetrics(config.Registry, config.Memory),
 		services:   make(map[string]*service),
 		searchers:  make(map[string]*target),
 		outDomains: make(map[string]bool),
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -20,7 +20,7 @@
 func (d *Dispatcher) dial(a *Attempt, t *target) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := searcher.Dial(ctx, a.address, func(c *connection) { d.connectionEnded(t, c) })
+	conn, err := searcher.Dial(ctx, a.address, d.replyLimits(t), func(c *connection) { d.connectionEnded(t, c) })
 	d.metrics.dialed(err)
 	if err != nil {
 		d.dialFailed(a, t)
@@ -108,15 +108,20 @@
 		}
 	}
 	d.mu.Unlock()
+	if e.Outcome != Answered && e.Outcome != Failed {
+		reply.Release() // its body is not used
+	}
 	d.end(a, e, conn)
 }
 
 // end ends the attempt and releases its connection, if it has one. It calls OnEnd unless
-// the attempt was cancelled or abandoned. It does nothing if the attempt has ended.
+// the attempt was cancelled or abandoned; then it releases the reply. It does nothing else if the
+// attempt has ended.
 func (d *Dispatcher) end(a *Attempt, e Event, conn *connection) {
 	d.mu.Lock()
 	if a.finished {
 		d.mu.Unlock()
+		e.Reply.Release()
 		return
 	}
 	a.finished = true
@@ -140,9 +145,11 @@
 	d.mu.Unlock()
 	d.metrics.ended(e.Outcome)
 	runAll(tasks)
-	if !detached {
-		a.OnEnd(e)
+	if detached {
+		e.Reply.Release()
+		return
 	}
+	a.OnEnd(e)
 }
 
 // release returns a connection to the idle ones if it can still be used, and closes it
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -3,6 +3,9 @@
 import (
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/wisteriawharf/wisteriawharf/memory"
+	"github.com/wisteriawharf/wisteriawharf/searcher"
 )
 
 type metrics struct {
@@ -10,9 +13,13 @@
 	dials    *prometheus.CounterVec
 	// toLimited counts the attempts sent to searchers that advertise a rate limit.
 	toLimited *prometheus.CounterVec
+	// failedReplies and failedReplyBytes count replies that failed, and what was read of them.
+	failedReplies    *prometheus.CounterVec
+	failedReplyBytes *prometheus.CounterVec
 }
 
-func newMetrics(r prometheus.Registerer) *metrics {
+// newMetrics registers the metrics. budget may be nil.
+func newMetrics(r prometheus.Registerer, budget *memory.Budget) *metrics {
 	m := &metrics{
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "wharf_attempts_total",
@@ -26,11 +33,33 @@
 			Name: "wharf_rate_limited_searcher_attempts_total",
 			Help: "Attempts sent to searchers that advertise a rate limit, by kind.",
 		}, []string{"kind"}),
+		failedReplies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wharf_failed_replies_total",
+			Help: "Replies of searchers that failed after their first byte, by reason.",
+		}, []string{"reason"}),
+		failedReplyBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wharf_failed_reply_bytes_total",
+			Help: "Bytes that were read of replies that failed, by reason.",
+		}, []string{"reason"}),
+	}
+	r.MustRegister(m.outcomes, m.dials, m.toLimited, m.failedReplies, m.failedReplyBytes)
+	if budget != nil {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "wharf_held_bytes",
+			Help: "Bytes of requests and replies that the instance holds.",
+		}, func() float64 { return float64(budget.Used()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "wharf_held_bytes_limit",
+			Help: "Most bytes of requests and replies that the instance holds.",
+		}, func() float64 { return float64(budget.Limit()) }))
 	}
-	r.MustRegister(m.outcomes, m.dials, m.toLimited)
 	return m
 }
 
+func (m *metrics) replyFailed(e *searcher.ReplyError) {
+	m.failedReplies.WithLabelValues(e.Cause.String()).Inc()
+	m.failedReplyBytes.WithLabelValues(e.Cause.String()).Add(float64(e.Read))
+}
+
 func (m *metrics) ended(o Outcome) { m.outcomes.WithLabelValues(o.String()).Inc() }
 
 func (m *metrics) notStarted(err error) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -31,6 +31,8 @@
 	deadline time.Duration
 	// events receives the ends of the attempts of all parts.
 	events chan dispatch.Event
+	// replies holds the replies of the attempts.
+	replies heldReplies
 	// attemptLatency is the distribution of the latencies of the route's attempts.
 	attemptLatency *latencyHistogram
 	// rank orders the requests that wait for a searcher, the lowest first. It is zero if
@@ -205,7 +207,10 @@
 		Earlier:       p.earlier,
 		Kind:          kind,
 		Tag:           p.index,
-		OnEnd:         func(e dispatch.Event) { c.events <- e },
+		OnEnd: func(e dispatch.Event) {
+			c.replies.add(e.Reply)
+			c.events <- e
+		},
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,7 @@
 		g.refuse(w, r, refusal)
 		return
 	}
+	defer c.replies.end()
 	var a answer
 	if len(c.route.Shards) > 0 {
 		a = c.serveSharded()
--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -6,7 +6,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,12 +15,16 @@
 
 	"github.com/juju/errors"
 
+	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
 const (
 	// maxBodyBytes is the largest accepted body of a reply.
 	maxBodyBytes = 8 << 20
+	// maxUnusedBodyBytes is the largest body that is read of a reply whose body is not used, so
+	// that its connection can be kept.
+	maxUnusedBodyBytes = 4 << 10
 	// maxSkippedReplies is how many replies to other requests are skipped while waiting
 	// for the expected one.
 	maxSkippedReplies = 4
@@ -47,6 +50,8 @@
 	errUnsolicited  = errors.ConstError("searcher sent bytes that no request asked for")
 	errTooLarge     = errors.ConstError("reply is too large")
 	errWrongRequest = errors.ConstError("reply belongs to another request")
+	errUnusable     = errors.ConstError("reply has no signature or is encoded")
+	errInterim      = errors.ConstError("searcher sent an interim reply")
 )
 
 // Reply is a complete reply of a searcher.
@@ -56,6 +61,16 @@
 	Body   []byte
 	// Metadata holds what the status and the platform's headers say about the reply.
 	Metadata platform.ReplyMetadata
+	// memory counts the reply against the budget of the process.
+	memory *memory.Holder
+}
+
+// Release gives the memory of the reply back to the budget of the process. It is to be called
+// when the reply is no longer needed, and can be called again.
+func (r *Reply) Release() {
+	if r != nil {
+		r.memory.Release()
+	}
 }
 
 // Exchange is a request and the callback for its reply.
@@ -69,7 +84,7 @@
 	// call of Send, because another goroutine may still be writing them.
 	RawRequest []byte
 	// Done is called when the exchange has ended, with either a reply or an error; the
-	// other one is nil. It is called once, except that it can be called twice, with the error
+	// other one is nil. It must see to it that the reply is released. It is called once, except that it can be called twice, with the error
 	// and with the reply, if Close or a failed write closes the connection while the reply
 	// is being read. It is called from a goroutine of the connection, or from within Send or
 	// Close. It must not block.
@@ -85,6 +100,7 @@
 	bounded *boundedReader
 	// onClose is called once, when the connection is closed.
 	onClose func(*Conn)
+	limits  Limits
 
 	mu sync.Mutex
 	// pending is the exchange in progress, nil if there is none. written says that its
@@ -97,23 +113,32 @@
 	reusableUntil time.Time
 }
 
-// Dial connects to a searcher at address, an IP address with a port. See NewConn for
+// Limits bounds and reports what a connection reads.
+type Limits struct {
+	// Memory is the budget of the process for the replies that it holds. It may be nil.
+	Memory *memory.Budget
+	// ReplyFailed is called when a reply has failed after its first byte, also if that is
+	// because the connection was closed here. It must not block, and may be nil.
+	ReplyFailed func(*ReplyError)
+}
+
+// Dial connects to a searcher at address, an IP address with a port. See NewConn for limits and
 // onClose.
-func Dial(ctx context.Context, address string, onClose func(*Conn)) (*Conn, error) {
+func Dial(ctx context.Context, address string, limits Limits, onClose func(*Conn)) (*Conn, error) {
 	var d net.Dialer
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return NewConn(raw, onClose), nil
+	return NewConn(raw, limits, onClose), nil
 }
 
 // NewConn returns a connection over raw and starts reading from it. onClose is called once,
 // when the connection is closed by either side. If that ends an exchange, onClose is called
 // before the Done of the exchange.
-func NewConn(raw net.Conn, onClose func(*Conn)) *Conn {
+func NewConn(raw net.Conn, limits Limits, onClose func(*Conn)) *Conn {
 	bounded := &boundedReader{reader: raw}
-	c := &Conn{raw: raw, reader: bufio.NewReaderSize(bounded, readBufferBytes), bounded: bounded, onClose: onClose, reusableUntil: time.Now().Add(maxIdle)}
+	c := &Conn{raw: raw, reader: bufio.NewReaderSize(bounded, readBufferBytes), bounded: bounded, limits: limits, onClose: onClose, reusableUntil: time.Now().Add(maxIdle)}
 	go c.read()
 	return c
 }
@@ -229,26 +254,31 @@
 func (c *Conn) read() {
 	skipped := 0
 	for {
-		c.bounded.left = maxHeadBytes
+		holder := memory.NewHolder(c.limits.Memory)
+		c.bounded.startHead(holder)
 		if _, err := c.reader.Peek(1); err != nil {
+			holder.Release()
 			c.fail(errors.Annotate(err, "wait for a reply"))
 			return
 		}
 		e := c.current()
 		if e == nil {
+			holder.Release()
 			c.fail(errUnsolicited)
 			return
 		}
-		reply, mustClose, err := c.readReply(e)
+		reply, mustClose, err := c.readReply(e, holder)
 		if err == nil && reply.Metadata.RequestID != "" && reply.Metadata.RequestID != e.RequestID {
 			skipped++
 			err = errWrongRequest
 			if skipped <= maxSkippedReplies && !mustClose {
+				reply.Release()
 				continue
 			}
 		}
 		if err != nil {
-			c.fail(err)
+			holder.Release()
+			c.fail(c.replyFailed(err))
 			return
 		}
 		unidentified := reply.Metadata.RequestID == "" && e.RequestID != ""
@@ -260,6 +290,20 @@
 	}
 }
 
+// replyFailed reports a reply that failed with err, and returns the error for its exchange.
+func (c *Conn) replyFailed(err error) error {
+	c.mu.Lock()
+	if errors.Is(c.err, ErrClosedLocally) {
+		err = ErrClosedLocally
+	}
+	c.mu.Unlock()
+	failed := &ReplyError{Cause: failureOf(err, c.bounded.ended), Read: c.bounded.read, err: err}
+	if c.limits.ReplyFailed != nil {
+		c.limits.ReplyFailed(failed)
+	}
+	return failed
+}
+
 // finish ends the exchange and reports whether the connection can be used again. If mustClose
 // is true or the request is not fully written yet, it closes the connection. It does not call
 // Done.
@@ -281,33 +325,56 @@
 	return true
 }
 
-// readReply reads one whole reply. It also reports whether the connection must be closed
-// after it, which is always true on an error.
-func (c *Conn) readReply(e *Exchange) (*Reply, bool, error) {
+// readReply reads one whole reply, whose memory holder counts. It also reports whether the
+// connection must be closed after it, which is always true on an error. A reply that can't be an
+// answer fails when its head is read. Of a refusal only the head is needed: a body that is long,
+// or breaks off, is dropped with the connection.
+func (c *Conn) readReply(e *Exchange, holder *memory.Holder) (*Reply, bool, error) {
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: e.Method})
 	if err != nil {
 		return nil, true, errors.Annotate(err, "read the head of the reply")
 	}
-	defer func() { _ = response.Body.Close() }()
-	c.bounded.left = maxEncodedBodyBytes
+	c.bounded.startBody()
 	if response.StatusCode < http.StatusOK {
-		return nil, true, errors.Errorf("unexpected interim status %d", response.StatusCode)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes+1))
-	if err != nil {
-		return nil, true, errors.Annotate(err, "read the body of the reply")
-	}
-	if len(body) > maxBodyBytes {
-		return nil, true, errTooLarge
+		return nil, true, errors.Annotatef(errInterim, "status %d", response.StatusCode)
 	}
 	reply := &Reply{
 		Status:   response.StatusCode,
 		Header:   response.Header,
-		Body:     body,
 		Metadata: platform.ReadReplyMetadata(response.StatusCode, response.Header),
+		memory:   holder,
+	}
+	length, limit := response.ContentLength, int64(maxBodyBytes)
+	if response.Body == http.NoBody {
+		length = 0
 	}
+	if !reply.Usable() {
+		limit = maxUnusedBodyBytes
+		if length < 0 && !reply.Metadata.NotExecuted {
+			return nil, true, errUnusable
+		}
+	}
+	// The body is not closed: that would read on. A connection with an unread rest is closed.
+	reply.Body, err = memory.ReadAll(response.Body, length, limit, holder)
 	c.setIdleTimeout(keepAliveTimeout(response.Header.Get("Keep-Alive")))
-	return reply, response.Close, nil
+	switch {
+	case err == nil:
+		return reply, response.Close, nil
+	case reply.Metadata.NotExecuted:
+		reply.Body = nil
+		return reply, true, nil
+	case !reply.Usable() && errors.Is(err, memory.ErrTooLarge):
+		return nil, true, errUnusable
+	case errors.Is(err, memory.ErrTooLarge):
+		return nil, true, errTooLarge
+	}
+	return nil, true, errors.Annotate(err, "read the body of the reply")
+}
+
+// Usable reports whether the reply can be an answer: it is signed and its body is as the searcher
+// wrote it, and it is not a refusal.
+func (r *Reply) Usable() bool {
+	return !r.Metadata.NotExecuted && !r.Metadata.ContentEncoded && r.Metadata.Signature != ""
 }
 
 // setIdleTimeout sets for how long from now the connection may stay idle and be used again.
--- a/searcher/conn_test.go
+++ b/searcher/conn_test.go
@@ -21,7 +21,7 @@
 	t.Helper()
 	callerEnd, searcherEnd := net.Pipe()
 	closed := make(chan struct{})
-	c := NewConn(callerEnd, func(*Conn) { close(closed) })
+	c := NewConn(callerEnd, Limits{}, func(*Conn) { close(closed) })
 	t.Cleanup(func() { c.Close(); _ = searcherEnd.Close() })
 	return c, searcherEnd, closed
 }
@@ -63,12 +63,12 @@
 		body      string // empty for an error
 	}{
 		{"whole", okReply("a", "text"), false, "text"},
-		{"chunked", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n", false, "text"},
-		{"until the end of the connection", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\ntext", true, "text"},
+		{"chunked", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n", false, "text"},
+		{"until the end of the connection", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Seal: s\r\n\r\ntext", true, "text"},
 		{"of another request", okReply("b", "text"), true, ""},
 		{"of another request first", okReply("b", "strange") + okReply("a", "text"), false, "text"},
-		{"cut off", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 9\r\n\r\ntext", true, ""},
-		{"cut off in a chunk", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ntext", true, ""},
+		{"cut off", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\ntext", true, ""},
+		{"cut off in a chunk", "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ntext", true, ""},
 		{"not HTTP", "garbage\r\n\r\n", true, ""},
 		{"interim", "HTTP/1.1 100 Continue\r\n\r\n", true, ""},
 		{"nothing", "", true, ""},
