Leave out searchers that reply without end

Callers got 502 and faulty searchers were read again and again while sound ones had room: a reply without end counted like one that broke off, so its searcher was chosen again as soon as the load rose.

One that sends other bytes that are no answer is blocked when that repeats, since a damaged reply may be the fault of the path. Replies that are cut off count as before. A refusal by the memory budget alone is no proof against a searcher with usual answers.

What still fails in the first moments is bounded by the route's attempts and by the retry budget.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -64,7 +64,8 @@
 	// opposed to a report of another instance.
 	lastReply time.Duration
 	// blockedUntil is when the current or last block ends, blockDuration how long it
-	// lasts. Both are zero unless the searcher could not be reached since its last reply.
+	// lasts. Both are zero unless the searcher could not be reached, or gave no answers, since
+	// its last reply.
 	blockedUntil  time.Duration
 	blockDuration time.Duration
 }
@@ -98,11 +99,20 @@
 	}
 }
 
-// ObserveBrokenExchange records that an exchange broke off without a reply.
-func (s *Stats) ObserveBrokenExchange(now time.Duration) { s.updateFailureRate(now, true) }
+// ObserveBadReply records that a request got no answer. A searcher that replies without end is
+// blocked at once, since each such reply takes memory and bandwidth. One that replies with other
+// bytes that are no answer is blocked when that happens repeatedly, since a damaged reply does not
+// tell whether the searcher or the path to it is at fault.
+func (s *Stats) ObserveBadReply(now time.Duration, kind BadReply) {
+	if kind == Endless || (kind == NoAnswer && !s.Healthy(now)) {
+		s.MarkUnreachable(now)
+		return
+	}
+	s.updateFailureRate(now, true)
+}
 
-// MarkUnreachable records that the searcher can't be reached or no longer replies, and
-// blocks it unless it is blocked already.
+// MarkUnreachable records that the searcher can't be reached, no longer replies or gives no
+// answers, and blocks it unless it is blocked already.
 func (s *Stats) MarkUnreachable(now time.Duration) {
 	s.updateFailureRate(now, true)
 	if now < s.blockedUntil {
--- a/balance/report_test.go
+++ b/balance/report_test.go
@@ -83,7 +83,7 @@
 					count++
 				}
 				if failing && random.Float64() < 0.4 {
-					stats[i][chosen].ObserveBrokenExchange(now)
+					stats[i][chosen].ObserveBadReply(now, CutOff)
 					observations[i][chosen].AddFailure(now)
 					continue
 				}
--- a/cmd/wharf-gateway/endless_test.go
+++ b/cmd/wharf-gateway/endless_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,9 +38,9 @@
 	{"garbage", "", strings.Repeat("\x00", 1<<16)},
 }
 
-// serveEndlessly replies without end on each connection to a new searcher, in all kinds in turn,
-// and returns the searcher's address.
-func serveEndlessly(t *testing.T) string {
+// serveEndlessly replies without end on each connection to a new searcher, in all kinds in turn. It
+// returns the searcher's address, and adds the bytes that it has sent to sent.
+func serveEndlessly(t *testing.T, sent *atomic.Int64) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -58,7 +59,9 @@
 				}
 				_, err := io.WriteString(conn, reply.start)
 				for err == nil {
-					_, err = io.WriteString(conn, reply.rest)
+					var n int
+					n, err = io.WriteString(conn, reply.rest)
+					sent.Add(int64(n))
 				}
 			}()
 		}
@@ -66,6 +69,9 @@
 	return listener.Addr().String()
 }
 
+// processIP is the IP address of the process that startProcess starts.
+const processIP = "127.79.0.1"
+
 // startProcess builds the gateway without the race detector, which multiplies its memory, starts
 // it with a memory limit, and returns its caller address, its process and a channel with its end.
 func startProcess(t *testing.T, store string, memoryMB int) (string, *os.Process, chan error) {
@@ -74,12 +80,11 @@
 	binary := filepath.Join(dir, "wharf-gateway")
 	text, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", text))
-	const ip = "127.79.0.1"
-	ports, err := site.FreePorts(ip, 4)
+	ports, err := site.FreePorts(processIP, 4)
 	qt.Assert(t, err, qt.IsNil)
-	at := func(i int) string { return net.JoinHostPort(ip, strconv.Itoa(ports[i])) }
+	at := func(i int) string { return net.JoinHostPort(processIP, strconv.Itoa(ports[i])) }
 	node := site.Node{
-		Name: "gateway", IP: ip, Domain: "a", Callers: at(0), Ready: at(1), Directory: at(2), Exchange: at(3),
+		Name: "gateway", IP: processIP, Domain: "a", Callers: at(0), Ready: at(1), Directory: at(2), Exchange: at(3),
 		InternalPort: firstInternalPort, Store: store,
 	}
 	file := filepath.Join(dir, "settings.yaml")
@@ -110,23 +115,28 @@
 	return 0
 }
 
-// TestEndlessRepliesTogether guards against replies without end from many searchers at once, which
-// together exceed the memory of a process although each of them is bounded.
-func TestEndlessRepliesTogether(t *testing.T) {
-	const memoryMB, callers, waves, halves = 284, 200, 5, 6
+// endlessHalf is a gateway process with sound searchers and as many that reply without end.
+type endlessHalf struct {
+	caller  string
+	process *os.Process
+	ended   chan error
+	// sent is the number of bytes that the faulty searchers have sent.
+	sent   atomic.Int64
+	client *http.Client
+}
+
+// memoryMB is the memory limit of the process, in MB.
+const memoryMB = 284
+
+// startEndlessHalf starts the process and its searchers, and waits until it serves with its whole
+// part of the budgets.
+func startEndlessHalf(t *testing.T) *endlessHalf {
+	t.Helper()
 	d := newDeployment(t)
 	store := httptest.NewServer(d.store)
 	t.Cleanup(func() { store.CloseClientConnections(); store.Close() })
-	caller, process, ended := startProcess(t, strings.TrimPrefix(store.URL, "http://"), memoryMB)
-	for i := range halves {
-		sound, err := site.StartSearcher(fmt.Sprintf("sound-%d", i), "one", "a", 5*time.Millisecond, 200, &site.Ledger{})
-		qt.Assert(t, err, qt.IsNil)
-		t.Cleanup(sound.Stop)
-		d.store.Put("servers", sound.ID, sound.Entry("ready"))
-		entry := sound.Entry("ready")
-		entry["address"] = serveEndlessly(t)
-		d.store.Put("servers", fmt.Sprintf("endless-%d", i), entry)
-	}
+	h := &endlessHalf{client: &http.Client{Timeout: 10 * time.Second}}
+	h.caller, h.process, h.ended = startProcess(t, strings.TrimPrefix(store.URL, "http://"), memoryMB)
 	d.store.Put("config", "main", map[string]any{
 		"version": 1,
 		"routes": []any{map[string]any{
@@ -136,43 +146,109 @@
 		"services": []any{map[string]any{"name": "one", "health_path": "/health", "max_connections": 2000}},
 		"limits":   map[string]any{"max_header_bytes": 8192, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
-	client := &http.Client{Timeout: 10 * time.Second}
-	status := func(path string) int {
-		request, err := http.NewRequest(http.MethodGet, "http://"+caller+path, nil)
-		qt.Check(t, err, qt.IsNil)
-		request.Host = host
-		response, err := client.Do(request)
-		if err != nil {
-			return 0
-		}
-		defer func() { _ = response.Body.Close() }()
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return 0
-		}
-		return response.StatusCode
+	for i := range 6 {
+		sound, err := site.StartSearcher(fmt.Sprintf("sound-%d", i), "one", "a", 5*time.Millisecond, 200, &site.Ledger{})
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(sound.Stop)
+		d.store.Put("servers", sound.ID, sound.Entry("ready"))
+		entry := sound.Entry("ready")
+		entry["address"] = serveEndlessly(t, &h.sent)
+		d.store.Put("servers", fmt.Sprintf("endless-%d", i), entry)
 	}
-	eventually(t, "the gateway does not serve", func() bool { return status("/warm") == http.StatusOK })
-	for wave := range waves {
-		var mu sync.Mutex
-		byStatus := make(map[int]int)
-		var done sync.WaitGroup
-		for i := range callers {
-			done.Go(func() {
-				s := status(fmt.Sprintf("/%d-%d", wave, i))
-				mu.Lock()
-				defer mu.Unlock()
-				byStatus[s]++
-			})
-		}
-		done.Wait()
-		t.Logf("wave %d: %v, peak %d MB", wave, byStatus, peakBytes(t, process.Pid)/1e6)
-		qt.Check(t, byStatus[0], qt.Equals, 0, qt.Commentf("callers without an answer in wave %d", wave))
+	eventually(t, "the gateway does not serve", func() bool { return h.status("/warm") == http.StatusOK })
+	time.Sleep(startupPeriod + 2*periodicInterval)
+	return h
+}
+
+// status sends a request and returns the status of the answer, zero if there is no whole answer.
+func (h *endlessHalf) status(path string) int {
+	request, err := http.NewRequest(http.MethodGet, "http://"+h.caller+path, nil)
+	if err != nil {
+		return 0
+	}
+	request.Host = host
+	response, err := h.client.Do(request)
+	if err != nil {
+		return 0
 	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// together sends a number of requests at once and returns the number of answers by status.
+func (h *endlessHalf) together(callers int, path string) map[int]int {
+	var mu sync.Mutex
+	byStatus := make(map[int]int)
+	var done sync.WaitGroup
+	for range callers {
+		done.Go(func() {
+			s := h.status(path)
+			mu.Lock()
+			defer mu.Unlock()
+			byStatus[s]++
+		})
+	}
+	done.Wait()
+	return byStatus
+}
+
+// assertWithinMemory fails the test if the process has ended, has exceeded its memory limit, or
+// still counts bytes of replies.
+func (h *endlessHalf) assertWithinMemory(t *testing.T) {
+	t.Helper()
 	select {
-	case err := <-ended:
+	case err := <-h.ended:
 		t.Fatalf("the process has ended: %v", err)
 	default:
 	}
-	peak := peakBytes(t, process.Pid)
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", processIP, firstInternalPort+metricsPortOffset))
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if strings.HasPrefix(line, "wharf_failed_repl") || strings.HasPrefix(line, "wharf_held_bytes") {
+			t.Log(line)
+		}
+	}
+	qt.Check(t, strings.Contains(string(text), "\nwharf_held_bytes 0\n"), qt.IsTrue)
+	peak := peakBytes(t, h.process.Pid)
+	t.Logf("peak %d MB, faulty searchers sent %d MB", peak/1e6, h.sent.Load()/1e6)
 	qt.Assert(t, peak < memoryMB*1e6, qt.IsTrue, qt.Commentf("peak of %d MB", peak/1e6))
 }
+
+// TestEndlessRepliesTogether guards against replies without end from many searchers at once, which
+// together exceed the memory of a process although each of them is bounded.
+func TestEndlessRepliesTogether(t *testing.T) {
+	const callers, waves = 200, 5
+	h := startEndlessHalf(t)
+	for wave := range waves {
+		byStatus := h.together(callers, fmt.Sprintf("/%d", wave))
+		t.Logf("wave %d: %v", wave, byStatus)
+		qt.Check(t, byStatus[0], qt.Equals, 0, qt.Commentf("callers without an answer in wave %d", wave))
+		qt.Check(t, byStatus[http.StatusOK] >= callers/2, qt.IsTrue, qt.Commentf("the sound half answered %d in wave %d", byStatus[http.StatusOK], wave))
+	}
+	h.assertWithinMemory(t)
+}
+
+// TestEndlessSearchersAreLeftOut guards against searchers that reply without end and are chosen
+// again and again, while sound ones could answer.
+func TestEndlessSearchersAreLeftOut(t *testing.T) {
+	// A request fails if its three attempts all reach searchers that are not known as faulty yet.
+	const callers, rounds, mostFailed = 100, 40, 0.01
+	h := startEndlessHalf(t)
+	answers := make(map[int]int)
+	for range rounds {
+		for status, n := range h.together(callers, "/") {
+			answers[status] += n
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	failed := callers*rounds - answers[http.StatusOK]
+	t.Logf("answers by status: %v", answers)
+	qt.Check(t, float64(failed) <= mostFailed*callers*rounds, qt.IsTrue, qt.Commentf("%v", answers))
+	h.assertWithinMemory(t)
+}
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -4,6 +4,9 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/balance"
 	"github.com/wisteriawharf/wisteriawharf/searcher"
 )
 
@@ -46,3 +49,23 @@
 		d.config.Log.Warn("reply failed", "searcher", id, "service", service, "reason", e.Cause.String(), "read_bytes", e.Read, "error", e.Error(), "not_logged", suppressed)
 	}
 }
+
+// observeBroken updates the statistics of a searcher for an exchange that broke off with err, or
+// for a short reply that can't be trusted if err is nil.
+func (t *target) observeBroken(now time.Duration, err error) {
+	t.stats.ObserveBadReply(now, t.service.badReply(err))
+}
+
+// badReply returns what an exchange without an answer says about its searcher.
+func (s *service) badReply(err error) balance.BadReply {
+	e, ok := errors.AsType[*searcher.ReplyError](err)
+	switch {
+	case !ok || e.Cause == searcher.BrokeOff:
+		return balance.CutOff
+	case e.Cause == searcher.TooLarge, e.Cause == searcher.NoMemory && s.replySizes.Exceeded(e.Read):
+		return balance.Endless
+	case e.Cause == searcher.NoMemory:
+		return balance.CutOff
+	}
+	return balance.NoAnswer
+}
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -92,6 +92,7 @@
 	}
 	switch e.Outcome {
 	case Answered:
+		t.service.replySizes.Observe(int64(len(reply.Body)))
 		t.stats.ObserveReply(now, now-a.chosenAt, true)
 		t.limit.ObserveLatency(now, now-a.chosenAt, a.LatencyTarget, a.outstanding)
 		a.service.latency.Add(now, now-a.chosenAt)
@@ -103,7 +104,7 @@
 		t.addressReused = t.addressReused || reply.Metadata.Misdirected
 	case Broken:
 		if !errors.Is(err, searcher.ErrClosedLocally) {
-			t.stats.ObserveBrokenExchange(now)
+			t.observeBroken(now, err)
 			t.observations.AddFailure(now)
 		}
 	}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -20,6 +20,8 @@
 	targets  []*target
 	budget   retry.Budget
 	latency  hedge.Histogram
+	// replySizes holds the usual size of its answers.
+	replySizes balance.ReplySizes
 	// averageUnanswered is the moving average of the number of unanswered requests. A
 	// value is added at each first attempt.
 	averageUnanswered balance.MovingAverage
