--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -34,3 +34,19 @@
 	b.Release(50)
 	qt.Assert(t, b.Used(), qt.Equals, int64(0))
 }
+
+// TestGreedyHoldersInTurnLeaveRoomForSmallOnes guards against large holders that come one after the
+// other, each of which takes half of what is left.
+func TestGreedyHoldersInTurnLeaveRoomForSmallOnes(t *testing.T) {
+	const limit, holders = 1 << 24, 1<<smallShift/reserveParts - 2
+	b := NewBudget(limit)
+	for range holders {
+		held := int64(0)
+		for step := int64(limit); step > 0; step /= 2 {
+			if b.Grow(held, step) {
+				held += step
+			}
+		}
+	}
+	qt.Assert(t, b.Grow(0, limit>>smallShift), qt.IsTrue, qt.Commentf("%d of %d bytes are in use", b.Used(), limit))
+}
--- a/memory/read.go
+++ b/memory/read.go
@@ -45,14 +45,17 @@
 		}
 		n, err := r.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
+		if errors.Is(err, io.EOF) && length >= 0 && int64(len(buffer)) < length {
+			return buffer, io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
-			return buffer, nil
+			break
 		}
 		if err != nil {
 			return buffer, err
 		}
 	}
-	if length < 0 {
+	if int64(len(buffer)) > limit {
 		return buffer, ErrTooLarge
 	}
 	return buffer, nil
