--- a/cmd/wharf-gateway/heads_endless_test.go
+++ b/cmd/wharf-gateway/heads_endless_test.go
@@ -18,18 +18,18 @@
 // TestHeadsWithoutEndTogether guards against callers, or other instances, whose heads have no end,
 // and that together exceed the memory of a process although each head is bounded.
 func TestHeadsWithoutEndTogether(t *testing.T) {
-	t.Run("callers", func(t *testing.T) { sendHeads(t, "127.79.1.2", func(p *limitedProcess) string { return p.caller }) })
-	t.Run("instances", func(t *testing.T) { sendHeads(t, "127.79.1.3", func(p *limitedProcess) string { return p.exchange }) })
+	t.Run("callers", func(t *testing.T) { sendHeads(t, func(p *limitedProcess) string { return p.caller }) })
+	t.Run("instances", func(t *testing.T) { sendHeads(t, func(p *limitedProcess) string { return p.exchange }) })
 }
 
 // sendHeads starts a process and sends long heads to one of its addresses at once.
-func sendHeads(t *testing.T, ip string, address func(*limitedProcess) string) {
+func sendHeads(t *testing.T, address func(*limitedProcess) string) {
 	t.Helper()
 	const heads, smallRequests = 2000, 20
 	d := newDeployment(t)
 	store := httptest.NewServer(d.store)
 	t.Cleanup(func() { store.CloseClientConnections(); store.Close() })
-	p := startLimitedProcess(t, ip, strings.TrimPrefix(store.URL, "http://"))
+	p := startLimitedProcess(t, strings.TrimPrefix(store.URL, "http://"))
 	d.startSearchers(&site.Ledger{}, time.Millisecond)
 	d.configure(1, "/r/")
 	eventually(t, "the gateway does not serve", func() bool { return p.serve() == http.StatusOK })
--- a/cmd/wharf-gateway/limitedconn.go
+++ b/cmd/wharf-gateway/limitedconn.go
@@ -60,7 +60,7 @@
 	writeTimeout time.Duration
 
 	mu     sync.Mutex
-	held   *memory.Holding
+	held   *memory.Holder
 	inHead bool
 }
 
@@ -87,7 +87,7 @@
 	defer c.mu.Unlock()
 	c.inHead = state == http.StateNew || state == http.StateIdle
 	if state != http.StateActive {
-		c.held.Release()
+		c.held.Reset()
 	}
 }
 
@@ -109,7 +109,7 @@
 	if !c.inHead {
 		return true
 	}
-	return c.held.Grow(int64(len(part)+headerLineBytes*bytes.Count(part, []byte{'\n'}))) == nil
+	return c.held.Grow(int64(len(part) + headerLineBytes*bytes.Count(part, []byte{'\n'})))
 }
 
 // Write implements net.Conn. It fails if the caller takes too long for one of the pieces, so that
--- a/cmd/wharf-gateway/limitedconn_test.go
+++ b/cmd/wharf-gateway/limitedconn_test.go
@@ -55,7 +55,7 @@
 	}
 	eventually(t, "bytes of answered requests stay taken", func() bool { return budget.Used() == 0 })
 	other := budget.Hold()
-	qt.Assert(t, other.Grow(30<<10), qt.IsNil)
+	qt.Assert(t, other.Grow(30<<10), qt.IsTrue)
 	filled := int64(0)
 	for budget.Grow(0, 1<<10) {
 		filled++
--- a/cmd/wharf-gateway/peers_endless_test.go
+++ b/cmd/wharf-gateway/peers_endless_test.go
@@ -29,6 +29,7 @@
 	caller     string
 	exchange   string
 	heartbeats string
+	metrics    string
 	pid        int
 	ended      chan error
 }
@@ -38,8 +39,9 @@
 
 // startLimitedProcess builds the gateway without the race detector, which multiplies its memory,
 // and starts it.
-func startLimitedProcess(t *testing.T, ip, store string) *limitedProcess {
+func startLimitedProcess(t *testing.T, store string) *limitedProcess {
 	t.Helper()
+	ip := instanceIP(lastInstanceNumber.Add(1))
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "wharf-gateway")
 	text, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
@@ -57,7 +59,7 @@
 	command := exec.Command(binary)
 	command.Env = append(os.Environ(), "WISTERIAWHARF_NODE_FILE="+file)
 	qt.Assert(t, command.Start(), qt.IsNil)
-	p := &limitedProcess{caller: at(ports[0]), exchange: at(ports[3]), heartbeats: at(firstInternalPort + heartbeatPortOffset), pid: command.Process.Pid, ended: make(chan error, 1)}
+	p := &limitedProcess{caller: at(ports[0]), exchange: at(ports[3]), heartbeats: at(firstInternalPort + heartbeatPortOffset), metrics: at(firstInternalPort + metricsPortOffset), pid: command.Process.Pid, ended: make(chan error, 1)}
 	go func() { p.ended <- command.Wait() }()
 	t.Cleanup(func() { _ = command.Process.Kill() })
 	return p
@@ -188,7 +190,7 @@
 	t.Cleanup(func() { peer.CloseClientConnections(); peer.Close() })
 	peerAddress := strings.TrimPrefix(peer.URL, "http://")
 
-	p := startLimitedProcess(t, "127.79.1.1", strings.TrimPrefix(store.URL, "http://"))
+	p := startLimitedProcess(t, strings.TrimPrefix(store.URL, "http://"))
 	d.startSearchers(&site.Ledger{}, time.Millisecond)
 	d.store.Put(platform.KindInstances, "peer", platform.EncodeInstance(fleet.Instance{
 		FailureDomain: "a", CallerAddress: "127.0.0.1:1", ReadyAddress: "127.0.0.1:1", InternalAddress: peerAddress, StartUnixMs: 1,
--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -95,7 +95,11 @@
 // setState records the new state of a connection. It is the ConnState hook of the server.
 func (v *servers) setState(c net.Conn, state http.ConnState) {
 	v.connections.setState(c, state)
-	if caller, ok := c.(*callerConn); ok && state == http.StateIdle {
+	caller, ok := c.(*callerConn)
+	switch {
+	case ok && state == http.StateActive:
+		caller.becameBusy() // with a request that was read together with the one before
+	case ok && state == http.StateIdle:
 		caller.becameIdle()
 	}
 }
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -25,12 +25,8 @@
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
-const (
-	// periodicInterval is the time between two runs of the periodic tasks.
-	periodicInterval = 250 * time.Millisecond
-	// memoryBudgetBytes bounds the bytes that the process holds for its peers all together.
-	memoryBudgetBytes = 64 << 20
-)
+// periodicInterval is the time between two runs of the periodic tasks.
+const periodicInterval = 250 * time.Millisecond
 
 // service is a gateway instance with all its components.
 type service struct {
@@ -70,7 +66,7 @@
 	s := &service{
 		settings: settings, log: log, clock: clock.System{}, registry: prometheus.NewRegistry(),
 		searchers: fleet.NewSearchers(),
-		memory:    memory.NewBudget(memoryBudgetBytes),
+		memory:    memory.ProcessBudget(settings.MemoryBytes),
 		self: fleet.Instance{
 			Name: settings.Name, FailureDomain: settings.FailureDomain, CallerAddress: settings.CallerAddress,
 			ReadyAddress: settings.ReadyAddress, InternalAddress: settings.ExchangeAddress, StartUnixMs: time.Now().UnixMilli(),
@@ -91,6 +87,7 @@
 		Instance: settings.Name, FailureDomain: settings.FailureDomain, RegionOf: settings.RegionOf, Bounds: settings.Bounds, Clock: s.clock,
 		InstanceCount: func() int { return int(s.budgetSharers.Load()) },
 		Position:      func() float64 { return math.Float64frombits(s.position.Load()) }, Log: log, Registry: s.registry,
+		Memory: s.memory,
 	})
 	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, Memory: s.memory})
 	s.createMirrors()
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -161,7 +161,7 @@
 func (x *Exchange) sendDelta(c echo.Context, d mirror.Delta) error {
 	held := x.config.Memory.Hold()
 	defer held.Release()
-	if held.Grow(encodedBytes(d)) != nil {
+	if !held.Grow(encodedBytes(d)) {
 		return echo.NewHTTPError(http.StatusServiceUnavailable, "memory is in use by other requests")
 	}
 	return c.JSON(http.StatusOK, d)
@@ -378,7 +378,7 @@
 // get requests a path from another instance and decodes the JSON body of the response into
 // reply, both of which take from held. It fails if the instance can't be reached, if the status
 // is not 200, if the body can't be decoded or held, or after the timeout.
-func (x *Exchange) get(ctx context.Context, address, path string, timeout time.Duration, reply any, held *memory.Holding) error {
+func (x *Exchange) get(ctx context.Context, address, path string, timeout time.Duration, reply any, held *memory.Holder) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
@@ -397,8 +397,8 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if err := held.Grow(platform.DecodedBytes(body)); err != nil {
-		return errors.Trace(err)
+	if !held.Grow(platform.DecodedBytes(body)) {
+		return errors.Trace(memory.ErrExhausted)
 	}
 	return errors.Trace(json.Unmarshal(body, reply))
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -30,12 +30,14 @@
 	head []byte
 	body []byte
 	// memory is what the body and its copies take from the budget of the process.
-	memory *memory.Holding
+	memory *memory.Holder
 	// arrived and deadline are times on the boot clock.
 	arrived  time.Duration
 	deadline time.Duration
 	// events receives the ends of the attempts of all parts.
 	events chan dispatch.Event
+	// replies holds the replies of the attempts.
+	replies heldReplies
 	// attemptLatency is the distribution of the latencies of the route's attempts.
 	attemptLatency *latencyHistogram
 	// rank orders the requests that wait for a searcher, the lowest first. It is zero if
@@ -161,7 +163,7 @@
 		return nil
 	}
 	copies := int64(max(len(c.route.Shards), 1))
-	if c.memory.Grow(copies*int64(len(c.head)+len(c.body))) != nil {
+	if !c.memory.Grow(copies * int64(len(c.head)+len(c.body))) {
 		return c.memoryRefusal()
 	}
 	return nil
@@ -261,7 +263,10 @@
 		Earlier:       p.earlier,
 		Kind:          kind,
 		Tag:           p.index,
-		OnEnd:         func(e dispatch.Event) { c.events <- e },
+		OnEnd: func(e dispatch.Event) {
+			c.replies.add(e.Reply)
+			c.events <- e
+		},
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,6 +96,7 @@
 	c.open = open
 	open.read(c.route.Name)
 	defer c.memory.Release()
+	defer c.replies.end()
 	var a answer
 	if len(c.route.Shards) > 0 {
 		a = c.serveSharded()
--- a/memory/holding_test.go
+++ b/memory/holding_test.go
@@ -32,7 +32,7 @@
 // TestReadAllIsWhole guards against bytes that are lost when the buffer grows, and against a result
 // that is larger than what is taken for it.
 func TestReadAllIsWhole(t *testing.T) {
-	for _, n := range []int{0, 1, minReadBytes - 1, minReadBytes, minReadBytes + 1, 3*minReadBytes + 7} {
+	for _, n := range []int{0, 1, firstBufferBytes - 1, firstBufferBytes, firstBufferBytes + 1, 3*firstBufferBytes + 7} {
 		want := []byte(strings.Repeat("0123456789", n)[:n])
 		b := NewBudget(1 << 20)
 		h := b.Hold()
--- a/searcher/early_reply_test.go
+++ b/searcher/early_reply_test.go
@@ -43,7 +43,7 @@
 // slow to read it after the searcher had closed before it read the whole request.
 func TestReplyAfterFailedWriteReadLate(t *testing.T) {
 	raw := &earlyConn{failed: make(chan struct{}), read: make(chan struct{}), text: strings.NewReader("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")}
-	c := NewConn(raw, func(*Conn) {})
+	c := NewConn(raw, Limits{}, func(*Conn) {})
 	type end struct {
 		reply *Reply
 		err   error
