--- a/cmd/wharf-gateway/heads_endless_test.go
+++ b/cmd/wharf-gateway/heads_endless_test.go
@@ -52,4 +52,5 @@
 		qt.Assert(t, p.serve(), qt.Equals, http.StatusOK)
 	}
 	p.checkMemory(t)
+	t.Logf("peak of %d MB", p.peakMB)
 }
--- a/cmd/wharf-gateway/peers_endless_test.go
+++ b/cmd/wharf-gateway/peers_endless_test.go
@@ -31,6 +31,8 @@
 	heartbeats string
 	pid        int
 	ended      chan error
+	// peakMB is the peak of the memory at the last check, in MB.
+	peakMB int64
 }
 
 // processMemoryMB is the memory limit in the settings of a limitedProcess.
@@ -78,7 +80,7 @@
 	kib, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, kib<<10 < processMemoryMB*1e6, qt.IsTrue, qt.Commentf("peak of %d MB", kib<<10/1e6))
-	t.Logf("peak of %d MB", kib<<10/1e6)
+	p.peakMB = kib << 10 / 1e6
 }
 
 // serve sends a small request and returns the status of the answer, or zero if there is none.
@@ -220,7 +222,7 @@
 		}
 		return served == smallRequests && refused.Load() >= callers && fromStore.begun.Load() >= storeAnswers && fromPeer.begun.Load() >= peerReplies
 	})
-	t.Logf("%d bodies refused, %d answers of the store and %d replies of the instance begun", refused.Load(), fromStore.begun.Load(), fromPeer.begun.Load())
+	t.Logf("peak of %d MB, %d bodies refused, %d answers of the store and %d replies of the instance begun", p.peakMB, refused.Load(), fromStore.begun.Load(), fromPeer.begun.Load())
 	storeEndless.Store(false)
 	d.configure(2, "/new/")
 	eventually(t, "the store is not followed again", func() bool {
