Idle timeout: keep a connection on which a request arrives

Callers saw a kept connection end without a status when a request came as the idle timeout passed: the connection was closed although the process had read bytes of the request, because the server counts it as idle until the head is parsed. The same cause as in a planned stop, at any time.

The idle timeout now ends a connection through its own reader as well. TestIdleTimeoutAnswersArrivingRequest: unexpected EOF before, 200 now; a connection without a request still ends.

--- a/cmd/wharf-gateway/connections.go
+++ b/cmd/wharf-gateway/connections.go
@@ -88,7 +88,11 @@
 	defer t.mu.Unlock()
 	for c, since := range t.idleSince {
 		if since.Before(cutoff) {
-			_ = c.Close() // the server detects the close and cleans up
+			if caller, ok := c.(*callerConn); ok {
+				caller.end() // unless a request arrives on it
+			} else {
+				_ = c.Close() // the server detects the close and cleans up
+			}
 			delete(t.idleSince, c)
 		}
 	}
--- a/cmd/wharf-gateway/unread_test.go
+++ b/cmd/wharf-gateway/unread_test.go
@@ -252,6 +252,26 @@
 	}
 }
 
+// TestIdleTimeoutAnswersArrivingRequest guards against a request that is dropped because the idle
+// timeout closes its connection while its head arrives.
+func TestIdleTimeoutAnswersArrivingRequest(t *testing.T) {
+	s := newStopServer(t)
+	c := s.connect(t)
+	c.warmUp(s)
+	idle := s.connect(t)
+	idle.warmUp(s)
+	s.hold.set()
+	c.send(wholeRequest)
+	eventually(t, "the request is not read", func() bool { return s.hold.held.Load() == 1 })
+	s.servers.connections.closeIdle(time.Now().Add(time.Second))
+	s.hold.release()
+	status, err := c.status()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	_, err = idle.reader.ReadByte()
+	qt.Assert(t, err, qt.Equals, io.EOF)
+}
+
 // TestStopAnswersQueuedConnections guards against a stop that resets connections which the
 // kernel has completed and the server has not accepted when its listener closes.
 func TestStopAnswersQueuedConnections(t *testing.T) {
