--- a/cmd/wharf-gateway/unread_test.go
+++ b/cmd/wharf-gateway/unread_test.go
@@ -105,6 +105,9 @@
 		return
 	}
 	w.WriteHeader(http.StatusOK)
+	if r.URL.Path == "/large" {
+		_, _ = w.Write(make([]byte, largeAnswer)) // the caller notices a failure
+	}
 }
 
 // stopServer is the server for callers alone, with connections whose reads can be held back.
