Name the searcher of a failed reply without a data race

TestEntryChangesWhileRequestsAreSent failed with the race detector: the connection's limits read the searcher's entry while it was replaced. They now take the names from the attempt, which don't change.

--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -33,9 +33,9 @@
 	return suppressed, true
 }
 
-// replyLimits returns the limits of a connection to a searcher.
-func (d *Dispatcher) replyLimits(t *target) searcher.Limits {
-	id, service := t.ID, t.service.settings.Name
+// replyLimits returns the limits of a connection to the searcher of an attempt.
+func (d *Dispatcher) replyLimits(a *Attempt) searcher.Limits {
+	id, service := a.searcherID, a.Service
 	return searcher.Limits{Memory: d.config.Memory, ReplyFailed: func(e *searcher.ReplyError) { d.replyFailed(id, service, e) }}
 }
 
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -20,7 +20,7 @@
 func (d *Dispatcher) dial(a *Attempt, t *target) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := searcher.Dial(ctx, a.address, d.replyLimits(t), func(c *connection) { d.connectionEnded(t, c) })
+	conn, err := searcher.Dial(ctx, a.address, d.replyLimits(a), func(c *connection) { d.connectionEnded(t, c) })
 	d.metrics.dialed(err)
 	if err != nil {
 		d.dialFailed(a, t)
