Send no request to a searcher that says it leaves or asks for a pause

What callers saw: neither is read. A searcher that says in its replies that it leaves gets requests until its entry in the store says so, and one that refuses a request and asks for a pause gets the next one at once.

Change: package eligibility holds what one incarnation of a searcher has said and decides. A leaving one is never chosen again, whatever older entries say; a paused one has no room until the pause ends, and then gets one request at once, doubled with each answer. Refusals of both kinds are not counted as failures. If all searchers leave, requests are refused at once; if all are paused past the time by which the answer is due, too, with the end of the pause in Retry-After. Notices outlive the removal of the entry for 10 minutes.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wisteriawharf/wisteriawharf/clock"
+	"github.com/wisteriawharf/wisteriawharf/eligibility"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/retry"
@@ -31,6 +32,11 @@
 	// ErrRetryBudgetSpent reports that the service's retry budget doesn't allow the
 	// attempt, or that the attempt is optional and the service is busy.
 	ErrRetryBudgetSpent = errors.ConstError("budget of repeated requests is spent")
+	// ErrLeaving reports that no usable searcher is left because some are about to stop.
+	ErrLeaving = errors.ConstError("searchers are leaving")
+	// ErrPaused reports that the searchers have asked for a pause, and that the request could be
+	// sent only after its answer is due.
+	ErrPaused = errors.ConstError("searchers have asked for a pause")
 )
 
 const (
@@ -75,6 +81,8 @@
 	searchers     map[string]*target
 	// outDomains holds the failure domains that are out of service.
 	outDomains map[string]bool
+	// removedNotices holds the notices of removed searchers by ID.
+	removedNotices map[string]removedNotices
 }
 
 // New returns a dispatcher without services and searchers. It registers its metrics.
@@ -88,6 +96,8 @@
 		services:   make(map[string]*service),
 		searchers:  make(map[string]*target),
 		outDomains: make(map[string]bool),
+
+		removedNotices: make(map[string]removedNotices),
 	}
 }
 
@@ -135,10 +145,13 @@
 		t = nil
 	}
 	if t == nil {
-		t = &target{Searcher: s, service: d.service(s.Service)}
+		t = &target{Searcher: s, service: d.service(s.Service), notices: d.takeRemovedNotices(s)}
 		t.service.targets = append(t.service.targets, t)
 		d.searchers[s.ID] = t
 	}
+	if s.StartUnixMs == 0 && s.ColdFor > 0 && !s.Draining {
+		t.notices = eligibility.Notices{} // an entry without a start that is cold is of a new process
+	}
 	t.Searcher = s
 	t.missing = false
 	t.coldUntil = now + s.ColdFor
@@ -181,6 +194,7 @@
 func (d *Dispatcher) removeTarget(t *target) []*connection {
 	delete(d.searchers, t.ID)
 	t.removed = true
+	d.keepNotices(t)
 	s := t.service
 	for i := range s.targets {
 		if s.targets[i] == t {
@@ -219,7 +233,7 @@
 			return true
 		}
 	}
-	return len(eligible) > 0 && s.mayQueue(r, d.rateLimitWait(eligible, now), len(s.queue), now) == nil
+	return len(eligible) > 0 && s.mayQueue(r, d.placeWait(eligible, now), len(s.queue), now) == nil
 }
 
 // HasRetryBudget reports whether the retry budget of a service has a token left.
@@ -248,7 +262,7 @@
 
 // available reports whether a searcher may get requests for the given regions at all.
 func (d *Dispatcher) available(t *target, regions []string) bool {
-	if t.removed || t.Draining || t.addressReused || d.outDomains[t.FailureDomain] || (t.missing && !t.service.mostMissing()) {
+	if t.removed || t.Draining || t.notices.IsLeaving() || t.addressReused || d.outDomains[t.FailureDomain] || (t.missing && !t.service.mostMissing()) {
 		return false
 	}
 	return len(regions) == 0 || slices.Contains(regions, d.config.RegionOf[t.FailureDomain])
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/balance"
+	"github.com/wisteriawharf/wisteriawharf/eligibility"
 	"github.com/wisteriawharf/wisteriawharf/searcher"
 )
 
@@ -43,10 +44,14 @@
 // maySend reports whether the chosen searcher may still get the request. The limit of a cold
 // searcher is not checked again if it counts the request already.
 func (d *Dispatcher) maySend(a *Attempt, t *target) bool {
+	now := d.config.Clock.Boottime()
+	if t.notices.Decide(now, 0).Reason == eligibility.Paused {
+		return false
+	}
 	if a.cold {
 		return d.available(t, a.Regions)
 	}
-	return d.usable(t, a.Regions, d.config.Clock.Boottime())
+	return d.usable(t, a.Regions, now)
 }
 
 func (d *Dispatcher) dialFailed(a *Attempt, t *target) {
@@ -90,6 +95,10 @@
 	if e.Outcome == Answered || e.Outcome == Failed {
 		d.observeRateLimit(a, now, reply.Metadata.RateLimit)
 	}
+	var stale []*connection
+	if reply != nil {
+		stale = d.observeNotices(a, now, e.Outcome, &reply.Metadata)
+	}
 	switch e.Outcome {
 	case Answered:
 		t.stats.ObserveReply(now, now-a.chosenAt, true)
@@ -98,8 +107,10 @@
 		median, _ := a.service.latency.Quantile(0.5)
 		t.observations.AddReply(now, now-a.chosenAt, median)
 	case Failed, Refused:
-		t.stats.ObserveReply(now, now-a.chosenAt, false)
-		t.observations.AddFailure(now)
+		if !isNotice(e.Outcome, &reply.Metadata) {
+			t.stats.ObserveReply(now, now-a.chosenAt, false)
+			t.observations.AddFailure(now)
+		}
 		t.addressReused = t.addressReused || reply.Metadata.Misdirected
 	case Broken:
 		if !errors.Is(err, searcher.ErrClosedLocally) {
@@ -108,6 +119,7 @@
 		}
 	}
 	d.mu.Unlock()
+	closeAll(stale)
 	d.end(a, e, conn)
 }
 
@@ -148,7 +160,7 @@
 // release returns a connection to the idle ones if it can still be used, and closes it
 // otherwise. The caller holds the lock, and runs the returned functions without it.
 func (d *Dispatcher) release(t *target, conn *connection) []func() {
-	if conn.Usable(time.Now()) && !t.removed && !t.Draining && !t.outsideSubset {
+	if conn.Usable(time.Now()) && !t.removed && !t.Draining && !t.notices.IsLeaving() && !t.outsideSubset {
 		t.idle = append(t.idle, conn)
 		return t.service.launchQueued(d)
 	}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -10,6 +10,8 @@
 	dials    *prometheus.CounterVec
 	// toLimited counts the attempts sent to searchers that advertise a rate limit.
 	toLimited *prometheus.CounterVec
+	// notices counts what searchers said of themselves in their replies.
+	notices *prometheus.CounterVec
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -26,8 +28,12 @@
 			Name: "wharf_rate_limited_searcher_attempts_total",
 			Help: "Attempts sent to searchers that advertise a rate limit, by kind.",
 		}, []string{"kind"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wharf_searcher_notices_total",
+			Help: "Replies in which searchers said that they leave or asked for a pause, by kind.",
+		}, []string{"kind"}),
 	}
-	r.MustRegister(m.outcomes, m.dials, m.toLimited)
+	r.MustRegister(m.outcomes, m.dials, m.toLimited, m.notices)
 	return m
 }
 
@@ -41,6 +47,10 @@
 		m.outcomes.WithLabelValues("busy").Inc()
 	case errors.Is(err, ErrRateLimited):
 		m.outcomes.WithLabelValues("rate limited").Inc()
+	case errors.Is(err, ErrPaused):
+		m.outcomes.WithLabelValues("paused").Inc()
+	case errors.Is(err, ErrLeaving):
+		m.outcomes.WithLabelValues("leaving").Inc()
 	default:
 		m.outcomes.WithLabelValues("no searcher").Inc()
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -8,8 +8,8 @@
 )
 
 // Start chooses a searcher and sends the request, or queues the request until a searcher
-// has room. It returns ErrRetryBudgetSpent, ErrBusy, ErrRateLimited or ErrNoSearcher if the
-// attempt is not made; the request is not sent then, and OnEnd is not called.
+// has room. It returns ErrRetryBudgetSpent, ErrBusy, ErrPaused, ErrRateLimited, ErrLeaving or
+// ErrNoSearcher if the attempt is not made; the request is not sent then, and OnEnd is not called.
 func (d *Dispatcher) Start(r Request) (*Attempt, error) {
 	d.mu.Lock()
 	s := d.service(r.Service)
@@ -70,8 +70,8 @@
 
 // place binds the attempt to a searcher and returns a function that sends it, to be called
 // without the lock. It returns nil and no error if no searcher has room but the attempt may
-// be queued, ErrBusy or ErrRateLimited if it may not be queued, and ErrNoSearcher if no searcher
-// can take it. ahead is the number of queued attempts that go before it.
+// be queued, ErrBusy, ErrPaused or ErrRateLimited if it may not be queued, and ErrLeaving or
+// ErrNoSearcher if no searcher can take it. ahead is the number of queued attempts that go before it.
 func (d *Dispatcher) place(a *Attempt, ahead int) (func(), error) {
 	now, wall := d.config.Clock.Boottime(), time.Now()
 	s := a.service
@@ -86,10 +86,10 @@
 		candidates = append(candidates, t.candidate(now, d.config.FailureDomain))
 	}
 	if len(eligible) == 0 {
-		return nil, ErrNoSearcher
+		return nil, s.noSearcherError()
 	}
 	if len(targets) == 0 {
-		wait := d.rateLimitWait(eligible, now)
+		wait := d.placeWait(eligible, now)
 		if err := s.mayQueue(a.Request, wait, ahead, now); err != nil {
 			return nil, err
 		}
@@ -105,22 +105,35 @@
 }
 
 // mayQueue returns nil if a request may wait for a searcher with room. It returns ErrBusy if
-// the service sheds the request, and ErrRateLimited if the rate limits of the searchers let it
-// be sent only after its answer is due.
-func (s *service) mayQueue(r Request, wait rateLimitWait, ahead int, now time.Duration) error {
+// the service sheds the request, and ErrPaused or ErrRateLimited if the pauses or the rate limits
+// of the searchers let it be sent only after its answer is due.
+func (s *service) mayQueue(r Request, wait placeWait, ahead int, now time.Duration) error {
 	switch {
 	case !s.admission.Admits(r.Rank):
 		return ErrBusy
-	case wait.tooLong(ahead, r.DueBy-now):
+	case !wait.tooLong(ahead, r.DueBy-now):
+		return nil
+	case wait.paused:
+		return ErrPaused
+	default:
 		return ErrRateLimited
 	}
-	return nil
+}
+
+// noSearcherError returns why no searcher of the service can take a request.
+func (s *service) noSearcherError() error {
+	for _, t := range s.targets {
+		if t.notices.IsLeaving() {
+			return ErrLeaving
+		}
+	}
+	return ErrNoSearcher
 }
 
 // hasRoom reports whether a searcher may get one more request from this instance now,
-// within its limits of requests and of connections.
+// within its limits of requests and of connections, and outside of a pause.
 func (d *Dispatcher) hasRoom(t *target, now time.Duration) bool {
-	if !d.withinRateLimit(t, now) {
+	if !d.withinRateLimit(t, now) || !t.notices.Decide(now, len(t.running)).Allowed() {
 		return false
 	}
 	if t.limit.Reached(len(t.running), t.Slots, d.config.InstanceCount()) {
--- a/dispatch/rate_limit.go
+++ b/dispatch/rate_limit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/wisteriawharf/wisteriawharf/eligibility"
 	"github.com/wisteriawharf/wisteriawharf/retry"
 )
 
@@ -68,42 +69,54 @@
 	}
 }
 
-// rateLimitWait is the time until rate limits allow more requests to a set of searchers.
-type rateLimitWait struct {
-	// next is the time until one of the searchers at their rate limit may get a request. It
-	// is zero if none is at its limit.
+// placeWait is the time until rate limits and pauses allow more requests to a set of searchers.
+type placeWait struct {
+	// next is the time until one of the searchers that are at their rate limit or paused may get
+	// a request. It is zero if there is no such searcher.
 	next time.Duration
-	// perSecond is the rate at which this instance may then send requests to them.
+	// perSecond is the rate at which this instance may then send requests to those at their
+	// limits.
 	perSecond float64
-	// all says that all of the searchers are at their limits.
-	all bool
+	// all says that all of the searchers are at their limits or paused, paused that one of them
+	// is paused.
+	all, paused bool
 }
 
-// rateLimitWait returns how long the rate limits of the searchers prevent requests.
-func (d *Dispatcher) rateLimitWait(searchers []*target, now time.Duration) rateLimitWait {
-	w := rateLimitWait{all: len(searchers) > 0}
+// placeWait returns how long the rate limits and the pauses of the searchers prevent requests.
+func (d *Dispatcher) placeWait(searchers []*target, now time.Duration) placeWait {
+	w := placeWait{all: len(searchers) > 0}
 	for _, t := range searchers {
-		if d.withinRateLimit(t, now) {
+		var wait time.Duration
+		if !d.withinRateLimit(t, now) {
+			share := d.rateShare(t)
+			wait = t.rateLimit.limiter.Wait(share, now)
+			w.perSecond += share.Rate()
+		}
+		if notice := t.notices.Decide(now, 0); notice.Reason == eligibility.Paused {
+			wait = max(wait, notice.Until-now)
+			w.paused = true
+		}
+		if wait == 0 {
 			w.all = false
 			continue
 		}
-		share := d.rateShare(t)
-		wait := t.rateLimit.limiter.Wait(share, now)
 		if w.next == 0 || wait < w.next {
 			w.next = wait
 		}
-		w.perSecond += share.Rate()
 	}
 	return w
 }
 
-// tooLong reports whether a request is not sent within left, because all searchers are at
-// their rate limits and this many requests go before it.
-func (w rateLimitWait) tooLong(ahead int, left time.Duration) bool {
+// tooLong reports whether a request is not sent within left, because all searchers are paused or
+// at their rate limits and this many requests go before it.
+func (w placeWait) tooLong(ahead int, left time.Duration) bool {
 	if !w.all {
 		return false
 	}
-	wait := w.next + time.Duration(float64(ahead)/w.perSecond*float64(time.Second))
+	wait := w.next
+	if w.perSecond > 0 {
+		wait += time.Duration(float64(ahead) / w.perSecond * float64(time.Second))
+	}
 	return wait > left
 }
 
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/balance"
+	"github.com/wisteriawharf/wisteriawharf/eligibility"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/hedge"
 	"github.com/wisteriawharf/wisteriawharf/retry"
@@ -46,7 +47,7 @@
 func (s *service) slots() int {
 	n := 0
 	for _, t := range s.targets {
-		if !t.Draining {
+		if !t.Draining && !t.notices.IsLeaving() {
 			n += t.Slots
 		}
 	}
@@ -75,6 +76,8 @@
 	coldLimiter  retry.ColdLimiter
 	coldUntil    time.Duration
 	rateLimit    advertisedLimit
+	// notices holds what the searcher said of itself in its replies.
+	notices eligibility.Notices
 	// removed says that the searcher was removed from the dispatcher. addressReused says
 	// that another searcher answers at its address.
 	removed       bool
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -39,9 +39,17 @@
 	http.Error(w, text, response.status)
 }
 
-// notRunRefusal returns the refusal of a request that no searcher has run or will run.
-func (c *call) notRunRefusal(cause string) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + cause, retryAfter: retryAfter(c.deadline-c.now(), c.latencyBudget())}
+// notRunRefusal returns the refusal of a request that no searcher has run or will run. pauseLeft is
+// the time until the searchers that have asked for a pause can take it, zero if there are none.
+func (c *call) notRunRefusal(cause string, pauseLeft time.Duration) *refusal {
+	wait := retryAfter(c.deadline-c.now(), c.latencyBudget())
+	return &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + cause, retryAfter: max(wait, pauseLeft)}
+}
+
+// pauseLeft returns the time until searchers of a service take requests again that have asked for
+// a pause, zero if there are others.
+func (c *call) pauseLeft(service string) time.Duration {
+	return c.g.config.Dispatcher.PauseLeft(service, c.route.Regions)
 }
 
 // startingRetryAfter is how long a caller should wait before it repeats a request while the
--- a/gateway/sharded.go
+++ b/gateway/sharded.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/balance"
@@ -42,7 +43,7 @@
 		q.parts = append(q.parts, &part{service: service, index: i})
 	}
 	if withoutRoom := q.countWithoutRoom(); len(q.parts)-withoutRoom < q.needed {
-		return answer{refusal: c.notRunRefusal("shards have no room")}
+		return answer{refusal: c.notRunRefusal("shards have no room", q.pauseLeft())}
 	}
 	for _, p := range q.parts {
 		if !c.startAttempt(p, dispatch.First) {
@@ -85,6 +86,17 @@
 	return n
 }
 
+// pauseLeft returns the time until so few shards are paused that the others are enough for an
+// answer.
+func (q *shardedQuery) pauseLeft() time.Duration {
+	left := make([]time.Duration, len(q.parts))
+	for i, p := range q.parts {
+		left[i] = q.call.pauseLeft(p.service)
+	}
+	slices.Sort(left)
+	return left[max(q.needed, 1)-1]
+}
+
 // logPartialOrLate logs the request if its answer is partial, missing, or later than the
 // target latency, unless the rate limit of the log is reached. The line lists the attempts
 // of the parts that have no answer or were answered after partialAt.
@@ -210,7 +222,7 @@
 	}
 	switch {
 	case !mayHaveRun:
-		return q.notRunRefusal(q.parts[0].lastOutcome())
+		return q.notRunRefusal(q.parts[0].lastOutcome(), q.pauseLeft())
 	case q.now() >= q.deadline:
 		return &refusal{status: http.StatusGatewayTimeout, reason: "too few shards in time"}
 	}
--- a/gateway/single.go
+++ b/gateway/single.go
@@ -14,7 +14,7 @@
 func (c *call) serveSingle() answer {
 	p := &part{service: c.route.PickService(rand.Float64())}
 	if !c.startAttempt(p, dispatch.First) {
-		return answer{refusal: c.notRunRefusal(p.lastOutcome())}
+		return answer{refusal: c.notRunRefusal(p.lastOutcome(), c.pauseLeft(p.service))}
 	}
 	for !p.ended() {
 		timer := time.NewTimer(p.nextDue(c.deadline) - c.now())
@@ -61,7 +61,7 @@
 	p.stopAttempts(c, true)
 	c.logUnansweredOrLate(p)
 	if p.possibleRuns == 0 {
-		return answer{refusal: c.notRunRefusal(p.lastOutcome())}
+		return answer{refusal: c.notRunRefusal(p.lastOutcome(), c.pauseLeft(p.service))}
 	}
 	return answer{refusal: &refusal{status: http.StatusGatewayTimeout, reason: "no answer in time"}}
 }
@@ -75,5 +75,5 @@
 	case p.possibleRuns > 0:
 		return answer{refusal: &refusal{status: http.StatusBadGateway, reason: "searcher broke off"}}
 	}
-	return answer{refusal: c.notRunRefusal(p.lastOutcome())}
+	return answer{refusal: c.notRunRefusal(p.lastOutcome(), c.pauseLeft(p.service))}
 }
--- a/standin/site/searcher.go
+++ b/standin/site/searcher.go
@@ -85,6 +85,10 @@
 	Work time.Duration
 	// RateLimit is the rate limit that replies advertise, in requests a second. Zero is none.
 	RateLimit float64
+	// Leaving makes all replies say that the searcher leaves. Pause is what refusals state as the
+	// pause that the searcher wants, in seconds, none if it is empty.
+	Leaving bool
+	Pause   string
 }
 
 // Searcher is a stand-in of one searcher. It listens on a loopback address.
@@ -173,6 +177,9 @@
 	beginReply(r.Context(), f.RepeatLate)
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	if f.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if target := r.Header.Get("Target-Instance"); target != "" && target != s.ID {
 		w.Header().Set("Instance-Id", s.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -190,6 +197,9 @@
 			w.Header().Del("Request-Id")
 		}
 		w.Header().Set("Not-Executed", "1")
+		if f.Pause != "" {
+			w.Header().Set("Retry-After", f.Pause)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
