--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -16,6 +16,8 @@
 	// failedReplies and failedReplyBytes count replies that failed, and what was read of them.
 	failedReplies    *prometheus.CounterVec
 	failedReplyBytes *prometheus.CounterVec
+	// notices counts what searchers said of themselves in their replies.
+	notices *prometheus.CounterVec
 }
 
 // newMetrics registers the metrics. budget may be nil.
@@ -41,8 +43,12 @@
 			Name: "wharf_failed_reply_bytes_total",
 			Help: "Bytes that were read of replies that failed, by reason.",
 		}, []string{"reason"}),
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wharf_searcher_notices_total",
+			Help: "Replies in which searchers said that they leave or asked for a pause, by kind.",
+		}, []string{"kind"}),
 	}
-	r.MustRegister(m.outcomes, m.dials, m.toLimited, m.failedReplies, m.failedReplyBytes)
+	r.MustRegister(m.outcomes, m.dials, m.toLimited, m.failedReplies, m.failedReplyBytes, m.notices)
 	if budget != nil {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "wharf_held_bytes",
@@ -70,6 +76,10 @@
 		m.outcomes.WithLabelValues("busy").Inc()
 	case errors.Is(err, ErrRateLimited):
 		m.outcomes.WithLabelValues("rate limited").Inc()
+	case errors.Is(err, ErrPaused):
+		m.outcomes.WithLabelValues("paused").Inc()
+	case errors.Is(err, ErrLeaving):
+		m.outcomes.WithLabelValues("leaving").Inc()
 	default:
 		m.outcomes.WithLabelValues("no searcher").Inc()
 	}
