--- a/gateway/call.go
+++ b/gateway/call.go
@@ -173,7 +173,9 @@
 const maxUncountedCopyBytes = 2 << 10
 
 // memoryRefusal returns the refusal of a request for which the process has no memory.
-func (c *call) memoryRefusal() *refusal { return c.notRunRefusal("memory is in use by other requests", 0) }
+func (c *call) memoryRefusal() *refusal {
+	return c.notRunRefusal("memory is in use by other requests", 0)
+}
 
 // hopByHopHeaders are the headers that are not forwarded: those that apply to one connection
 // only, and Content-Length and Expect.
