Planned stop: refuse a request whose body is still arriving at its end

What callers saw: a connection that ends without a status. Cause: the end of a stop answers what is with searchers, but a body that is still arriving was read on until the deadline of its request, and was cut with the process. Change: reads of bodies are interrupted when all requests must be answered, and the request gets 408, not run. TestBodyDoesNotOutlastStop: no answer within 10 s before, passes after.

--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -139,3 +139,17 @@
 	qt.Assert(t, h.ledger.Arrivals(), qt.Equals, 0)
 	qt.Assert(t, budget.Used(), qt.Equals, int64(0))
 }
+
+// TestBodyDoesNotOutlastStop guards against a request that ends without an answer because its body
+// is still arriving at the end of a planned stop.
+func TestBodyDoesNotOutlastStop(t *testing.T) {
+	h := newHarness(t, "one")
+	h.configureBodies(time.Minute)
+	c := h.open(t, "Content-Length: 100")
+	_, err := io.WriteString(c, "begin")
+	qt.Assert(t, err, qt.IsNil)
+	eventually(t, func() bool { return h.gateway.InFlight() == 1 })
+	h.beginStop(100 * time.Millisecond)
+	qt.Assert(t, readAnswer(t, c).StatusCode, qt.Equals, http.StatusRequestTimeout)
+	qt.Assert(t, h.ledger.Arrivals(), qt.Equals, 0)
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -121,8 +121,8 @@
 }
 
 // readBody reads the whole body of a request. It returns a refusal if the body is larger than the
-// limit, if there is one, if the process has no memory for it, if it isn't there by the deadline,
-// or if it breaks off.
+// limit, if there is one, if the process has no memory for it, if it isn't there by the deadline
+// or by the end of a planned stop, or if it breaks off.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) *refusal {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
@@ -136,7 +136,9 @@
 		// A response writer without deadlines has no connection that could be slow.
 		_ = connection.SetReadDeadline(time.Now().Add(c.deadline - c.now()))
 	}
+	endWatch := c.g.stop.interruptAtEnd(connection)
 	body, err := c.memory.ReadAll(reader)
+	endWatch()
 	if err == nil {
 		_ = connection.SetReadDeadline(time.Time{}) // as above
 		c.body = body
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -41,6 +41,25 @@
 	return g.stop.answered.Load(), g.stop.refused.Load()
 }
 
+// interruptAtEnd makes reads from a connection fail once all requests must be answered at once, so
+// that a body that is still arriving does not outlast the stop. The returned function ends that, and
+// must be called.
+func (s *plannedStop) interruptAtEnd(connection *http.ResponseController) (end func()) {
+	ended, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		select {
+		case <-s.answerNow:
+			_ = connection.SetReadDeadline(time.Now()) // fails only without a connection
+		case <-ended:
+		}
+	}()
+	return func() {
+		close(ended)
+		<-done
+	}
+}
+
 // BeginStop begins a planned stop. From now on each connection is closed after its next answer,
 // by a "Connection: close" header, and requests that may not be answered before answerBy, a time
 // on the boot clock, are refused. Requests that are still being served then are answered without
