Soak: searchers that say that they leave, or ask for pauses

The new fault has a searcher say in its replies that it leaves while its entry says that it is ready. Each process that got such a reply must send it nothing later than the drain bound.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -40,6 +40,7 @@
 		if len(addresses) > 0 {
 			address := addresses[rand.IntN(len(addresses))]
 			id := fmt.Sprintf("%04x%04x%08x", n, i, s.report.seed&0xffffffff)
+			s.report.sent(id, address)
 			if i%3 == 0 {
 				s.book(ctx, caller, address, id)
 			} else {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -17,7 +17,7 @@
 	faults := []func(context.Context, time.Duration){
 		s.storeFault, s.linkFault, s.searcherFault, s.searcherFault, s.searcherFault,
 		s.leave, s.crash, s.killProcess, s.pauseProcess, s.stopProcess,
-		s.restoreStore, s.limitSearcher,
+		s.restoreStore, s.limitSearcher, s.sayLeaving,
 	}
 	for {
 		pause := time.Duration(300+s.draw(1500)) * time.Millisecond
@@ -133,7 +133,8 @@
 		{Shed: 0.6}, {Fail: 0.6}, {Lose: 0.4}, {Garble: true}, {Stranger: true}, {Extra: true},
 		{Silent: true}, {Work: 300 * time.Millisecond},
 		{Shed: 0.6, RepeatLate: true}, {Shed: 0.6, RepeatLate: true, Unidentified: true},
-	}[s.draw(10)]
+		{Shed: 0.6, Pause: pauseSeconds},
+	}[s.draw(11)]
 	one.SetFaults(f)
 	hold(ctx, length)
 	one.SetFaults(site.SearcherFaults{})
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -13,6 +13,7 @@
 
 	mu         sync.Mutex
 	answers    map[string]int
+	addresses  map[string]string
 	good       int
 	partial    int
 	refused    int
@@ -39,6 +40,20 @@
 	}
 }
 
+// sent notes the address to which a request is sent.
+func (r *report) sent(id, address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addresses[id] = address
+}
+
+// sentTo returns the address to which a request was sent, empty if it is not known.
+func (r *report) sentTo(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.addresses[id]
+}
+
 func (r *report) cut() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -81,7 +81,7 @@
 	s := &soak{
 		size:   usualDeployment(),
 		random: rand.New(rand.NewPCG(p.seed, 0)), store: site.NewStore(), ledger: &site.Ledger{},
-		report: &report{seed: p.seed, answers: make(map[string]int)},
+		report: &report{seed: p.seed, answers: make(map[string]int), addresses: make(map[string]string)},
 	}
 	if p.instances > 0 {
 		s.size = overlappingDeployment(p.instances)
