Leave searchers out for endless replies only, and never most of a service

What callers saw (found in review, before any release): one query to which all searchers reply with bytes that are no answer took every searcher of the service out, and all callers got 503 "no usable searcher".

Cause: a searcher was left out after repeated replies that are no answer, and nothing kept some of them in. A damaged reply may be due to the one query.

Change: only endless replies leave a searcher out, and no more than half of a service; others count as failures, as before. The kind CutOff goes, since it now means the same. TestSingleDamagedReplyDoesNotBlock asked for the block after three such replies; TestDamagedRepliesDoNotBlock asks for none after twenty.

Evidence: TestBadRepliesToOneQueryLeaveOthersServed, three kinds of replies to three of sixteen requests, failed before in all three, and passes.

--- a/balance/badreply.go
+++ b/balance/badreply.go
@@ -5,10 +5,9 @@
 
 // Kinds of bad replies.
 const (
-	// CutOff: the reply was cut off, or there was none, which may not be the searcher's fault.
-	CutOff BadReply = iota
-	// NoAnswer: the searcher sent bytes that can't be an answer.
-	NoAnswer
+	// NoAnswer: the reply was cut off, was no answer, or there was none. That may be due to the
+	// path to the searcher, or to the one request.
+	NoAnswer BadReply = iota
 	// Endless: the searcher sent more bytes than an answer may have.
 	Endless
 )
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -100,11 +100,9 @@
 }
 
 // ObserveBadReply records that a request got no answer. A searcher that replies without end is
-// blocked at once, since each such reply takes memory and bandwidth. One that replies with other
-// bytes that are no answer is blocked when that happens repeatedly, since a damaged reply does not
-// tell whether the searcher or the path to it is at fault.
+// blocked at once, since each such reply takes memory and bandwidth.
 func (s *Stats) ObserveBadReply(now time.Duration, kind BadReply) {
-	if kind == Endless || (kind == NoAnswer && !s.Healthy(now)) {
+	if kind == Endless {
 		s.MarkUnreachable(now)
 		return
 	}
--- a/dispatch/failure.go
+++ b/dispatch/failure.go
@@ -53,19 +53,30 @@
 // observeBroken updates the statistics of a searcher for an exchange that broke off with err, or
 // for a short reply that can't be trusted if err is nil.
 func (t *target) observeBroken(now time.Duration, err error) {
-	t.stats.ObserveBadReply(now, t.service.badReply(err))
+	kind := t.service.badReply(err)
+	if kind == balance.Endless && !t.service.mayBlock(t, now) {
+		kind = balance.NoAnswer
+	}
+	t.stats.ObserveBadReply(now, kind)
+}
+
+// mayBlock reports whether a searcher may be left out in addition to those that are: no more than
+// half of the service. All its searchers may reply too large to one query, and must serve others.
+func (s *service) mayBlock(t *target, now time.Duration) bool {
+	blocked := 1
+	for _, other := range s.targets {
+		if other != t && other.stats.Blocked(now) {
+			blocked++
+		}
+	}
+	return 2*blocked <= len(s.targets)
 }
 
 // badReply returns what an exchange without an answer says about its searcher.
 func (s *service) badReply(err error) balance.BadReply {
 	e, ok := errors.AsType[*searcher.ReplyError](err)
-	switch {
-	case !ok || e.Cause == searcher.BrokeOff:
-		return balance.CutOff
-	case e.Cause == searcher.TooLarge, e.Cause == searcher.NoMemory && s.replySizes.Exceeded(e.Read):
+	if ok && (e.Cause == searcher.TooLarge || e.Cause == searcher.NoMemory && s.replySizes.Exceeded(e.Read)) {
 		return balance.Endless
-	case e.Cause == searcher.NoMemory:
-		return balance.CutOff
 	}
 	return balance.NoAnswer
 }
