Connections of callers: one answer to a refused head, an end after stray bytes

What callers saw (found in review, before any release): two or three answers to one request whose head was refused halfway for lack of memory, or 503 and then an open connection for 20 s; and a kept connection that was never closed after bytes that become no request, such as a line end after a body.

Cause: the end that Read reported was forgotten by the server's reader, which read on; the idle check gave up a connection that had bytes, though the server waits for the rest of a head without a limit while it counts the connection as idle.

Change: reads fail for good after a refusal, with an error upon which the server adds no answer, and the answer is not reset by what the caller still sends. A connection that was idle for too long and has bytes gets the header timeout to become a request.

Evidence: TestRefusedHeadGetsOneAnswer and TestIdleTimeoutClosesAfterStrayBytes failed before (no end within 10 s) and pass.

--- a/cmd/wharf-gateway/callers.go
+++ b/cmd/wharf-gateway/callers.go
@@ -85,6 +85,17 @@
 	}
 }
 
+// endUnlessRequest ends the connection if it is idle. If bytes have arrived, it ends when they do
+// not become a request within the timeout: the server waits for the next ones without a limit.
+func (c *callerConn) endUnlessRequest(timeout time.Duration) {
+	c.end()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(timeout)) // the server removes it for a request
+	}
+}
+
 // becameIdle records that a request is answered and none has arrived since.
 func (c *callerConn) becameIdle() {
 	c.mu.Lock()
--- a/cmd/wharf-gateway/connections.go
+++ b/cmd/wharf-gateway/connections.go
@@ -21,6 +21,9 @@
 type connTracker struct {
 	// idleTimeout returns the configured idle timeout. Zero means that there is none.
 	idleTimeout func() time.Duration
+	// headTimeout is how long a connection that was idle for too long may take to send the head of
+	// a request.
+	headTimeout time.Duration
 	// lastCheck is when idle connections were last checked. Only run uses it.
 	lastCheck time.Time
 
@@ -39,7 +42,7 @@
 }
 
 func newConnTracker(idleTimeout func() time.Duration) *connTracker {
-	return &connTracker{idleTimeout: idleTimeout, idle: make(map[net.Conn]idleConn), newOrActive: make(map[net.Conn]http.ConnState)}
+	return &connTracker{idleTimeout: idleTimeout, headTimeout: headerTimeout, idle: make(map[net.Conn]idleConn), newOrActive: make(map[net.Conn]http.ConnState)}
 }
 
 // setState records the new state of a connection. It is the ConnState hook of the server.
@@ -113,7 +116,7 @@
 			continue
 		}
 		if caller, ok := c.(*callerConn); ok {
-			caller.end()
+			caller.endUnlessRequest(t.headTimeout)
 		} else {
 			_ = c.Close()
 		}
--- a/cmd/wharf-gateway/limitedconn.go
+++ b/cmd/wharf-gateway/limitedconn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
@@ -62,8 +64,14 @@
 	mu     sync.Mutex
 	held   *memory.Holder
 	inHead bool
+	// refused says that a head was refused. Only Read uses it.
+	refused bool
 }
 
+// errHeadRefused is the error of reads after a head was refused. Its type makes the server close
+// the connection without an answer of its own.
+var errHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.ConstError("head was refused")}
+
 // followLimited returns a ConnState hook that tells connections their state before it calls next,
 // which may be nil.
 func followLimited(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
@@ -92,12 +100,16 @@
 }
 
 // Read implements net.Conn. If there is no memory for the head, it answers that the request was not
-// run, and returns io.EOF, upon which the server closes the connection.
+// run, and fails from then on, upon which the server closes the connection.
 func (c *limitedConn) Read(b []byte) (int, error) {
+	if c.refused {
+		return 0, errHeadRefused
+	}
 	n, err := c.TCPConn.Read(b)
 	if n > 0 && !c.take(b[:n]) {
+		c.refused = true
 		c.refuse()
-		return 0, io.EOF
+		return 0, errHeadRefused
 	}
 	return n, err
 }
@@ -141,4 +153,13 @@
 	// A caller that doesn't read gets a closed connection.
 	_ = c.SetWriteDeadline(time.Now().Add(headRefusalTimeout))
 	_ = answer.Write(c.TCPConn)
+	c.drain()
+}
+
+// drain ends the answers and drops what the caller still sends of its head, for a short time. A
+// close with unread bytes would reset the connection before the caller has read the answer.
+func (c *limitedConn) drain() {
+	_ = c.CloseWrite() // fails only if the connection is closed
+	_ = c.SetReadDeadline(time.Now().Add(headRefusalTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.TCPConn, maxHeaderBytes))
 }
--- a/cmd/wharf-gateway/limitedconn_test.go
+++ b/cmd/wharf-gateway/limitedconn_test.go
@@ -119,3 +119,77 @@
 	time.Sleep(r.pause)
 	return r.Conn.Read(b)
 }
+
+// TestRefusedHeadGetsOneAnswer guards against a second answer, or a connection that stays open, after
+// a head was refused of which a part had been read.
+func TestRefusedHeadGetsOneAnswer(t *testing.T) {
+	for _, lines := range []int{100, 900} {
+		b := memory.NewBudget(64 << 10)
+		c := dialServer(t, b, 0, nil)
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nA: b\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		eventually(t, "the part is not read", func() bool { return b.Used() > 0 })
+		for n := int64(1 << 10); n > 0; n /= 2 {
+			for b.Grow(0, n) {
+			}
+		}
+		_, err = io.WriteString(c, strings.Repeat("A: b\r\n", lines)+"\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, c.SetReadDeadline(time.Now().Add(headerTimeout/2)), qt.IsNil)
+		all, err := io.ReadAll(c)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(all), qt.Matches, `(?s)HTTP/1.1 503 .*`)
+		qt.Assert(t, strings.Count(string(all), "HTTP/1.1 "), qt.Equals, 1)
+	}
+}
+
+// dialServer starts a server for callers and returns a connection to it. set may change the
+// tracker of its connections.
+func dialServer(t *testing.T, b *memory.Budget, idleTimeout time.Duration, set func(*connTracker)) net.Conn {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	v := &servers{failed: make(chan error, 1), memory: b, connections: newConnTracker(func() time.Duration { return idleTimeout })}
+	if set != nil {
+		set(v.connections)
+	}
+	v.serveCallers(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), l)
+	t.Cleanup(func() {
+		v.stopping.Store(true)
+		_ = v.callerServer.Close()
+	})
+	c, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// TestIdleTimeoutClosesAfterStrayBytes guards against a kept connection that is never closed because
+// its caller sent bytes after its request that become no request.
+func TestIdleTimeoutClosesAfterStrayBytes(t *testing.T) {
+	for _, stray := range []string{"", "\r\n"} {
+		var tracker *connTracker
+		c := dialServer(t, nil, time.Second, func(tr *connTracker) { tracker, tr.headTimeout = tr, 50*time.Millisecond })
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		qt.Assert(t, err, qt.IsNil)
+		reader := bufio.NewReader(c)
+		response, err := http.ReadResponse(reader, nil)
+		qt.Assert(t, err, qt.IsNil)
+		_ = response.Body.Close()
+		eventually(t, "the connection does not become idle", func() bool { idle, _ := tracker.count(); return idle == 1 })
+		_, err = io.WriteString(c, stray)
+		qt.Assert(t, err, qt.IsNil)
+		tracker.awaitStray(t, len(stray) > 0)
+		tracker.closeIdle(time.Now().Add(time.Hour), time.Second)
+		qt.Assert(t, c.SetReadDeadline(time.Now().Add(headerTimeout/2)), qt.IsNil)
+		_, err = reader.ReadByte()
+		qt.Assert(t, err, qt.Equals, io.EOF)
+	}
+}
+
+// awaitStray waits until bytes were read from the idle connection, if there are any.
+func (t *connTracker) awaitStray(test *testing.T, sent bool) {
+	if sent {
+		t.awaitRead(test)
+	}
+}
