Count the time of a request from its arrival, not from its handler

Cause: the time of a request counted from the start of its handler. What passed before, while the process stood still or the request lay in the socket, in the queue of the listener or behind another request, counted as nothing spent.

Change: the age of the bytes that the kernel tells sets the arrival, and each request on a connection has its own. A request whose deadline has passed is refused as not run. One whose caller has closed its end is not passed on. Where the kernel tells no ages, a request that is read after a stall of the process may have come at any time of it: the earliest one counts, but at least half of the limit is left, so that no sound request is refused on a guess.

TestRequestAfterDroppedBodyIsFresh guards against too high an age.

--- a/arrival/arrival.go
+++ b/arrival/arrival.go
@@ -14,8 +14,8 @@
 // Exact reports whether the time is known.
 func (s Span) Exact() bool { return s.Earliest == s.Latest }
 
-// at returns the span of a known time.
-func at(t time.Duration) Span { return Span{Earliest: t, Latest: t} }
+// At returns the span of a known time.
+func At(t time.Duration) Span { return Span{Earliest: t, Latest: t} }
 
 type contextKey struct{}
 
--- a/arrival/socket.go
+++ b/arrival/socket.go
@@ -10,6 +10,13 @@
 // tcpState is the state of a TCP connection in the kernel.
 type tcpState uint8
 
+// States of a connection whose peer has closed its end, as in linux/include/net/tcp_states.h. The first
+// one also follows a reset.
+const (
+	tcpClosed    tcpState = 7
+	tcpCloseWait tcpState = 8
+)
+
 // socketInfo is what the kernel tells of the receiving side of a connection. The zero value says
 // nothing.
 type socketInfo struct {
@@ -32,3 +39,13 @@
 	})
 	return s
 }
+
+// atEnd reports whether a socket has no more bytes to read because the peer has closed its end.
+func atEnd(socket syscall.RawConn) bool {
+	n, err := 0, error(nil)
+	controlErr := socket.Control(func(fd uintptr) {
+		var next [1]byte
+		n, _, err = unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return controlErr == nil && err == nil && n == 0
+}
--- a/arrival/tracker.go
+++ b/arrival/tracker.go
@@ -59,11 +59,11 @@
 func (t *Tracker) span(now time.Duration, state socketInfo) Span {
 	latest := now - state.sinceLastByte
 	if t.stalls == nil || t.stalls.agesKnown(state) {
-		return at(latest)
+		return At(latest)
 	}
 	began, ok := t.stalls.since(now)
 	if !ok {
-		return at(latest)
+		return At(latest)
 	}
 	return Span{Earliest: min(max(began, t.readAt), latest), Latest: latest}
 }
@@ -100,11 +100,30 @@
 	t.bodyOpen = false
 }
 
+// stateLifetime is how long the state that a socket had when it was read is taken for the present
+// one.
+const stateLifetime = 10 * time.Millisecond
+
+// PeerClosed reports whether the caller has closed its end of the connection, behind all that it
+// has sent.
+func (t *Tracker) PeerClosed() bool {
+	if t == nil || t.socket == nil {
+		return false
+	}
+	t.mu.Lock()
+	state, readAt := t.state, t.readAt
+	t.mu.Unlock()
+	if t.clock.Boottime()-readAt > stateLifetime {
+		state = socketState(t.socket).tcp
+	}
+	return state == tcpClosed || state == tcpCloseWait && atEnd(t.socket)
+}
+
 // Request returns when the current request arrived. Without a tracker that is now, a time on the
 // boot clock.
 func (t *Tracker) Request(now time.Duration) Span {
 	if t == nil {
-		return at(now)
+		return At(now)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/cmd/wharf-gateway/read_delay_test.go
+++ b/cmd/wharf-gateway/read_delay_test.go
@@ -205,3 +205,32 @@
 		}
 	}
 }
+
+// TestRequestAfterDroppedBodyIsFresh guards against a sound request that is refused because its age
+// counts from the body of the request before it on the connection.
+func TestRequestAfterDroppedBodyIsFresh(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	d := newDeployment(t)
+	d.startSearchers(&site.Ledger{}, time.Millisecond)
+	d.configure(1, "/r/")
+	instance := d.startInstance("a")
+	d.awaitServing("/r/x")
+	for path, want := range map[string]int{"/missing": http.StatusNotFound, "/r/x": http.StatusOK} {
+		conn, err := net.Dial("tcp", instance.settings.CallerAddress)
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for _, body := range []string{"Content-Length: 2\r\n\r\nab", "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"} {
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: b\r\n", path, site.Host)
+			qt.Assert(t, err, qt.IsNil)
+			time.Sleep(limit / 3)
+			_, err = conn.Write([]byte(body))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, nextStatus(conn, reader), qt.Equals, want)
+			time.Sleep(2 * limit)
+			sendTimed(t, conn, http.MethodGet, "/r/x", "fresh", limit)
+			qt.Assert(t, nextStatus(conn, reader), qt.Equals, http.StatusOK)
+			time.Sleep(2 * limit)
+		}
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/wisteriawharf/wisteriawharf/arrival"
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
@@ -31,7 +32,8 @@
 	body []byte
 	// memory is what the body and its copies take from the budget of the process.
 	memory *memory.Holder
-	// arrived and deadline are times on the boot clock.
+	// arrived and deadline are times on the boot clock. arrived is the latest possible time if it is
+	// not known exactly.
 	arrived  time.Duration
 	deadline time.Duration
 	// events receives the ends of the attempts of all parts.
@@ -51,7 +53,7 @@
 
 // newCall reads a request and finds its route. If the request can't be served, it returns
 // a refusal instead.
-func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, arrived time.Duration) (*call, *refusal) {
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, arrived arrival.Span) (*call, *refusal) {
 	config := g.routingConfig.Load()
 	if config == nil {
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no configuration yet", retryAfter: startingRetryAfter}
@@ -77,15 +79,21 @@
 	}
 	c := &call{
 		g: g, ctx: r.Context(), route: route, callerRequest: callerRequest, method: r.Method,
-		memory: g.config.Memory.Hold(), arrived: arrived, deadline: arrived + timeout,
+		memory: g.config.Memory.Hold(), arrived: arrived.Latest, deadline: deadlineOf(arrived, timeout),
 		events:         make(chan dispatch.Event, max(len(route.Shards), 1)*maxEventsPerPart),
 		attemptLatency: g.attemptLatencies.forRoute(route.Name),
 	}
-	refusal := c.readBody(w, r, config.Limits)
+	refusal := c.lateRefusal()
+	if refusal == nil {
+		refusal = c.readBody(w, r, config.Limits)
+	}
 	if refusal == nil {
 		c.head = requestHead(r, len(c.body))
 		refusal = c.takeCopies()
 	}
+	if refusal == nil {
+		refusal = c.lateRefusal()
+	}
 	if refusal == nil {
 		refusal = c.stopRefusal()
 	}
@@ -100,6 +108,29 @@
 // one.
 const defaultTimeout = 30 * time.Second
 
+// deadlineOf returns the deadline of a request. The earliest time of its arrival counts, but if the
+// time is not known exactly, at least half of the time limit is left from the latest one on: a caller
+// that has given up has closed its connection.
+func deadlineOf(arrived arrival.Span, timeout time.Duration) time.Duration {
+	if arrived.Exact() {
+		return arrived.Latest + timeout
+	}
+	return max(arrived.Earliest+timeout, arrived.Latest+timeout/2)
+}
+
+// lateRefusal returns the refusal of a request whose deadline passed before it was read, else nil.
+func (c *call) lateRefusal() *refusal {
+	if c.now() < c.deadline {
+		return nil
+	}
+	return c.notRunRefusal("deadline passed before the request was read", 0)
+}
+
+// callerGone reports whether the caller has closed its end of the connection.
+func (c *call) callerGone() bool {
+	return c.ctx.Err() != nil || arrival.FromContext(c.ctx).PeerClosed()
+}
+
 // maxEventsPerPart is the capacity of a call's events channel for each part. The retries and
 // hedges of a part are limited accordingly, so that an attempt that ends never blocks on the
 // channel.
@@ -132,15 +163,14 @@
 		reader = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
 	}
 	connection := http.NewResponseController(w)
-	if c.deadline > c.arrived {
-		// A response writer without deadlines has no connection that could be slow.
-		_ = connection.SetReadDeadline(time.Now().Add(c.deadline - c.now()))
-	}
+	// A response writer without deadlines has no connection that could be slow.
+	_ = connection.SetReadDeadline(time.Now().Add(c.deadline - c.now()))
 	endWatch := c.g.stop.interruptAtEnd(connection)
 	body, err := c.memory.ReadAll(reader)
 	endWatch()
 	if err == nil {
 		_ = connection.SetReadDeadline(time.Time{}) // as above
+		arrival.FromContext(c.ctx).BodyRead()
 		c.body = body
 		return nil
 	}
--- a/gateway/end_test.go
+++ b/gateway/end_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/wisteriawharf/wisteriawharf/arrival"
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
@@ -18,7 +19,7 @@
 	r := httptest.NewRequest(http.MethodGet, "/r/x", nil)
 	r.Host = "a.example"
 	r.Header.Set("Request-Id", id)
-	c, refused := h.gateway.newCall(httptest.NewRecorder(), r, h.gateway.config.Clock.Boottime())
+	c, refused := h.gateway.newCall(httptest.NewRecorder(), r, arrival.At(h.gateway.config.Clock.Boottime()))
 	qt.Assert(t, refused, qt.IsNil)
 	c.open = h.gateway.open.add(r, c.arrived)
 	return c
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,13 +85,18 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	started := g.config.Clock.Boottime()
-	open := g.open.add(r, started)
+	arrivals := arrival.FromContext(r.Context())
+	arrived := arrivals.Request(started)
+	if r.Body != http.NoBody {
+		arrivals.BodyBegins()
+	}
+	open := g.open.add(r, arrived.Latest)
 	defer g.open.remove(open)
-	g.observeReadDelay(r, started)
+	g.observeReadDelay(r, started-arrived.Earliest, arrived.Exact())
 	if g.stop.begun.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	c, refusal := g.newCall(w, r, started)
+	c, refusal := g.newCall(w, r, arrived)
 	if refusal != nil {
 		open.answering()
 		g.refuse(w, r, refusal)
@@ -102,9 +107,12 @@
 	defer c.memory.Release()
 	defer c.replies.end()
 	var a answer
-	if len(c.route.Shards) > 0 {
+	switch {
+	case c.callerGone():
+		a = answer{callerGone: true}
+	case len(c.route.Shards) > 0:
 		a = c.serveSharded()
-	} else {
+	default:
 		a = c.serveSingle()
 	}
 	open.answering()
@@ -114,15 +122,13 @@
 // lateRead is the delay from which on a request counts as read late.
 const lateRead = 100 * time.Millisecond
 
-// observeReadDelay observes how long a request that is served from the time now on lay unread, and
+// observeReadDelay observes how long a request lay unread, at most if that is not known exactly. It
 // logs a long delay, unless the rate limit of the log is reached.
-func (g *Gateway) observeReadDelay(r *http.Request, now time.Duration) {
-	arrived := arrival.FromContext(r.Context()).Request(now)
-	delay := now - arrived.Earliest
+func (g *Gateway) observeReadDelay(r *http.Request, delay time.Duration, exact bool) {
 	g.metrics.readDelay.Observe(delay.Seconds())
 	if delay >= lateRead && g.requestLog.Allow() {
 		callerRequest, _ := platform.ReadRequestMetadata(r.Header) // the ID is read even if there is an error
-		g.requestLog.Write(requestlog.ReadLate, "request", callerRequest.ID, "after_ms", delay.Milliseconds(), "exact", arrived.Exact())
+		g.requestLog.Write(requestlog.ReadLate, "request", callerRequest.ID, "after_ms", delay.Milliseconds(), "exact", exact)
 	}
 }
 
