--- a/caller/handler.go
+++ b/caller/handler.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/wisteriawharf/wisteriawharf/arrival"
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/result"
 )
@@ -52,7 +53,7 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = h.handleError
-	e.Use(h.assignRequestIDAndRecover, h.requireReady)
+	e.Use(h.assignRequestIDAndRecover, followBody, h.requireReady)
 	e.GET("/v1/ready", h.ready)
 	e.GET("/v1/addresses", h.addresses)
 	e.POST("/v1/search/:service", h.search)
@@ -87,6 +88,16 @@
 	return id.String()
 }
 
+// followBody tells the tracker of the connection that what is read next is the body of the request.
+func followBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if r := c.Request(); r.Body != http.NoBody {
+			arrival.FromContext(r.Context()).BodyBegins()
+		}
+		return next(c)
+	}
+}
+
 func requestID(c echo.Context) string {
 	id, _ := c.Get(HeaderRequestID).(string)
 	return id
@@ -181,6 +192,7 @@
 	err := d.Decode(body)
 	if err == nil {
 		if _, err = d.Token(); err == io.EOF {
+			arrival.FromContext(c.Request().Context()).BodyRead()
 			return nil
 		}
 		if err == nil {
@@ -193,8 +205,8 @@
 	return result.NotRun(result.Malformed, "%v", err)
 }
 
-// deadline returns the time left for the request: the shorter of deadline_ms and the
-// time until the absolute deadline in HeaderDeadlineUnixMs. A deadline_ms of more than
+// deadline returns the time left for the request: the shorter of deadline_ms, counted from
+// the arrival of the request, and the time until the absolute deadline in HeaderDeadlineUnixMs. A deadline_ms of more than
 // one hour counts as one hour. deadline returns zero if the caller stated neither, and an
 // error if one of them has passed or the header is malformed.
 func (h *handler) deadline(c echo.Context, ms *int64) (time.Duration, *result.Error) {
@@ -204,7 +216,10 @@
 			return 0, result.NotRun(result.DeadlinePast, "deadline_ms is %d", *ms)
 		}
 		const maxMs = int64(time.Hour / time.Millisecond)
-		left = time.Duration(min(*ms, maxMs)) * time.Millisecond
+		left = time.Duration(min(*ms, maxMs))*time.Millisecond - h.age(c)
+		if left <= 0 {
+			return 0, result.NotRun(result.DeadlinePast, "%d ms passed before the request was read", *ms)
+		}
 	}
 	text := c.Request().Header.Get(HeaderDeadlineUnixMs)
 	if text == "" {
@@ -224,6 +239,12 @@
 	return left, nil
 }
 
+// age returns the time since the request arrived.
+func (h *handler) age(c echo.Context) time.Duration {
+	now := h.config.Clock.Boottime()
+	return now - arrival.FromContext(c.Request().Context()).Request(now).Latest
+}
+
 // callerIdentity returns the identity that admission counts the request against:
 // HeaderCaller, or the remote host if that header is missing.
 func callerIdentity(c echo.Context) string {
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/wisteriawharf/wisteriawharf/arrival"
+	"github.com/wisteriawharf/wisteriawharf/clock"
 )
 
 const (
@@ -55,6 +58,7 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnState:         s.trackState,
+		ConnContext:       withArrivals,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return s, nil
@@ -148,6 +152,15 @@
 	return cw.ResponseWriter.Write(b)
 }
 
+// withArrivals gives the requests of a connection the tracker of their arrivals. It is the ConnContext
+// hook of the server.
+func withArrivals(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*conn); ok {
+		return arrival.WithTracker(ctx, c.arrivals)
+	}
+	return ctx
+}
+
 // trackState keeps conns up to date. A new connection counts as idle.
 func (s *Server) trackState(nc net.Conn, state http.ConnState) {
 	c, ok := nc.(*conn)
@@ -157,6 +170,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
+	case http.StateActive:
+		c.arrivals.HeadRead()
 	case http.StateNew, http.StateIdle:
 		s.conns[c] = struct{}{}
 		c.setIdle()
@@ -176,7 +191,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, closeGrace: l.closeGrace}, nil
+	return &conn{Conn: c, closeGrace: l.closeGrace, arrivals: arrival.NewTracker(c, clock.System{}, nil)}, nil
 }
 
 // conn is a connection that records whether any byte of the next request has arrived.
@@ -185,6 +200,7 @@
 type conn struct {
 	net.Conn
 	closeGrace time.Duration
+	arrivals   *arrival.Tracker
 	mu         sync.Mutex
 	idle       bool
 	closing    bool
@@ -215,6 +231,7 @@
 	defer c.mu.Unlock()
 	interrupted = c.closing
 	if n > 0 {
+		c.arrivals.BytesRead()
 		c.idle = false
 		if c.closing {
 			c.closing = false
