Relays serve no callers, and instances that stand by fetch changes later

Cause: relays were the first instances by name, which also serve callers.

Change: relays are the live instances to which callers would be sent last. Instances that stand by fetch a change once, within 20 ms for each of them, from any of those that told of it. Serving instances and relays fetch at once.

TestRelaysServeNoCallers failed before (relays that serve). TestLossOfAllRelays and TestHeartbeatsDoNotGrowWithDomain stop the relays as before, which are the last instances now.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -108,6 +108,8 @@
 	mu sync.Mutex
 	// fetching holds true for each kind whose objects are being fetched.
 	fetching map[string]bool
+	// later holds the fetches that are due later, by kind.
+	later map[string]*laterFetch
 	// lastSent is when heartbeats were last sent. scheduled is true while heartbeats that
 	// ScheduleHeartbeats has scheduled are not sent yet.
 	lastSent  time.Time
@@ -130,7 +132,7 @@
 	return &Exchange{
 		config: config, socket: socket, heartbeatPort: address.Port,
 		client:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHeaderBytes}},
-		fetching: make(map[string]bool),
+		fetching: make(map[string]bool), later: make(map[string]*laterFetch),
 	}, nil
 }
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -190,3 +190,60 @@
 	qt.Check(t, fetchDelay(true, 1, 1), qt.Equals, time.Duration(0))
 	qt.Check(t, fetchDelay(true, 0, 2), qt.Equals, time.Duration(0))
 }
+
+// TestStandbyFetchesOnceFromAnySource guards against a change that all instances of a failure domain
+// fetch at once and from the same one, whose link then delays the requests of its callers.
+func TestStandbyFetchesOnceFromAnySource(t *testing.T) {
+	const rounds, spread = 40, 50 * time.Millisecond
+	port, heartbeatPort := freePorts(t)
+	asked := make(chan string, rounds)
+	var sources []string
+	for _, ip := range []string{"127.78.0.2", "127.78.0.3"} {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, port))
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				asked <- ip
+				_, _ = w.Write([]byte("{}"))
+			}))
+		}()
+		sources = append(sources, listener.Addr().String())
+	}
+	instance := startInstance(t, "a1", "a", "127.78.0.1", port, heartbeatPort)
+	used := make(map[string]int)
+	for range rounds {
+		began := time.Now()
+		for range 10 {
+			for _, source := range sources {
+				instance.exchange.fetchLater(kind, mirror.Position{Revision: 9}, source, spread)
+			}
+		}
+		used[<-asked]++
+		eventuallyFetched(t, instance.exchange)
+		if time.Since(began) < spread {
+			time.Sleep(spread - time.Since(began))
+		}
+		qt.Assert(t, len(asked), qt.Equals, 0)
+	}
+	qt.Check(t, used, qt.HasLen, 2, qt.Commentf("%v", used))
+	instance.mirror.ApplyListing(listing(9, "a1"))
+	instance.exchange.fetchLater(kind, mirror.Position{Revision: 9}, sources[0], spread)
+	time.Sleep(2 * spread)
+	qt.Check(t, len(asked), qt.Equals, 0, qt.Commentf("the changes were there"))
+}
+
+// eventuallyFetched waits until no fetch is in progress.
+func eventuallyFetched(t *testing.T, x *Exchange) {
+	t.Helper()
+	for range 1000 {
+		x.mu.Lock()
+		fetching := x.fetching[kind]
+		x.mu.Unlock()
+		if !fetching {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("a fetch does not end")
+}
--- a/exchange/fetch.go
+++ b/exchange/fetch.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,12 +20,14 @@
 
 // catchUp compares the newest changes of another instance with those of this one, and fetches
 // what this one lacks. An instance that is not a leader fetches the changes at once if the
-// other one is in the same failure domain, else after remoteFetchDelay. A leader restarts its
+// other one is in the same failure domain, or later if it stands by there, else after
+// remoteFetchDelay. A leader restarts its
 // call to the store after restartDelay, and fetches the changes after remoteFetchDelay. After a
 // restoration of the store the fetches are spread over time. Each step is skipped if this
 // instance has the changes by then.
 func (x *Exchange) catchUp(h heartbeat, from fleet.Instance) {
 	leader := x.config.IsLeader()
+	spread := x.config.Instances.FetchSpread(x.config.Clock.Boottime())
 	for kind, m := range x.config.Mirrors {
 		newest := h.newest(kind)
 		if !m.NewestPosition().Before(newest) {
@@ -38,6 +41,10 @@
 			})
 		}
 		near := !leader && from.FailureDomain == x.config.Self.FailureDomain
+		if near && spread > 0 {
+			x.fetchLater(kind, newest, from.InternalAddress, spread+restoreSpread(m.Position().Epoch, newest.Epoch))
+			continue
+		}
 		time.AfterFunc(fetchDelay(near, m.Position().Epoch, newest.Epoch), func() {
 			if m.NewestPosition().Before(newest) {
 				x.fetch(context.Background(), kind, from.InternalAddress)
@@ -53,12 +60,51 @@
 	if near {
 		delay = 0
 	}
-	if held != 0 && newest > held {
-		delay += rand.N(restoreFetchSpread)
+	if spread := restoreSpread(held, newest); spread > 0 {
+		delay += rand.N(spread)
 	}
 	return delay
 }
 
+// restoreSpread returns the time over which instances that hold an epoch spread their fetches of
+// another one.
+func restoreSpread(held, newest int64) time.Duration {
+	if held != 0 && newest > held {
+		return restoreFetchSpread
+	}
+	return 0
+}
+
+// laterFetch is a fetch of the changes of a kind that is due later. The sources are the addresses of
+// instances that know them up to newest.
+type laterFetch struct {
+	newest  mirror.Position
+	sources []string
+}
+
+// fetchLater fetches the changes of a kind at a random time within the spread, unless this instance
+// has them by then. If such a fetch is due already, the source is one more that it may use.
+func (x *Exchange) fetchLater(kind string, newest mirror.Position, source string, spread time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if l := x.later[kind]; l != nil {
+		if !slices.Contains(l.sources, source) {
+			l.sources = append(l.sources, source)
+		}
+		return
+	}
+	l := &laterFetch{newest: newest, sources: []string{source}}
+	x.later[kind] = l
+	time.AfterFunc(rand.N(spread), func() {
+		x.mu.Lock()
+		delete(x.later, kind)
+		x.mu.Unlock()
+		if x.config.Mirrors[kind].NewestPosition().Before(l.newest) {
+			x.fetch(context.Background(), kind, l.sources[rand.IntN(len(l.sources))])
+		}
+	})
+}
+
 // fetch fetches the changes of a kind from another instance and applies them. It does nothing
 // if the kind is being fetched already. A failure is only logged.
 func (x *Exchange) fetch(ctx context.Context, kind, address string) {
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,7 +10,8 @@
 
 // In a small failure domain each instance sends its heartbeats to all others. In a larger
 // one that would cost each instance more with every instance added. There each instance
-// sends them to a few relays only, the first instances of the domain by name that answer. A
+// sends them to a few relays only, the last instances of the domain that callers would be sent to and that answer: what
+// a relay sends to others would delay the requests of its callers. A
 // relay sends a digest of all heartbeats that it receives to those that ask for it. Instances
 // ask for it in a small domain too, because others may know of more instances and use relays.
 const (
@@ -112,8 +112,7 @@
 	return maxRelayedHeartbeatAge
 }
 
-// chooseRelays returns the names of the relays of this instance: the first instances by name
-// that are alive, without those that have sent no digest for relayTimeout. If these are too
+// chooseRelays returns the names of the relays of this instance: the first candidates that are alive, without those that have sent no digest for relayTimeout. If these are too
 // few, instances drawn at random are added, so that an instance that has heard of nobody for a
 // time finds the others again. The caller holds the lock.
 func (s *Instances) chooseRelays(now time.Duration) []string {
@@ -143,8 +142,8 @@
 	return relays
 }
 
-// relayCandidates returns the other instances of the own failure domain, sorted by name. The
-// caller holds the lock.
+// relayCandidates returns the other instances of the own failure domain, in the reverse order of
+// sortByCores. The caller holds the lock.
 func (s *Instances) relayCandidates() []*knownInstance {
 	var candidates []*knownInstance
 	for name, k := range s.known {
@@ -152,7 +151,7 @@
 			candidates = append(candidates, k)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b *knownInstance) int { return strings.Compare(a.instance.Name, b.instance.Name) })
+	slices.SortFunc(candidates, func(a, b *knownInstance) int { return compareByCores(b.instance, a.instance) })
 	return candidates
 }
 
--- a/fleet/relays_test.go
+++ b/fleet/relays_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,7 +110,7 @@
 			perInstance := relayCount + relayCount + 1
 			qt.Assert(t, total <= 10*n*perInstance, qt.IsTrue, qt.Commentf("%d instances sent %d", n, total))
 		}
-		for _, dead := range []int{n - 1, n / 2, 0} { // the last one is a relay
+		for _, dead := range []int{0, n / 2, n - 1} { // the last one is a relay
 			d.dead[d.names[dead]] = true
 			d.run(maxRelayedHeartbeatAge + 2*simulatedInterval)
 			d.checkViews(t)
@@ -122,13 +123,15 @@
 func TestLossOfAllRelays(t *testing.T) {
 	d := newSimulatedDomain(40)
 	d.run(5 * time.Second)
-	for _, name := range d.names[:relayCount+1] {
+	live := d.names[:len(d.names)-relayCount-1]
+	for _, name := range d.names[len(live):] {
+		qt.Assert(t, d.instances[name].IsRelay(d.now), qt.IsTrue)
 		d.dead[name] = true
 	}
 	for range 12 {
 		d.run(simulatedInterval)
-		for _, name := range d.names[relayCount+1:] {
-			for _, other := range d.names[relayCount+1:] {
+		for _, name := range live {
+			for _, other := range live {
 				qt.Assert(t, other == name || d.hears(name, other), qt.IsTrue, qt.Commentf("%s at %s", other, name))
 			}
 		}
@@ -161,3 +164,33 @@
 	d.run(3 * time.Second)
 	d.checkViews(t)
 }
+
+// TestRelaysServeNoCallers guards against requests that wait in the link of their instance behind what
+// it sends to the instances for which it is a relay.
+func TestRelaysServeNoCallers(t *testing.T) {
+	d := newSimulatedDomain(50)
+	for _, s := range d.instances {
+		for i, name := range d.names {
+			if i%17 == 0 { // three are stronger than the others
+				s.known[name].instance.Cores = 2 * unknownCores
+			}
+		}
+	}
+	d.run(5 * time.Second)
+	fetchAtOnce := 0
+	for _, name := range d.names {
+		s := d.instances[name]
+		s.SharedBy(d.now, true)
+		serves := slices.Contains(s.CallerAddresses("a", d.now, true), name)
+		qt.Check(t, serves && s.IsRelay(d.now), qt.IsFalse, qt.Commentf(name))
+		spread := s.FetchSpread(d.now)
+		qt.Check(t, spread == 0, qt.Equals, serves || s.IsRelay(d.now), qt.Commentf(name))
+		if spread == 0 {
+			fetchAtOnce++
+		}
+	}
+	qt.Check(t, fetchAtOnce < len(d.names)/2, qt.IsTrue, qt.Commentf("%d", fetchAtOnce))
+	small := newSimulatedDomain(maxMeshSize)
+	small.run(simulatedInterval)
+	qt.Check(t, small.instances["i000"].FetchSpread(small.now), qt.Equals, time.Duration(0))
+}
--- a/fleet/serving.go
+++ b/fleet/serving.go
@@ -58,15 +58,38 @@
 
 // sortByCores sorts the candidates: those with more processor time first.
 func sortByCores(candidates []servingCandidate) {
-	slices.SortFunc(candidates, func(a, b servingCandidate) int {
-		switch {
-		case a.instance.cores() > b.instance.cores():
-			return -1
-		case a.instance.cores() < b.instance.cores():
-			return 1
-		}
-		return strings.Compare(a.instance.Name, b.instance.Name)
-	})
+	slices.SortFunc(candidates, func(a, b servingCandidate) int { return compareByCores(a.instance, b.instance) })
+}
+
+// compareByCores compares instances by the order in which callers are sent to them.
+func compareByCores(a, b Instance) int {
+	switch {
+	case a.cores() > b.cores():
+		return -1
+	case a.cores() < b.cores():
+		return 1
+	}
+	return strings.Compare(a.Name, b.Name)
+}
+
+// fetchSpacing is the time between the fetches of two instances that stand by, on average. Each fetches
+// tens of kilobytes after a change of the configuration, more after many changes of searchers.
+const fetchSpacing = 20 * time.Millisecond
+
+// FetchSpread returns the time over which this instance and others like it should spread their
+// fetches of changes, so that these don't fill the links of the instances that know them. It is zero
+// in a small failure domain, and for instances that serve callers or are relays.
+func (s *Instances) FetchSpread(now time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isMesh() || s.hasSubscribers(now) {
+		return 0
+	}
+	serving, standby := s.domainSharers(now)
+	if slices.Contains(serving, s.self) {
+		return 0
+	}
+	return time.Duration(len(standby)) * fetchSpacing
 }
 
 // countNeeded returns how many of the sorted candidates have to serve, given the load of all.
