Draw no conclusions about searchers from a stall of the process

Callers saw: refusals after an instance had stood still, 3 to 10 of 10 searches sent right after a pause of 0.85 s beside open requests.

Cause: what the process did not read in time counted as the searchers' fault. At its first look, requests whose replies lay unread were given up, their searchers counted as unreachable and were reported to others, and requests were shed.

Change: with a stall since the attempt began, no latency, failure or unsent request is counted. A hedge that is due for more than 50 ms is postponed, since the reply may lie unread. The pauses of the tests wait until all threads stand still.

--- a/arrival/stall.go
+++ b/arrival/stall.go
@@ -19,10 +19,11 @@
 
 	mu sync.Mutex
 	// lastTick is the time of the last tick. lastWasLate says that a stall ended with it, which
-	// began at stalledSince.
-	lastTick     time.Duration
-	lastWasLate  bool
-	stalledSince time.Duration
+	// began at stallBegan. stallEnded is when the last stall ended, zero if there was none.
+	lastTick    time.Duration
+	lastWasLate bool
+	stallBegan  time.Duration
+	stallEnded  time.Duration
 }
 
 // NewStallDetector returns a detector for ticks at an interval.
@@ -37,8 +38,9 @@
 	defer d.mu.Unlock()
 	late := now - d.lastTick - d.interval
 	d.lastWasLate = d.lastTick != 0 && late > stallSlack
-	d.stalledSince, d.lastTick = d.lastTick, now
+	d.stallBegan, d.lastTick = d.lastTick, now
 	if d.lastWasLate {
+		d.stallEnded = now
 		return late
 	}
 	return 0
@@ -51,13 +53,26 @@
 	defer d.mu.Unlock()
 	switch {
 	case d.lastWasLate:
-		return d.stalledSince, true
-	case d.lastTick != 0 && now-d.lastTick > d.interval+stallSlack:
+		return d.stallBegan, true
+	case d.overdue(now):
 		return d.lastTick, true
 	}
 	return 0, false
 }
 
+// overdue reports whether the next tick is late. The caller holds the lock.
+func (d *StallDetector) overdue(now time.Duration) bool {
+	return d.lastTick != 0 && now-d.lastTick > d.interval+stallSlack
+}
+
+// StalledBetween reports whether the process was stalled at some time between two times on the boot
+// clock, the second of which is now.
+func (d *StallDetector) StalledBetween(since, now time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stallEnded > since || d.overdue(now)
+}
+
 // agesKnown reports whether the ages of bytes that the kernel tells can be relied on.
 func (d *StallDetector) agesKnown(s socketInfo) bool {
 	if s.sinceLastByte > 0 {
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -73,13 +73,20 @@
 // ObserveReply records a reply and lifts a block. success is false if the searcher replied
 // with a failure; the latency is then not used.
 func (s *Stats) ObserveReply(now, latency time.Duration, success bool) {
+	s.observeReply(now, success)
+	if success {
+		s.updateLatency(latency)
+	}
+}
+
+// ObserveUntimedReply records a successful reply whose latency is not known, and lifts a block.
+func (s *Stats) ObserveUntimedReply(now time.Duration) { s.observeReply(now, true) }
+
+func (s *Stats) observeReply(now time.Duration, success bool) {
 	s.updateFailureRate(now, !success)
 	s.lastReply = now
 	s.blockDuration = 0
 	s.blockedUntil = 0
-	if success {
-		s.updateLatency(latency)
-	}
 }
 
 func (s *Stats) updateLatency(latency time.Duration) {
--- a/cmd/wharf-gateway/read_delay_test.go
+++ b/cmd/wharf-gateway/read_delay_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -72,6 +75,7 @@
 // pause stops a process for pauseLength, calls during at its start, and returns when it goes on.
 func (p *gatewayProcess) pause(during func()) time.Time {
 	p.signal(syscall.SIGSTOP)
+	eventually(p.t, "the process does not stop", p.stopped)
 	began := time.Now()
 	during()
 	time.Sleep(time.Until(began.Add(pauseLength)))
@@ -80,6 +84,19 @@
 	return resumed
 }
 
+// stopped reports whether all threads of a process stand still.
+func (p *gatewayProcess) stopped() bool {
+	states, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+	for _, file := range states {
+		text, readErr := os.ReadFile(file)
+		_, fields, _ := strings.Cut(string(text), ") ")
+		if readErr != nil || !strings.HasPrefix(fields, "T") {
+			return false
+		}
+	}
+	return err == nil && len(states) > 0
+}
+
 // connectAll opens connections to an instance. Those with an even index have carried a request.
 func connectAll(t *testing.T, p *gatewayProcess, n int) []net.Conn {
 	t.Helper()
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -95,7 +95,7 @@
 		Instance: settings.Name, FailureDomain: settings.FailureDomain, RegionOf: settings.RegionOf, Bounds: settings.Bounds, Clock: s.clock,
 		InstanceCount: func() int { return int(s.budgetSharers.Load()) },
 		Position:      func() float64 { return math.Float64frombits(s.position.Load()) }, Log: log, Registry: s.registry,
-		Memory: s.memory,
+		StalledBetween: s.stalls.StalledBetween, Memory: s.memory,
 	})
 	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, Memory: s.memory})
 	s.createMirrors()
--- a/cmd/wharf-gateway/stall_test.go
+++ b/cmd/wharf-gateway/stall_test.go
@@ -15,13 +15,13 @@
 // TestPausedProcessKeepsSearchers guards against searchers that count as unreachable because the
 // process stood still while it waited for their replies.
 func TestPausedProcessKeepsSearchers(t *testing.T) {
-	const limit, openRequests = 800 * time.Millisecond, 20
+	const limit, openRequests, nextRequests = 800 * time.Millisecond, 20, 10
 	for round := range 3 {
 		t.Run(fmt.Sprint(round), func(t *testing.T) {
 			t.Parallel()
 			ledger := &site.Ledger{}
 			p := processSite(t, ledger, 20*time.Millisecond)
-			conns := connectAll(t, p, 2*openRequests)
+			conns := connectAll(t, p, openRequests+nextRequests)
 			before := ledger.Arrivals()
 			for i, conn := range conns[:openRequests] {
 				path := fmt.Sprintf("/safe/x?%s=%d", site.WorkQuery, (limit / 4).Milliseconds())
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -45,6 +45,9 @@
 	// Latency is the time from the choice of the searcher to the outcome. It is zero if
 	// the request was never handed to a connection.
 	Latency time.Duration
+	// Stalled says that this process was stalled meanwhile, so that Latency says nothing of the
+	// searcher.
+	Stalled bool
 }
 
 // Kind is the reason why an attempt is made.
@@ -116,11 +119,13 @@
 // Attempt is one try to run a request on one searcher.
 type Attempt struct {
 	Request
-	d        *Dispatcher
-	service  *service
-	target   *target
-	conn     *connection
-	chosenAt time.Duration
+	d       *Dispatcher
+	service *service
+	target  *target
+	conn    *connection
+	// startedAt is when the attempt was made, chosenAt when the searcher was chosen.
+	startedAt time.Duration
+	chosenAt  time.Duration
 	// searcherID and address are those of the chosen searcher. They don't change once it is
 	// chosen, while the target follows its entry.
 	searcherID string
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -65,6 +65,10 @@
 	// Position returns the place of this instance in the order of those instances, from 0 to
 	// below 1. It is 0 if Position is nil.
 	Position func() float64
+	// StalledBetween reports whether this process was stalled at some time between two times on the
+	// boot clock, the second of which is now. Replies may lie unread since then, so that their times
+	// say nothing of the searchers. Nil means that it never is.
+	StalledBetween func(since, now time.Duration) bool
 	// Memory is the budget of the process for the replies that it holds. It may be nil.
 	Memory   *memory.Budget
 	Log      *slog.Logger
@@ -95,6 +99,9 @@
 	if config.Position == nil {
 		config.Position = func() float64 { return 0 }
 	}
+	if config.StalledBetween == nil {
+		config.StalledBetween = func(_, _ time.Duration) bool { return false }
+	}
 	return &Dispatcher{
 		config:     config,
 		metrics:    newMetrics(config.Registry, config.Memory),
--- a/dispatch/giveup.go
+++ b/dispatch/giveup.go
@@ -29,6 +29,14 @@
 	return a.d.config.Clock.Boottime() - a.chosenAt
 }
 
+// Stalled reports whether this process was stalled since the searcher was chosen, so that Elapsed
+// says nothing of the searcher.
+func (a *Attempt) Stalled() bool {
+	a.d.mu.Lock()
+	defer a.d.mu.Unlock()
+	return a.target != nil && a.d.config.StalledBetween(a.chosenAt, a.d.config.Clock.Boottime())
+}
+
 // Cancel stops the attempt and closes its connection at once, whereupon the searcher
 // drops the request. A connection that is still being opened is not closed. OnEnd is not
 // called, unless the attempt has ended already. Cancel reports whether the request may
@@ -56,7 +64,9 @@
 	if a.target == nil {
 		a.finished = true
 		a.service.removeQueued(a)
-		a.service.admission.ObserveUnsent()
+		if !d.config.StalledBetween(a.startedAt, d.config.Clock.Boottime()) {
+			a.service.admission.ObserveUnsent()
+		}
 		if a.Kind.UsesRetryBudget() {
 			a.service.budget.Refund()
 		}
@@ -94,9 +104,13 @@
 }
 
 // recordGivenUp updates the statistics for a request that is given up without a reply.
-// The searcher counts as unreachable if it was silent for long, else as slow.
+// The searcher counts as unreachable if it was silent for long, else as slow. If this process was
+// stalled meanwhile, nothing is known of the searcher.
 func (a *Attempt) recordGivenUp() {
 	now := a.d.config.Clock.Boottime()
+	if a.d.config.StalledBetween(a.chosenAt, now) {
+		return
+	}
 	waited := now - a.chosenAt
 	median, _ := a.service.latency.Quantile(0.5)
 	if waited > max(silentFactor*median, minSilent) {
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -58,8 +58,10 @@
 	d.mu.Lock()
 	t.open--
 	now := d.config.Clock.Boottime()
-	t.stats.MarkUnreachable(now)
-	t.observations.AddFailure(now)
+	if !d.config.StalledBetween(a.chosenAt, now) {
+		t.stats.MarkUnreachable(now)
+		t.observations.AddFailure(now)
+	}
 	d.mu.Unlock()
 	d.end(a, Event{Attempt: a, Outcome: Unsent}, nil)
 }
@@ -90,6 +92,7 @@
 	e := Event{Attempt: a, Reply: reply, Outcome: classify(reply, err)}
 	now := d.config.Clock.Boottime()
 	e.Latency = now - a.chosenAt
+	e.Stalled = d.config.StalledBetween(a.chosenAt, now)
 	d.mu.Lock()
 	t := a.target
 	if e.Outcome == Answered || e.Outcome == Failed {
@@ -102,11 +105,7 @@
 	switch e.Outcome {
 	case Answered:
 		t.service.replySizes.Observe(int64(len(reply.Body)))
-		t.stats.ObserveReply(now, now-a.chosenAt, true)
-		t.limit.ObserveLatency(now, now-a.chosenAt, a.LatencyTarget, a.outstanding)
-		a.service.latency.Add(now, now-a.chosenAt)
-		median, _ := a.service.latency.Quantile(0.5)
-		t.observations.AddReply(now, now-a.chosenAt, median)
+		t.observeAnswer(a, e, now)
 	case Failed, Refused:
 		if !isNotice(e.Outcome, &reply.Metadata) {
 			t.stats.ObserveReply(now, now-a.chosenAt, false)
@@ -127,6 +126,19 @@
 	d.end(a, e, conn)
 }
 
+// observeAnswer updates the statistics of a searcher with an answer.
+func (t *target) observeAnswer(a *Attempt, e Event, now time.Duration) {
+	if e.Stalled {
+		t.stats.ObserveUntimedReply(now)
+		return
+	}
+	t.stats.ObserveReply(now, e.Latency, true)
+	t.limit.ObserveLatency(now, e.Latency, a.LatencyTarget, a.outstanding)
+	a.service.latency.Add(now, e.Latency)
+	median, _ := a.service.latency.Quantile(0.5)
+	t.observations.AddReply(now, e.Latency, median)
+}
+
 // end ends the attempt and releases its connection, if it has one. It calls OnEnd unless
 // the attempt was cancelled or abandoned; then it releases the reply. It does nothing else if the
 // attempt has ended.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -13,7 +13,7 @@
 func (d *Dispatcher) Start(r Request) (*Attempt, error) {
 	d.mu.Lock()
 	s := d.service(r.Service)
-	a := &Attempt{Request: r, d: d, service: s}
+	a := &Attempt{Request: r, d: d, service: s, startedAt: d.config.Clock.Boottime()}
 	if r.Kind == First {
 		s.budget.Earn(d.allowance(), 1)
 		s.averageUnanswered.Add(float64(s.unanswered()))
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -104,7 +104,9 @@
 	}
 	switch e.Outcome {
 	case dispatch.Answered:
-		c.attemptLatency.add(c.now(), e.Latency)
+		if !e.Stalled {
+			c.attemptLatency.add(c.now(), e.Latency)
+		}
 		p.reply = e.Reply
 		return
 	case dispatch.Failed:
@@ -151,11 +153,19 @@
 			p.givenUp = true
 		}
 	}
-	if p.hedgeAt != 0 && p.hedgeAt <= now {
+	switch {
+	case p.hedgeAt == 0 || p.hedgeAt > now:
+	case now-p.hedgeAt > lateHedge:
+		p.hedgeAt = now + minHedgeDelay
+	default:
 		c.hedge(p)
 	}
 }
 
+// lateHedge is how late a hedge may be. If it is later, this process was late, so that the reply may
+// lie unread: the hedge is postponed until it would have been read.
+const lateHedge = 50 * time.Millisecond
+
 // nextDue returns the time on the boot clock when the part's next retry or hedge is due, or
 // limit if that is earlier or if none is due.
 func (p *part) nextDue(limit time.Duration) time.Duration {
@@ -217,7 +227,9 @@
 	p.hedgeAt = 0
 	// The latency of the first running attempt will be at least the time that has elapsed,
 	// so that time is added as a sample.
-	c.attemptLatency.add(c.now(), p.running[0].Elapsed())
+	if !p.running[0].Stalled() {
+		c.attemptLatency.add(c.now(), p.running[0].Elapsed())
+	}
 	c.startAttempt(p, dispatch.Hedge)
 }
 
