Encode a request when it is written

Cause: the time that is left was computed when an attempt was sent. A request of more than 4 KiB is then written by another goroutine, and any request waits if the process stands still in between, so it could state more time than is left.

Change: the connection asks for the bytes right before it writes them, and sends nothing if no time is left. TestTimeLeftIsThatOfWrite needs this interface, so it was not run on the code before.

--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -90,8 +90,9 @@
 	RequestID string
 	Method    string
 	// Encode returns the bytes of the whole request for a searcher, given the time that
-	// is left until the deadline.
+	// is left until the deadline. Size is about how many they are.
 	Encode func(searcherID string, left time.Duration) []byte
+	Size   int
 	// Deadline is the time on the boot clock when the request expires. It isn't sent after
 	// that.
 	Deadline time.Duration
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -69,8 +69,7 @@
 // send sends the request on the connection with the time that is left. It ends the
 // attempt as Unsent if the deadline has passed.
 func (d *Dispatcher) send(a *Attempt, conn *connection) {
-	left := a.Deadline - d.config.Clock.Boottime()
-	if left <= 0 {
+	if a.timeLeft() <= 0 {
 		d.mu.Lock()
 		tasks := d.release(a.target, conn)
 		d.mu.Unlock()
@@ -79,13 +78,26 @@
 		return
 	}
 	conn.Send(&searcher.Exchange{
-		RequestID:  a.RequestID,
-		Method:     a.Method,
-		RawRequest: a.Encode(a.searcherID, left),
-		Done:       func(reply *searcher.Reply, err error) { d.replied(a, conn, reply, err) },
+		RequestID: a.RequestID,
+		Method:    a.Method,
+		Encode:    a.encode,
+		Size:      a.Size,
+		Done:      func(reply *searcher.Reply, err error) { d.replied(a, conn, reply, err) },
 	})
 }
 
+// timeLeft returns the time until the deadline.
+func (a *Attempt) timeLeft() time.Duration { return a.Deadline - a.d.config.Clock.Boottime() }
+
+// encode returns the bytes of the request with the time that is left, nil if none is.
+func (a *Attempt) encode() []byte {
+	left := a.timeLeft()
+	if left <= 0 {
+		return nil
+	}
+	return a.Request.Encode(a.searcherID, left)
+}
+
 // replied handles the end of an exchange: it updates the searcher's statistics and ends
 // the attempt. reply is nil if there was an error.
 func (d *Dispatcher) replied(a *Attempt, conn *connection, reply *searcher.Reply, err error) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -289,6 +289,7 @@
 		RequestID:     c.callerRequest.ID,
 		Method:        c.method,
 		Encode:        c.encode,
+		Size:          len(c.head) + len(c.body) + attemptHeaderBytes,
 		Deadline:      c.deadline,
 		LatencyTarget: c.latencyBudget(),
 		DueBy:         c.arrived + c.latencyBudget(),
--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -59,9 +59,11 @@
 	// same identifier, since a late repeat of the first reply would be taken for the second.
 	RequestID string
 	Method    string
-	// RawRequest holds the bytes of the whole request. They must not be changed after the
-	// call of Send, because another goroutine may still be writing them.
-	RawRequest []byte
+	// Encode returns the bytes of the whole request, or nil if it must no longer be sent. It is called
+	// once, right before they are written and perhaps in another goroutine, since they may state the
+	// time that is left. Size is about how many bytes they have.
+	Encode func() []byte
+	Size   int
 	// Done is called when the exchange has ended, with either a reply or an error; the
 	// other one is nil. It must see to it that the reply is released. It is called once, except
 	// that it can be called twice, with the error and with the reply, if Close or a failed write
@@ -173,9 +175,9 @@
 	// A short request is sent in one piece, so no reply to it can arrive before all of it
 	// was sent. It counts as written here, because the reply may be read before write
 	// returns.
-	c.written = len(e.RawRequest) <= maxInlineWrite
+	c.written = e.Size <= maxInlineWrite
 	c.mu.Unlock()
-	if len(e.RawRequest) > maxInlineWrite {
+	if e.Size > maxInlineWrite {
 		go c.write(e)
 		return
 	}
@@ -187,12 +189,17 @@
 // for the searcher.
 const maxInlineWrite = 4 << 10
 
-// write writes the request. If that fails and no reply arrives, it closes the connection. The
+// write encodes and writes the request. If that fails and no reply arrives, it closes the connection. The
 // exchange then ends with ErrNotWritten if no byte was written.
 func (c *Conn) write(e *Exchange) {
 	// If setting the deadline fails, the write fails as well.
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	n, err := c.raw.Write(e.RawRequest)
+	request := e.Encode()
+	if request == nil {
+		c.fail(ErrNotWritten)
+		return
+	}
+	n, err := c.raw.Write(request)
 	if err != nil {
 		if n == 0 {
 			err = errors.WithType(errors.Trace(err), ErrNotWritten)
--- a/searcher/conn_test.go
+++ b/searcher/conn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,7 +37,7 @@
 func send(c *Conn, id string) chan outcome {
 	done := make(chan outcome, 1)
 	go c.Send(&Exchange{
-		RequestID: id, Method: http.MethodGet, RawRequest: []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
+		RequestID: id, Method: http.MethodGet, Encode: func() []byte { return []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n") },
 		Done: func(r *Reply, err error) { done <- outcome{r, err} },
 	})
 	return done
@@ -190,11 +191,11 @@
 func TestReplyBeforeRequestRead(t *testing.T) {
 	conn, searcherEnd, closed := newTestConn(t)
 	done := make(chan outcome, 1)
-	body := strings.Repeat("x", 64<<10)
+	request := []byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 65536\r\n\r\n" + strings.Repeat("x", 64<<10))
 	conn.Send(&Exchange{
 		RequestID: "a", Method: http.MethodPost,
-		RawRequest: []byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 65536\r\n\r\n" + body),
-		Done:       func(r *Reply, err error) { done <- outcome{r, err} },
+		Encode: func() []byte { return request }, Size: len(request),
+		Done: func(r *Reply, err error) { done <- outcome{r, err} },
 	})
 	_, err := http.ReadRequest(bufio.NewReaderSize(searcherEnd, 64))
 	qt.Assert(t, err, qt.IsNil)
@@ -225,3 +226,58 @@
 		}
 	})
 }
+
+// slowConn is a connection whose write deadline takes long to set, as if the process stood still.
+type slowConn struct {
+	net.Conn
+	began chan struct{}
+	goOn  chan struct{}
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *slowConn) SetWriteDeadline(t time.Time) error {
+	close(c.began)
+	<-c.goOn
+	return c.Conn.SetWriteDeadline(t)
+}
+
+// TestTimeLeftIsThatOfWrite guards against a request that states more time than is left, because it
+// was encoded long before it is written.
+func TestTimeLeftIsThatOfWrite(t *testing.T) {
+	for name, size := range map[string]int{"small": 100, "large": 2 * maxInlineWrite} {
+		for _, expired := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, " expired ", expired), func(t *testing.T) {
+				near, far := net.Pipe()
+				defer func() { _ = far.Close() }()
+				slow := &slowConn{Conn: near, began: make(chan struct{}), goOn: make(chan struct{})}
+				conn := NewConn(slow, Limits{}, func(*Conn) {})
+				defer conn.Close()
+				var left atomic.Int64
+				left.Store(300)
+				done := make(chan outcome, 1)
+				go conn.Send(&Exchange{
+					RequestID: "a", Method: http.MethodGet, Size: size,
+					Encode: func() []byte {
+						if left.Load() <= 0 {
+							return nil
+						}
+						return fmt.Appendf(nil, "GET / HTTP/1.1\r\nHost: a\r\nLeft: %d\r\n\r\n", left.Load())
+					},
+					Done: func(r *Reply, err error) { done <- outcome{r, err} },
+				})
+				<-slow.began
+				if expired {
+					left.Store(0)
+					close(slow.goOn)
+					qt.Assert(t, errors.Is((<-done).err, ErrNotWritten), qt.IsTrue)
+					return
+				}
+				left.Store(10)
+				close(slow.goOn)
+				request, err := http.ReadRequest(bufio.NewReader(far))
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, request.Header.Get("Left"), qt.Equals, "10")
+			})
+		}
+	}
+}
--- a/searcher/early_reply_test.go
+++ b/searcher/early_reply_test.go
@@ -49,7 +49,7 @@
 		err   error
 	}
 	ends := make(chan end, 2)
-	c.Send(&Exchange{Method: "POST", RawRequest: make([]byte, 8<<10), Done: func(r *Reply, err error) { ends <- end{r, err} }})
+	c.Send(&Exchange{Method: "POST", Encode: func() []byte { return make([]byte, 8<<10) }, Size: 8 << 10, Done: func(r *Reply, err error) { ends <- end{r, err} }})
 	<-raw.failed
 	time.AfterFunc(50*time.Millisecond, func() { close(raw.read) })
 	e := <-ends
