Silence of other instances during an own stall does not count

Callers saw: an instance that had stood still for 3 s named only itself in 40 of 40 address answers, so that all callers of its domain would have come to it.

Cause: the age of the others' last heartbeats was judged at the first look after the stall, as if this instance had listened all the while.

Change: while a tick is overdue, the time up to which the process ran counts, and a stall is added to the times of the last heartbeats when it ends.

TestPausedProcessNamesOtherInstances failed before in 40 of 40 answers, in each of two runs, and passed in three.

--- a/arrival/stall.go
+++ b/arrival/stall.go
@@ -65,6 +65,17 @@
 	return d.lastTick != 0 && now-d.lastTick > d.interval+stallSlack
 }
 
+// Awake returns the latest time up to which the process is known to have run: now, or less if it is
+// just going on after a stall. What should have come by now may lie unread then.
+func (d *StallDetector) Awake(now time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.overdue(now) {
+		return d.lastTick + d.interval
+	}
+	return now
+}
+
 // StalledBetween reports whether the process was stalled at some time between two times on the boot
 // clock, the second of which is now.
 func (d *StallDetector) StalledBetween(since, now time.Duration) bool {
--- a/cmd/wharf-gateway/mirrors.go
+++ b/cmd/wharf-gateway/mirrors.go
@@ -39,7 +39,7 @@
 // isLeader reports whether this instance is one of those that watch the store for changes
 // on behalf of all.
 func (s *service) isLeader() bool {
-	now := s.clock.Boottime()
+	now := s.awake()
 	wait := leaderStartDelay
 	if s.exchange.IsSeed() {
 		wait = seedLeaderStartDelay
--- a/cmd/wharf-gateway/read_delay_test.go
+++ b/cmd/wharf-gateway/read_delay_test.go
@@ -72,13 +72,16 @@
 	return response.StatusCode
 }
 
-// pause stops a process for pauseLength, calls during at its start, and returns when it goes on.
-func (p *gatewayProcess) pause(during func()) time.Time {
+// pause stops a process for pauseLength, see pauseFor.
+func (p *gatewayProcess) pause(during func()) time.Time { return p.pauseFor(pauseLength, during) }
+
+// pauseFor stops a process for a time, calls during at its start, and returns when it goes on.
+func (p *gatewayProcess) pauseFor(length time.Duration, during func()) time.Time {
 	p.signal(syscall.SIGSTOP)
 	eventually(p.t, "the process does not stop", p.stopped)
 	began := time.Now()
 	during()
-	time.Sleep(time.Until(began.Add(pauseLength)))
+	time.Sleep(time.Until(began.Add(length)))
 	resumed := time.Now()
 	p.signal(syscall.SIGCONT)
 	return resumed
--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -163,7 +163,7 @@
 	e.GET(platform.PathResolve, func(c echo.Context) error {
 		domain := platform.ReadDirectoryQuery(c.Request())
 		ttl := min(directoryTTL, s.settings.Bounds.MaxDirectoryTTL)
-		addresses := s.instances.CallerAddresses(domain, s.clock.Boottime(), s.ready())
+		addresses := s.instances.CallerAddresses(domain, s.awake(), s.ready())
 		if len(addresses) == 0 {
 			return c.NoContent(http.StatusServiceUnavailable)
 		}
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -210,11 +210,15 @@
 	if late == 0 {
 		return
 	}
+	s.instances.Resumed(late)
 	s.stalledSeconds.Add(late.Seconds())
 	s.log.Warn("process got no processor time or worked on something else", "late_ms", late.Milliseconds(),
 		"processor_ms", s.processorTime.recent.Milliseconds(), "in_flight", s.gateway.InFlight())
 }
 
+// awake returns the time on the boot clock by which to judge the silence of other instances.
+func (s *service) awake() time.Duration { return s.stalls.Awake(s.clock.Boottime()) }
+
 // removeMissingSearchers removes searchers whose entries were not written again although the
 // store answers.
 func (s *service) removeMissingSearchers(now time.Duration) {
@@ -231,7 +235,7 @@
 // updateBudgetSharers updates budgetSharers and position. During startupPeriod it sets at least
 // startupMinSharers. Connections above the new part are closed.
 func (s *service) updateBudgetSharers() {
-	now := s.clock.Boottime()
+	now := s.awake()
 	n := s.instances.SharedBy(now, s.wasReady.Load())
 	if now-s.startedAt < startupPeriod {
 		n = max(n, startupMinSharers)
--- a/cmd/wharf-gateway/stall_test.go
+++ b/cmd/wharf-gateway/stall_test.go
@@ -4,6 +4,11 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -42,3 +47,42 @@
 		})
 	}
 }
+
+// TestPausedProcessNamesOtherInstances guards against an instance that stood still and takes all others
+// for dead at its first look, so that it sends all callers to itself.
+func TestPausedProcessNamesOtherInstances(t *testing.T) {
+	t.Parallel()
+	const queries, longPause = 20, 3 * time.Second
+	d := newDeployment(t)
+	store := httptest.NewServer(d.store)
+	t.Cleanup(func() {
+		store.CloseClientConnections()
+		store.Close()
+	})
+	d.startSearchers(&site.Ledger{}, time.Millisecond)
+	d.configure(1, "/r/")
+	address := strings.TrimPrefix(store.URL, "http://")
+	p, other := startProcess(t, address), startProcess(t, address)
+	caller := site.NewCaller()
+	defer caller.Close()
+	addresses := func() []string {
+		all, _ := caller.Resolve(t.Context(), p.node.Directory, "a")
+		return all
+	}
+	want := []string{p.node.Callers, other.node.Callers}
+	slices.Sort(want)
+	eventually(t, "the instances do not know each other", func() bool { return slices.Equal(addresses(), want) })
+	var group sync.WaitGroup
+	other.signal(syscall.SIGSTOP) // so that no heartbeat is there when the first one goes on
+	p.pauseFor(longPause, func() {
+		for range queries {
+			group.Go(func() { qt.Check(t, addresses(), qt.DeepEquals, want) })
+		}
+	})
+	group.Wait()
+	for range queries {
+		qt.Check(t, addresses(), qt.DeepEquals, want)
+		time.Sleep(time.Second / queries)
+	}
+	other.signal(syscall.SIGCONT)
+}
--- a/fleet/instances.go
+++ b/fleet/instances.go
@@ -209,6 +209,16 @@
 // by name, get all heartbeats of a leader.
 const firstTargetsPerDomain = 2
 
+// Resumed records that this instance was stalled for a time and could not hear the others. Their
+// silence in that time does not count.
+func (s *Instances) Resumed(stall time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.known {
+		k.lastHeartbeat += stall
+	}
+}
+
 // Expired returns the other instances of the own failure domain that have been silent for
 // more than expiryTimeout, so that their entries can be removed.
 func (s *Instances) Expired(now time.Duration) []Instance {
