Soak: searchers get no more time than callers have left; late searches stay whole

The soak notes when each request is written and checks that no searcher got over 0.5 s more than was left then.

--- a/gateway/sharded.go
+++ b/gateway/sharded.go
@@ -25,7 +25,8 @@
 	// needed is the number of parts that an answer must have at least.
 	needed int
 	// partialAt is the time on the boot clock from which a partial answer is returned, once
-	// it has the needed parts.
+	// it has the needed parts. A request that was read late is answered late anyway, so its parts
+	// get half of the latency budget.
 	partialAt time.Duration
 }
 
@@ -50,7 +51,7 @@
 	q := &shardedQuery{
 		call:      c,
 		needed:    c.route.MinShards(),
-		partialAt: c.arrived + c.latencyBudget(),
+		partialAt: max(c.arrived+c.latencyBudget(), c.now()+c.latencyBudget()/2),
 	}
 	c.rank = balance.Rank(rand.Float64(), c.route.Priority)
 	c.deferRetry = func(p *part) bool { return !q.retryState(p).WorthRetrying() }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -54,7 +54,7 @@
 func (s *soak) search(ctx context.Context, caller *site.Caller, address, id string) {
 	const path = "/search/x"
 	began := time.Now()
-	a, err := caller.Ask(ctx, address, http.MethodGet, path, id, patience)
+	a, err := caller.Ask(s.report.traceWrite(ctx, id), address, http.MethodGet, path, id, patience)
 	if err != nil {
 		s.unanswered(ctx, address, id, began, err)
 		return
@@ -84,7 +84,7 @@
 func (s *soak) book(ctx context.Context, caller *site.Caller, address, id string) {
 	const path = "/book/x"
 	began := time.Now()
-	a, err := caller.Ask(ctx, address, http.MethodPost, path, id, patience)
+	a, err := caller.Ask(s.report.traceWrite(ctx, id), address, http.MethodPost, path, id, patience)
 	if err != nil {
 		s.unanswered(ctx, address, id, began, err)
 		return
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -5,15 +5,18 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 )
 
 // report is what a run showed.
 type report struct {
 	seed uint64
 
-	mu         sync.Mutex
-	answers    map[string]int
-	addresses  map[string]string
+	mu        sync.Mutex
+	answers   map[string]int
+	addresses map[string]string
+	// written holds when requests were written, by ID.
+	written    map[string]time.Time
 	good       int
 	partial    int
 	refused    int
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -81,7 +81,7 @@
 	s := &soak{
 		size:   usualDeployment(),
 		random: rand.New(rand.NewPCG(p.seed, 0)), store: site.NewStore(), ledger: &site.Ledger{},
-		report: &report{seed: p.seed, answers: make(map[string]int), addresses: make(map[string]string)},
+		report: &report{seed: p.seed, answers: make(map[string]int), addresses: make(map[string]string), written: make(map[string]time.Time)},
 	}
 	if p.instances > 0 {
 		s.size = overlappingDeployment(p.instances)
@@ -101,6 +101,7 @@
 	group.Go(func() { s.configure(ctx) })
 	group.Wait()
 	s.checkRuns()
+	s.checkTimeLeft()
 	return s.report, nil
 }
 
--- a/standin/site/searcher.go
+++ b/standin/site/searcher.go
@@ -19,7 +19,9 @@
 	Searcher  string
 	Path      string
 	Body      string
-	At        time.Time
+	// Reached is when the request reached the searcher, At when it began to run.
+	Reached time.Time
+	At      time.Time
 	// Left is the time that the request had left.
 	Left time.Duration
 }
@@ -173,6 +175,7 @@
 	s.mu.Lock()
 	f := s.faults
 	s.mu.Unlock()
+	reached := time.Now()
 	s.ledger.arrived()
 	beginReply(r.Context(), f.RepeatLate)
 	id := r.Header.Get("Request-Id")
@@ -204,7 +207,7 @@
 		return
 	}
 	defer func() { <-s.slots }()
-	s.ledger.ran(Run{RequestID: id, Searcher: s.ID, Path: r.RequestURI, Body: string(body), At: time.Now(), Left: left})
+	s.ledger.ran(Run{RequestID: id, Searcher: s.ID, Path: r.RequestURI, Body: string(body), Reached: reached, At: time.Now(), Left: left})
 	if f.Silent {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
