Stalls: a tick may be late by a quarter of a second

Where the kernel tells no ages, a request after a stall gets less time. A tick that is 0.1 s late may only be load; together with the interval a stall of 0.5 s is still noticed.

--- a/arrival/stall.go
+++ b/arrival/stall.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// stallSlack is how late a tick may be without counting as a stall.
-const stallSlack = 100 * time.Millisecond
+// stallSlack is how late a tick may be without counting as a stall. Bytes that were read after a stall
+// that is not noticed look younger by its length.
+const stallSlack = 250 * time.Millisecond
 
 // StallDetector notices by ticks that come late when the process stood still or got no processor
 // time. It is safe for concurrent use.
