A planned stop answers requests that arrived behind another one

Cause: the first answer said "Connection: close", and the server drops what it has read behind it.

Change: a connection hands the server no bytes behind the end of a head together with those before it, so it knows what has arrived behind a request. An answer in a stop ends the connection only if nothing has.

--- a/arrival/socket.go
+++ b/arrival/socket.go
@@ -42,10 +42,27 @@
 
 // atEnd reports whether a socket has no more bytes to read because the peer has closed its end.
 func atEnd(socket syscall.RawConn) bool {
-	n, err := 0, error(nil)
+	n, err := peek(socket)
+	return err == nil && n == 0
+}
+
+// unread reports whether a socket, which may be nil, has bytes to read.
+func unread(socket syscall.RawConn) bool {
+	if socket == nil {
+		return false
+	}
+	n, err := peek(socket)
+	return err == nil && n > 0
+}
+
+// peek returns 1 if a byte can be read and 0 at the end, without reading or waiting.
+func peek(socket syscall.RawConn) (n int, err error) {
 	controlErr := socket.Control(func(fd uintptr) {
 		var next [1]byte
 		n, _, err = unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return controlErr == nil && err == nil && n == 0
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
--- a/arrival/tracker.go
+++ b/arrival/tracker.go
@@ -26,6 +26,8 @@
 	// request is when the current request arrived, bodyOpen that its body is not read yet.
 	request  Span
 	bodyOpen bool
+	// ahead is how many bytes were read that the server has not got yet.
+	ahead int
 	// readAt is when bytes were last read, zero before. state is the state of the socket then.
 	readAt time.Duration
 	state  tcpState
@@ -40,19 +42,46 @@
 	return t
 }
 
-// BytesRead records that bytes were read. It is to be called after each such read.
-func (t *Tracker) BytesRead() {
+// BytesRead records that bytes were read from the socket, the last ones of which the server has not got
+// yet. It is to be called after each such read.
+func (t *Tracker) BytesRead(ahead int) {
 	state := socketState(t.socket)
 	now := t.clock.Boottime()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.last = t.span(now, state)
 	t.readAt, t.state = now, state.tcp
+	t.taken(ahead)
+}
+
+// BytesTaken records that the server has got bytes that had been read before, and how many of them are
+// left.
+func (t *Tracker) BytesTaken(ahead int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.taken(ahead)
+}
+
+// taken records that the server has got bytes. The caller holds the lock.
+func (t *Tracker) taken(ahead int) {
+	t.ahead = ahead
 	if !t.hasNext && !t.bodyOpen {
 		t.next, t.hasNext = t.last, true
 	}
 }
 
+// More reports whether bytes have arrived that follow the current request. It is to be called when that
+// is read whole. Bytes that were read together with the end of a body are not known.
+func (t *Tracker) More() bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	more := t.hasNext || t.ahead > 0
+	t.mu.Unlock()
+	return more || unread(t.socket)
+}
+
 // span returns when bytes arrived that are read at the time now. The kernel tells the age of the
 // last byte. Where it tells none, bytes that are read after a stall of the process may have arrived
 // at any time of it, but not before the last read.
--- a/arrival/tracker_test.go
+++ b/arrival/tracker_test.go
@@ -29,7 +29,7 @@
 func TestRequestsOfConnection(t *testing.T) {
 	tracker, _, c := newTestTracker()
 	read := func() time.Duration {
-		tracker.BytesRead()
+		tracker.BytesRead(0)
 		defer c.Advance(10 * time.Millisecond)
 		return c.Boottime()
 	}
@@ -63,7 +63,7 @@
 func TestArrivalAfterStall(t *testing.T) {
 	tracker, d, c := newTestTracker()
 	read := func() Span {
-		tracker.BytesRead()
+		tracker.BytesRead(0)
 		tracker.HeadRead()
 		return tracker.Request(c.Boottime())
 	}
@@ -74,7 +74,7 @@
 	c.Advance(time.Second)
 	qt.Assert(t, read(), qt.Equals, Span{Earliest: lastRead, Latest: c.Boottime()}, qt.Commentf("the tick is overdue"))
 	other := NewTracker(nil, c, d)
-	other.BytesRead()
+	other.BytesRead(0)
 	other.HeadRead()
 	qt.Assert(t, other.Request(0), qt.Equals, Span{Earliest: began, Latest: c.Boottime()})
 	qt.Assert(t, d.Tick(c.Boottime()), qt.Equals, time.Second)
@@ -107,7 +107,7 @@
 	read := func() {
 		_, err := conn.Read(make([]byte, 1))
 		qt.Assert(t, err, qt.IsNil)
-		tracker.BytesRead()
+		tracker.BytesRead(0)
 	}
 	atLeast := time.Since(written)
 	read()
--- a/caller/server.go
+++ b/caller/server.go
@@ -231,7 +231,7 @@
 	defer c.mu.Unlock()
 	interrupted = c.closing
 	if n > 0 {
-		c.arrivals.BytesRead()
+		c.arrivals.BytesRead(0)
 		c.idle = false
 		if c.closing {
 			c.closing = false
--- a/cmd/wharf-gateway/callers.go
+++ b/cmd/wharf-gateway/callers.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -40,6 +42,11 @@
 	// unless bytes have arrived.
 	idle   bool
 	ending bool
+
+	// rest holds bytes that were read from the socket behind the end of a head. Only Read uses it.
+	rest []byte
+	// before holds the last two bytes that Read returned.
+	before [2]byte
 }
 
 // add makes a connection one of the set.
@@ -129,19 +136,61 @@
 	return c.ending
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns no bytes behind the end of a head together with those before
+// it, so that the server does not read a request ahead that the connection does not know of.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if len(c.rest) > 0 {
+		n := copy(p, c.rest)
+		n = headEnd(c.before, p[:n])
+		c.returned(p[:n], c.rest[n:])
+		c.arrivals.BytesTaken(len(c.rest))
+		return n, nil
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endsNow() {
 		n, err = readArrived(c.Conn, p)
 	}
 	if n > 0 {
-		c.becameBusy()
-		c.arrivals.BytesRead()
+		end := headEnd(c.before, p[:n])
+		c.returned(p[:end], slices.Clone(p[end:n]))
+		c.arrivals.BytesRead(len(c.rest))
+		n = end
 	}
 	return n, err
 }
 
+// returned records what Read returns and the bytes that are left.
+func (c *callerConn) returned(b, rest []byte) {
+	c.rest = rest
+	for _, last := range b[max(len(b)-2, 0):] {
+		c.before = [2]byte{c.before[1], last}
+	}
+	c.becameBusy()
+}
+
+// headEnd returns the length of b up to the end of its first empty line, which ends a head, or all of
+// it if there is none. before holds the two bytes before b. Where b is part of a body, the result only
+// makes a read shorter.
+func headEnd(before [2]byte, b []byte) int {
+	at := func(i int) byte {
+		if i < 0 {
+			return before[2+i]
+		}
+		return b[i]
+	}
+	for i := 0; i < len(b); i++ {
+		next := bytes.IndexByte(b[i:], '\n')
+		if next < 0 {
+			break
+		}
+		i += next
+		if at(i-1) == '\n' || at(i-1) == '\r' && at(i-2) == '\n' {
+			return i + 1
+		}
+	}
+	return len(b)
+}
+
 // SetReadDeadline implements net.Conn. It does not extend the deadline of an idle connection
 // that is to end.
 func (c *callerConn) SetReadDeadline(at time.Time) error {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,9 +93,6 @@
 	open := g.open.add(r, arrived.Latest)
 	defer g.open.remove(open)
 	g.observeReadDelay(r, started-arrived.Earliest, arrived.Exact())
-	if g.stop.begun.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c, refusal := g.newCall(w, r, arrived)
 	if refusal != nil {
 		open.answering()
@@ -132,6 +129,14 @@
 	}
 }
 
+// endConnection asks the caller to end its connection after this answer if the instance stops. If
+// another request has arrived on it, that one is answered first: the server would drop it.
+func (g *Gateway) endConnection(w http.ResponseWriter, r *http.Request) {
+	if g.stop.begun.Load() && !arrival.FromContext(r.Context()).More() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // answer is the answer to a caller.
 type answer struct {
 	status int
@@ -152,6 +157,7 @@
 func (g *Gateway) write(w http.ResponseWriter, r *http.Request, c *call, a answer) {
 	if a.callerGone {
 		g.metrics.outcomes.WithLabelValues("caller gone").Inc()
+		g.endConnection(w, r)
 		http.Error(w, "caller closed its end", http.StatusBadGateway)
 		return
 	}
@@ -168,9 +174,7 @@
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // prevents the HTTP server from sniffing one
 	}
-	if g.stop.begun.Load() {
-		h.Set("Connection", "close")
-	}
+	g.endConnection(w, r)
 	w.WriteHeader(a.status)
 	if _, err := w.Write(a.body); err != nil {
 		g.config.Log.Debug("answer was not delivered", "request", c.callerRequest.ID, "error", err.Error())
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -27,6 +27,7 @@
 	if response.retryAfter > 0 {
 		platform.SetRetryAfter(w.Header(), response.retryAfter)
 	}
+	g.endConnection(w, r)
 	g.metrics.refusals.WithLabelValues(response.reason).Inc()
 	g.stop.countRefusal()
 	if response.status >= http.StatusInternalServerError && g.requestLog.Allow() {
