--- a/arrival/stall.go
+++ b/arrival/stall.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// stallSlack is how late a tick may be without counting as a stall. Bytes that were read after a stall
-// that is not noticed look younger by its length.
+// stallSlack is how late a tick may be without counting as a stall. After a stall that is not noticed,
+// bytes look younger by its length.
 const stallSlack = 250 * time.Millisecond
 
 // StallDetector notices by ticks that come late when the process stood still or got no processor
--- a/arrival/tracker.go
+++ b/arrival/tracker.go
@@ -71,7 +71,7 @@
 }
 
 // More reports whether bytes have arrived that follow the current request. It is to be called when that
-// is read whole. Bytes that were read together with the end of a body are not known.
+// is read whole. Bytes that the server has got together with the end of a body are not known.
 func (t *Tracker) More() bool {
 	if t == nil {
 		return false
@@ -133,8 +133,8 @@
 // one.
 const stateLifetime = 10 * time.Millisecond
 
-// PeerClosed reports whether the caller has closed its end of the connection, behind all that it
-// has sent.
+// PeerClosed reports whether the caller has closed its end of the connection and nothing is left in
+// the socket.
 func (t *Tracker) PeerClosed() bool {
 	if t == nil || t.socket == nil {
 		return false
