Send nothing for callers that left in a stall

Cause: before a request is sent only its deadline is checked. After a stall of the process the end of a caller's connection lies unread beside the replies that make room for queued requests.

Change: after a stall since the attempt was made, the state of the caller's connection is asked for right before the request is sent, and before a retry or a hedge.

--- a/cmd/wharf-gateway/process_test.go
+++ b/cmd/wharf-gateway/process_test.go
@@ -89,6 +89,13 @@
 // processSite is a store with a configuration, searchers, and an instance as a process that
 // serves.
 func processSite(t *testing.T, ledger *site.Ledger, work time.Duration) *gatewayProcess {
+	t.Helper()
+	p, _ := processSiteOf(t, ledger, work)
+	return p
+}
+
+// processSiteOf is processSite, and returns the searchers too.
+func processSiteOf(t *testing.T, ledger *site.Ledger, work time.Duration) (*gatewayProcess, []*site.Searcher) {
 	t.Helper()
 	d := newDeployment(t)
 	store := httptest.NewServer(d.store)
@@ -96,7 +103,7 @@
 		store.CloseClientConnections()
 		store.Close()
 	})
-	d.startSearchersOf("one", "one", 200, ledger, work)
+	searchers := d.startSearchersOf("one", "one", 200, ledger, work)
 	d.store.Put("config", "main", site.Configuration(1, []string{"one"}, []site.Route{
 		{Prefix: "/safe/", Service: "one", Idempotent: true, TargetMs: 500},
 		{Prefix: "/search/", Shards: []string{"one"}, Idempotent: true, TargetMs: 500},
@@ -104,7 +111,7 @@
 	}))
 	p := startProcess(t, strings.TrimPrefix(store.URL, "http://"))
 	eventually(t, "the process does not serve", func() bool { return p.status("/safe/x") == http.StatusOK })
-	return p
+	return p, searchers
 }
 
 // unansweredLimit is how long after its last byte a request that was not passed on may end
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -97,7 +97,7 @@
 		Position:      func() float64 { return math.Float64frombits(s.position.Load()) }, Log: log, Registry: s.registry,
 		StalledBetween: s.stalls.StalledBetween, Memory: s.memory,
 	})
-	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, Memory: s.memory})
+	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, StalledBetween: s.stalls.StalledBetween, Memory: s.memory})
 	s.createMirrors()
 	s.exchange, err = exchange.Listen(exchange.Config{
 		Self: s.self, HeartbeatAddress: internalPortAddress(settings, heartbeatPortOffset), Seeds: settings.Seeds, Instances: s.instances, Mirrors: s.mirrors, InstanceKind: platform.KindInstances,
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -110,6 +110,10 @@
 	// to this attempt.
 	Earlier []*Attempt
 	Kind    Kind
+	// Wanted reports whether the caller still waits. It is asked before the request is sent if this
+	// process was stalled since the attempt was made: what it would have noticed may lie unread. Nil
+	// means that the caller waits.
+	Wanted func() bool
 	// Tag is not used by the dispatcher. The caller can tell its attempts apart by it.
 	Tag int
 	// OnEnd is called once when the attempt has ended, unless it is cancelled or
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -67,9 +67,9 @@
 }
 
 // send sends the request on the connection with the time that is left. It ends the
-// attempt as Unsent if the deadline has passed.
+// attempt as Unsent if the deadline has passed or the caller has left.
 func (d *Dispatcher) send(a *Attempt, conn *connection) {
-	if a.timeLeft() <= 0 {
+	if a.timeLeft() <= 0 || !a.wanted() {
 		d.mu.Lock()
 		tasks := d.release(a.target, conn)
 		d.mu.Unlock()
@@ -89,6 +89,11 @@
 // timeLeft returns the time until the deadline.
 func (a *Attempt) timeLeft() time.Duration { return a.Deadline - a.d.config.Clock.Boottime() }
 
+// wanted reports whether the caller still waits, as far as is known.
+func (a *Attempt) wanted() bool {
+	return a.Wanted == nil || !a.d.config.StalledBetween(a.startedAt, a.d.config.Clock.Boottime()) || a.Wanted()
+}
+
 // encode returns the bytes of the request with the time that is left, nil if none is.
 func (a *Attempt) encode() []byte {
 	left := a.timeLeft()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -131,6 +131,12 @@
 	return c.ctx.Err() != nil || arrival.FromContext(c.ctx).PeerClosed()
 }
 
+// leftInStall reports whether the caller has closed its end and this process may not have noticed,
+// because it was stalled meanwhile.
+func (c *call) leftInStall() bool {
+	return c.g.config.StalledBetween(c.arrived, c.now()) && c.callerGone()
+}
+
 // maxEventsPerPart is the capacity of a call's events channel for each part. The retries and
 // hedges of a part are limited accordingly, so that an attempt that ends never blocks on the
 // channel.
@@ -297,6 +303,7 @@
 		Avoid:         p.searchersToAvoid(),
 		Earlier:       p.earlier,
 		Kind:          kind,
+		Wanted:        func() bool { return !c.leftInStall() },
 		Tag:           p.index,
 		OnEnd: func(e dispatch.Event) {
 			c.replies.add(e.Reply)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,9 @@
 	Clock      clock.Clock
 	Log        *slog.Logger
 	Registry   prometheus.Registerer
+	// StalledBetween reports whether this process was stalled at some time between two times on the
+	// boot clock, the second of which is now. Nil means that it never is.
+	StalledBetween func(since, now time.Duration) bool
 	// Memory bounds the bodies of all requests together. Nil means no bound.
 	Memory *memory.Budget
 }
@@ -51,6 +54,9 @@
 // SetRoutingConfig is called. It registers the gateway's metrics, and panics if
 // config.Registry has them already.
 func New(config Config) *Gateway {
+	if config.StalledBetween == nil {
+		config.StalledBetween = func(_, _ time.Duration) bool { return false }
+	}
 	return &Gateway{
 		config: config, metrics: newMetrics(config.Registry), requestLog: requestlog.NewWriter(config.Log),
 		attemptLatencies: latencyHistograms{byRoute: make(map[string]*latencyHistogram)},
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -49,6 +49,9 @@
 	attemptRecords []requestlog.AttemptRecord
 }
 
+// errCallerGone reports that an attempt was not started because the caller has closed its end.
+const errCallerGone = errors.ConstError("caller closed its end")
+
 // msSinceArrival returns the time since the arrival of the request in milliseconds.
 func (c *call) msSinceArrival() int64 { return (c.now() - c.arrived).Milliseconds() }
 
@@ -57,8 +60,13 @@
 const maxUnsent = 4
 
 // startAttempt starts an attempt and sets when its hedge is due, if one is allowed. It
-// reports whether the attempt was started. If not, it calls attemptNotStarted.
+// reports whether the attempt was started. If not, it calls attemptNotStarted. Nothing is started
+// for a caller that left while this process was stalled.
 func (c *call) startAttempt(p *part, kind dispatch.Kind) bool {
+	if c.leftInStall() {
+		c.attemptNotStarted(p, kind, errCallerGone)
+		return false
+	}
 	a, err := c.dispatchAttempt(p, kind)
 	if err != nil {
 		c.attemptNotStarted(p, kind, err)
