Count a planned stop from the earliest time of its signal

Cause: the schedule of a stop counted from when the process took the signal. A signal that came while the process stood still was taken later than it was sent, and the platform ends the process by force before the schedule does.

Change: right after a stall the schedule counts from the stall's begin, with a fifth of the grace left at least.

--- a/arrival/stall.go
+++ b/arrival/stall.go
@@ -61,6 +61,15 @@
 	return 0, false
 }
 
+// Earliest returns the earliest time at which something may have come that is noticed at the time now:
+// now, unless the process was just stalled.
+func (d *StallDetector) Earliest(now time.Duration) time.Duration {
+	if began, ok := d.since(now); ok {
+		return began
+	}
+	return now
+}
+
 // overdue reports whether the next tick is late. The caller holds the lock.
 func (d *StallDetector) overdue(now time.Duration) bool {
 	return d.lastTick != 0 && now-d.lastTick > d.interval+stallSlack
--- a/cmd/wharf-gateway/stop.go
+++ b/cmd/wharf-gateway/stop.go
@@ -20,6 +20,9 @@
 	answerUntil = 0.93
 	// writeUntil is by when these answers are written.
 	writeUntil = 0.97
+	// minStop is what a stop has at least, for the requests that are open, if it is not known when
+	// SIGTERM came.
+	minStop = 0.2
 )
 
 const (
@@ -47,7 +50,7 @@
 // still come, as long as they can be answered within the stop grace. It returns an error if
 // requests are still open at the end.
 func (s *service) stop(servers *servers) error {
-	schedule := newStopSchedule(s.clock.Boottime(), s.settings.Bounds.StopGrace)
+	schedule := newStopSchedule(s.stopBegan(s.clock.Boottime()), s.settings.Bounds.StopGrace)
 	s.log.Info("planned stop", "open", s.gateway.InFlight())
 	s.stopping.Store(true)
 	s.gateway.BeginStop(schedule.answerBy)
@@ -59,6 +62,13 @@
 	return err
 }
 
+// stopBegan returns when the signal for a planned stop came that is noticed at the time now. If the
+// process was stalled, that is the earliest possible time.
+func (s *service) stopBegan(now time.Duration) time.Duration {
+	longestAgo := time.Duration((1 - minStop) * float64(s.settings.Bounds.StopGrace))
+	return max(s.stalls.Earliest(now), now-longestAgo)
+}
+
 // stopPhases holds when the phases of a planned stop ended, on the boot clock, and how many
 // connections of callers its end closed.
 type stopPhases struct {
--- /dev/null
+++ b/cmd/wharf-gateway/stop_stall_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wisteriawharf/wisteriawharf/standin/site"
+)
+
+// TestStopOfPausedProcessEndsInTime guards against a stop whose signal came while the process stood
+// still, and whose schedule then ends only after the platform has killed the process.
+func TestStopOfPausedProcessEndsInTime(t *testing.T) {
+	t.Parallel()
+	const pause, interval = 2 * time.Second, 50 * time.Millisecond
+	ledger := &site.Ledger{}
+	p := processSite(t, ledger, 20*time.Millisecond)
+	began := time.Now()
+	p.signal(syscall.SIGSTOP)
+	p.signal(syscall.SIGTERM)
+	time.Sleep(pause)
+	p.signal(syscall.SIGCONT)
+	path := fmt.Sprintf("/book/x?%s=%d", site.WorkQuery, time.Second.Milliseconds())
+	var group sync.WaitGroup
+	for i := 0; time.Since(began) < processGrace-time.Second; i++ {
+		conn, err := site.Connect(p.node.Callers)
+		if err != nil {
+			break // it accepts no more connections
+		}
+		group.Go(func() {
+			defer conn.Close()
+			id := fmt.Sprint("s", i)
+			status, _ := conn.Ask(http.MethodPost, path, id, 2*time.Second)
+			if ended := time.Since(began); ended > processGrace && ledger.Count(id) > 0 {
+				t.Errorf("%s was answered %d %s after the signal", id, status, ended)
+			}
+		})
+		time.Sleep(interval)
+	}
+	group.Wait()
+	qt.Assert(t, <-p.ended, qt.IsNil)
+	qt.Check(t, time.Since(began) < processGrace, qt.IsTrue, qt.Commentf("ended after %s", time.Since(began)))
+}
