Load report: why shards were missing

A report counted the missing shards of answers and refusals, but not the codes that say why, so that a scenario that failed with refusals below the minimum coverage could not be told apart from others of its kind. It counts the codes too.

--- a/load/record.go
+++ b/load/record.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wisteriawharf/wisteriawharf/result"
 )
 
 const (
@@ -51,6 +53,7 @@
 	cut          int
 	found        findings
 	missing      map[string]map[uint32]int
+	missingCodes map[string]map[string]int
 	factsChecked bool
 }
 
@@ -69,6 +72,8 @@
 		codes:    make(map[string]int),
 		kinds:    make(map[string]int),
 		missing:  make(map[string]map[uint32]int),
+
+		missingCodes: make(map[string]map[string]int),
 	}
 }
 
@@ -146,12 +151,14 @@
 	}
 }
 
-// lacks counts an answer or refusal that lists a shard as missing.
-func (r *recorder) lacks(service string, shard uint32) {
+// lacks counts an answer or refusal that lists a shard as missing, and why.
+func (r *recorder) lacks(service string, shard uint32, code result.Code) {
 	if r.missing[service] == nil {
 		r.missing[service] = make(map[uint32]int)
+		r.missingCodes[service] = make(map[string]int)
 	}
 	r.missing[service][shard]++
+	r.missingCodes[service][codeName(code)]++
 }
 
 func record(h *hdrhistogram.Histogram, latency time.Duration) {
--- a/load/report.go
+++ b/load/report.go
@@ -61,6 +61,8 @@
 	P99Ms          float64 `json:"p99_ms"`
 	// Missing counts answers and refusals by each shard that they list as missing.
 	Missing map[uint32]int `json:"missing,omitempty"`
+	// MissingCodes counts them by the result code that says why.
+	MissingCodes map[string]int `json:"missing_codes,omitempty"`
 }
 
 // SecondReport is one second of the run, by the intended time of sending.
@@ -106,7 +108,7 @@
 		report.Services[name] = ServiceReport{
 			Requests: s.offered, Good: s.good, PartialAnswers: s.partial, Refused: s.refused, Errors: s.errors,
 			P50Ms: quantile(s.served, 50), P99Ms: quantile(s.served, 99),
-			Missing: r.missing[name],
+			Missing: r.missing[name], MissingCodes: r.missingCodes[name],
 		}
 	}
 	for i, s := range r.seconds {
--- a/load/searches.go
+++ b/load/searches.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		for _, missing := range s.claim.Coverage.Missing {
-			r.lacks(s.service, missing.Shard)
+			r.lacks(s.service, missing.Shard, missing.Code)
 		}
 		if coverageRan(s.claim, ran[query]) {
 			continue
