Bound the rate of state sent by an instance that serves callers

What callers saw: parts of their requests reached searchers late, behind state that the instance sent to others on the same link. Relays that serve nobody took most of it away; where all instances serve, it was still there.

Change: while callers are sent to an instance, it sends state at half of the stated rate of its link at most, in pieces of 5 ms, and refuses at once a transfer that could not end within the time limit of a fetch beside those that wait. Relays and instances that stand by are not bounded.

--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -103,6 +103,7 @@
 		Self: s.self, HeartbeatAddress: internalPortAddress(settings, heartbeatPortOffset), Seeds: settings.Seeds, Instances: s.instances, Mirrors: s.mirrors, InstanceKind: platform.KindInstances,
 		Ready: s.ready, IsLeader: s.isLeader, Clock: s.clock, Log: log, Reports: s.dispatch.TakeReports, OnReports: s.dispatch.ApplyReports,
 		StoreReachable: func() bool { return !s.outage.Failing() }, OnStoreOutage: s.recordStoreFailure, Memory: s.memory,
+		LinkBytesPerSecond: settings.LinkBytesPerSecond, Serves: func() bool { return s.instances.Serves(s.clock.Boottime()) },
 	})
 	return s, errors.Trace(err)
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
@@ -92,8 +93,12 @@
 	// Memory bounds the bytes of all replies together, those that are received and those that
 	// are sent. Nil means no bound.
 	Memory *memory.Budget
-	Clock  clock.Clock
-	Log    *slog.Logger
+	// LinkBytesPerSecond is the rate of the link of this instance, zero if it is not known. Serves
+	// reports whether callers are sent to this instance.
+	LinkBytesPerSecond float64
+	Serves             func() bool
+	Clock              clock.Clock
+	Log                *slog.Logger
 }
 
 // Exchange sends the heartbeats of this instance, receives those of the others, and
@@ -102,6 +107,8 @@
 	config Config
 	client *http.Client
 	socket *net.UDPConn
+	// pacer bounds the rate of what is sent to other instances.
+	pacer *pacer
 	// heartbeatPort is the UDP port of the heartbeats of all instances.
 	heartbeatPort int
 
@@ -132,6 +139,7 @@
 	return &Exchange{
 		config: config, socket: socket, heartbeatPort: address.Port,
 		client:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxReplyHeaderBytes}},
+		pacer:    newPacer(config.LinkBytesPerSecond, config.Serves),
 		fetching: make(map[string]bool), later: make(map[string]*laterFetch),
 	}, nil
 }
@@ -153,15 +161,26 @@
 	})
 }
 
-// sendDelta answers with a delta, or with 503 if there is no memory for its encoding. The other
-// instance asks again when it hears of the changes again.
+// sendDelta answers with a delta, or with 503 if there is no memory for its encoding or too much waits
+// for the link. The other instance asks again when it hears of the changes again.
 func (x *Exchange) sendDelta(c echo.Context, d mirror.Delta) error {
 	held := x.config.Memory.Hold()
 	defer held.Release()
-	if !held.Grow(encodedBytes(d)) {
+	size := encodedBytes(d)
+	if !held.Grow(size) {
 		return echo.NewHTTPError(http.StatusServiceUnavailable, "memory is in use by other requests")
 	}
-	return c.JSON(http.StatusOK, d)
+	if !x.pacer.begin(size) {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "link is in use by other transfers")
+	}
+	defer x.pacer.end(size)
+	c.Response().Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	c.Response().WriteHeader(http.StatusOK)
+	paced := &pacedWriter{ctx: c.Request().Context(), pacer: x.pacer, w: c.Response()}
+	if err := json.NewEncoder(paced).Encode(d); err != nil {
+		x.config.Log.Debug("objects were not delivered", "error", err.Error())
+	}
+	return nil
 }
 
 // elementBytes is about what an object takes in an encoded delta, beside its name and content, or
--- a/fleet/serving.go
+++ b/fleet/serving.go
@@ -92,6 +92,14 @@
 	return time.Duration(len(standby)) * fetchSpacing
 }
 
+// Serves reports whether callers are sent to this instance, or may still use its address.
+func (s *Instances) Serves(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.known[s.self]
+	return k.served && now-k.servedAt <= sharerTimeout
+}
+
 // countNeeded returns how many of the sorted candidates have to serve, given the load of all.
 func countNeeded(sorted []servingCandidate, load float64) int {
 	total := 0.0
