Entry: run no search whose caller has left before it was read

Cause: a search that lay unread, because the process got no processor time, was run whether or not its caller still waited; its end was noticed only after the search had been sent.

Measured: ten searches whose callers closed or reset their connections while the server read nothing: 10 ran before, none now, beside one whose caller stayed (TestSearchOfGoneCallerIsNotRun).

--- a/caller/arrival_test.go
+++ b/caller/arrival_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,3 +62,32 @@
 	sound.write(request(wait / 2))
 	qt.Assert(t, status(sound), qt.Equals, http.StatusOK, qt.Commentf("a fresh request"))
 }
+
+// TestSearchOfGoneCallerIsNotRun guards against a search that lay unread until its caller had closed the
+// connection, and is then run for nobody.
+func TestSearchOfGoneCallerIsNotRun(t *testing.T) {
+	const wait = 100 * time.Millisecond
+	f := &fakeEngine{answer: &SearchAnswer{}}
+	var ran atomic.Int64
+	f.onSearch(func(SearchRequest) { ran.Add(1) })
+	s, err := Listen("127.0.0.1:0", newTestHandler(f), discardLogger())
+	qt.Assert(t, err, qt.IsNil)
+	request := fmt.Sprintf("POST /v1/search/desk HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(searchJSON), searchJSON)
+	for i := range 10 {
+		c := dialServer(t, s)
+		c.write(request)
+		if i%2 == 0 {
+			qt.Assert(t, c.conn.(*net.TCPConn).SetLinger(0), qt.IsNil) // it resets
+		}
+		qt.Assert(t, c.conn.Close(), qt.IsNil)
+	}
+	stays := dialServer(t, s)
+	stays.write(request)
+	time.Sleep(wait)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	t.Cleanup(func() { _ = s.Close(); qt.Check(t, <-done, qt.IsNil) })
+	stays.readOK()
+	time.Sleep(wait)
+	qt.Assert(t, ran.Load(), qt.Equals, int64(1))
+}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -139,6 +139,9 @@
 	if e != nil {
 		return e
 	}
+	if arrival.FromContext(c.Request().Context()).PeerClosed() {
+		return result.NotRun(result.Cancelled, "caller closed its end before the search was read")
+	}
 	answer, e := h.config.Engine.Search(c.Request().Context(), SearchRequest{
 		RequestID: requestID(c),
 		Service:   c.Param("service"),
