--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -16,7 +16,7 @@
 	defer group.Wait()
 	faults := []func(context.Context, time.Duration){
 		s.storeFault, s.linkFault, s.searcherFault, s.searcherFault, s.searcherFault,
-		s.leave, s.crash, s.killProcess, s.pauseProcess, s.stopProcess,
+		s.leave, s.crash, s.killProcess, s.pauseProcess, s.stopProcess, s.stopPaused,
 		s.restoreStore, s.limitSearcher, s.sayLeaving,
 	}
 	for {
@@ -228,6 +228,26 @@
 	})
 }
 
+// stopPaused stops a process as planned while it stands still. It must end within the grace all the
+// same.
+func (s *soak) stopPaused(ctx context.Context, length time.Duration) {
+	s.toProcess(func(p *process) {
+		grace := time.Duration(s.size.grace) * time.Second
+		length = min(length, grace/2)
+		s.unplanned(p, grace)
+		p.signal(syscall.SIGSTOP)
+		signalled := time.Now()
+		p.signal(syscall.SIGTERM)
+		hold(ctx, length)
+		p.signal(syscall.SIGCONT)
+		p.await()
+		if took := time.Since(signalled); took > grace {
+			s.report.violate("STOP: %s ended %s after its signal, in the first %s of which it stood still", p.node.Name, took, length)
+		}
+		s.restart(p)
+	})
+}
+
 // roll stops the processes as planned, one after the other, until ctx ends.
 func (s *soak) roll(ctx context.Context) {
 	for i := 0; ctx.Err() == nil; i++ {
