Decode state of other instances element by element

What operators saw: an instance with a memory limit of 284 MB could not fetch the state of 95,000 searchers (31 MB) from another one, so it listed it from the store instead.

Cause: the text was held whole beside the objects that were decoded from it.

Change: the text is decoded element by element as it is read, and counts beside its value only until that is decoded.

--- a/exchange/fetch.go
+++ b/exchange/fetch.go
@@ -164,7 +164,11 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.Errorf("status %d", response.StatusCode)
 	}
-	body, err := held.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	limited := io.LimitReader(response.Body, maxReplyBytes)
+	if delta, ok := reply.(*mirror.Delta); ok {
+		return decodeDelta(limited, held, delta)
+	}
+	body, err := held.ReadAll(limited)
 	if err != nil {
 		return errors.Trace(err)
 	}
