Soak: a pause that a searcher asks for is kept

The soak played searchers that refuse and ask for a pause, and checked nothing of it. It checks now that from half a second after such a refusal to the end of the pause no more than two requests of the process that got it reach the searcher. Pauses last 0.7, 1.25 or 3 s and are drawn twice as often.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -133,8 +133,8 @@
 		{Shed: 0.6}, {Fail: 0.6}, {Lose: 0.4}, {Garble: true}, {Stranger: true}, {Extra: true},
 		{Silent: true}, {Work: 300 * time.Millisecond},
 		{Shed: 0.6, RepeatLate: true}, {Shed: 0.6, RepeatLate: true, Unidentified: true},
-		{Shed: 0.6, Pause: pauseSeconds},
-	}[s.draw(11)]
+		{Shed: 0.6, Pause: pauses[s.draw(len(pauses))]}, {Shed: 0.6, Pause: pauses[s.draw(len(pauses))]},
+	}[s.draw(12)]
 	one.SetFaults(f)
 	hold(ctx, length)
 	one.SetFaults(site.SearcherFaults{})
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -8,12 +8,53 @@
 )
 
 const (
-	// pauseSeconds is the pause, in seconds, that refusals of a searcher in trouble ask for.
-	pauseSeconds = "0.7"
+	// pauseSlack is how long after a refusal requests may still reach a searcher that has asked for a
+	// pause, and maxInPause how many may after that.
+	pauseSlack = 500 * time.Millisecond
+	maxInPause = 2
 	// leavingWatch is how long a searcher that leaves is watched beyond the drain bound.
 	leavingWatch = 2 * time.Second
 )
 
+// pauses are the pauses, in seconds, that refusals of a searcher in trouble ask for.
+var pauses = []string{"0.7", "1.25", "3"}
+
+// checkPauses checks that each process leaves a searcher alone for as long as the searcher has asked
+// for, unless the process was disturbed or started since. It is to be called when no more requests are
+// sent.
+func (s *soak) checkPauses() {
+	type arrival struct{ searcher, process string }
+	reached := make(map[arrival][]time.Time)
+	add := func(id, searcher string, at time.Time) {
+		if p := s.processOf(id); p != nil {
+			key := arrival{searcher, p.node.Name}
+			reached[key] = append(reached[key], at)
+		}
+	}
+	for _, r := range s.ledger.Runs() {
+		add(r.RequestID, r.Searcher, r.Reached)
+	}
+	refusals := s.ledger.Refusals()
+	for _, r := range refusals {
+		add(r.RequestID, r.Searcher, r.Reached)
+	}
+	for _, r := range refusals {
+		p := s.processOf(r.RequestID)
+		if p == nil || !p.sound(r.Reached) || !p.startedBefore(r.Reached) {
+			continue
+		}
+		n := 0
+		for _, at := range reached[arrival{r.Searcher, p.node.Name}] {
+			if at.After(r.Reached.Add(pauseSlack)) && at.Before(r.Until) {
+				n++
+			}
+		}
+		if n > maxInPause {
+			s.report.violate("PAUSE: %d requests of %s reached %s in the pause that it asked for with %s", n, p.node.Name, r.Searcher, r.RequestID)
+		}
+	}
+}
+
 // sayLeaving has a searcher say in all its replies that it leaves, while its entry says that it
 // takes requests. A process that has got such a reply sends it none later than the drain bound,
 // unless it was disturbed or started since.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -102,6 +102,7 @@
 	group.Wait()
 	s.checkRuns()
 	s.checkTimeLeft()
+	s.checkPauses()
 	return s.report, nil
 }
 
--- a/standin/site/searcher.go
+++ b/standin/site/searcher.go
@@ -26,10 +26,20 @@
 	Left time.Duration
 }
 
+// Refusal is a request that a searcher refused, and asked for a pause with that.
+type Refusal struct {
+	RequestID string
+	Searcher  string
+	Reached   time.Time
+	// Until is the end of the pause.
+	Until time.Time
+}
+
 // Ledger records what ran, for all searchers of a site.
 type Ledger struct {
 	mu       sync.Mutex
 	runs     []Run
+	refusals []Refusal
 	arrivals int
 }
 
@@ -51,6 +61,19 @@
 	return n
 }
 
+// Refusals returns the refusals so far that asked for a pause.
+func (l *Ledger) Refusals() []Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Refusal(nil), l.refusals...)
+}
+
+func (l *Ledger) refused(r Refusal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusals = append(l.refusals, r)
+}
+
 // Arrivals returns how many requests reached searchers.
 func (l *Ledger) Arrivals() int {
 	l.mu.Lock()
@@ -202,6 +225,8 @@
 		w.Header().Set("Not-Executed", "1")
 		if f.Pause != "" {
 			w.Header().Set("Retry-After", f.Pause)
+			pause, _ := time.ParseDuration(f.Pause + "s") // zero if it is odd
+			s.ledger.refused(Refusal{RequestID: id, Searcher: s.ID, Reached: reached, Until: time.Now().Add(pause)})
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
