Refuse a request that arrives behind the last look at an idle connection

What callers saw: a request on a kept connection of an instance that stops ended without an answer. It had arrived after the read that ends an idle connection, and before the close, between which a process that gets no processor time may stand for long.

Change: the connection is looked at once more before its close, in the system call before its end is sent. If bytes have arrived, the request is refused as not run.

Measured: TestRequestBehindEndOfConnectionIsRefused failed before.

--- a/arrival/socket.go
+++ b/arrival/socket.go
@@ -3,6 +3,7 @@
 import (
 	"syscall"
 	"time"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -66,3 +67,19 @@
 	}
 	return n, err
 }
+
+// endUnlessUnread sends the end of a connection unless its socket has bytes to read. It reports whether
+// the end was sent. The two system calls follow each other without the scheduler of the runtime between
+// them, so that hardly any byte can come between the look and the end.
+func endUnlessUnread(socket syscall.RawConn) (ended bool) {
+	var next [1]byte
+	err := socket.Control(func(fd uintptr) {
+		n, _, errno := unix.RawSyscall6(unix.SYS_RECVFROM, fd, uintptr(unsafe.Pointer(&next[0])), 1, unix.MSG_PEEK|unix.MSG_DONTWAIT, 0, 0)
+		if errno == 0 && n > 0 {
+			return
+		}
+		_, _, errno = unix.RawSyscall(unix.SYS_SHUTDOWN, fd, unix.SHUT_WR, 0)
+		ended = errno == 0
+	})
+	return err == nil && ended
+}
--- a/arrival/tracker.go
+++ b/arrival/tracker.go
@@ -82,6 +82,15 @@
 	return more || unread(t.socket)
 }
 
+// End sends the end of the connection unless bytes have arrived that follow the current request. It
+// reports whether such bytes have arrived. It is to be called when the current request is answered.
+func (t *Tracker) End() (more bool) {
+	t.mu.Lock()
+	more = t.hasNext || t.ahead > 0
+	t.mu.Unlock()
+	return more || t.socket != nil && !endUnlessUnread(t.socket) && unread(t.socket)
+}
+
 // span returns when bytes arrived that are read at the time now. The kernel tells the age of the
 // last byte. Where it tells none, bytes that are read after a stall of the process may have arrived
 // at any time of it, but not before the last read.
--- a/cmd/wharf-gateway/callers.go
+++ b/cmd/wharf-gateway/callers.go
@@ -42,6 +42,8 @@
 	// unless bytes have arrived.
 	idle   bool
 	ending bool
+	// ended says that Read has ended the connection because no byte had arrived.
+	ended bool
 
 	// rest holds bytes that were read from the socket behind the end of a head. Only Read uses it.
 	rest []byte
@@ -149,6 +151,7 @@
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.endsNow() {
 		n, err = readArrived(c.Conn, p)
+		c.setEnded(n == 0)
 	}
 	if n > 0 {
 		end := headEnd(c.before, p[:n])
@@ -202,12 +205,28 @@
 	return c.Conn.SetReadDeadline(at)
 }
 
-// Close implements net.Conn.
+// setEnded records whether Read has ended the connection because no byte had arrived.
+func (c *callerConn) setEnded(ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = ended
+}
+
+// Close implements net.Conn. A request that has arrived since Read ended the connection is refused: the
+// close would reset it.
 func (c *callerConn) Close() error {
+	c.mu.Lock()
+	ended := c.ended
+	c.ended = false
+	c.mu.Unlock()
+	if limited, ok := c.Conn.(*limitedConn); ok && ended && c.arrivals.End() {
+		limited.refuse()
+	}
+	err := c.Conn.Close()
 	c.all.mu.Lock()
 	delete(c.all.open, c)
 	c.all.mu.Unlock()
-	return c.Conn.Close()
+	return err
 }
 
 // CloseWrite closes the writing side. The server uses it before it closes a connection on which
