Test of callers that leave in a stall: pause when all requests run or wait

It now waits until no request has reached a searcher for 200 ms; replies come in the pause because the searchers are held until then.

--- a/cmd/wharf-gateway/stall_steps_test.go
+++ b/cmd/wharf-gateway/stall_steps_test.go
@@ -10,15 +10,18 @@
 	"github.com/wisteriawharf/wisteriawharf/standin/site"
 )
 
+// settleTime is how long no request reaches a searcher once all that can have been sent.
+const settleTime = 200 * time.Millisecond
+
 // TestPausedProcessSendsNothingForGoneCallers guards against requests that waited for a searcher, or
 // for a reply that calls for a retry, when the process stood still, and that are sent when it goes on
 // although their callers have left meanwhile.
 func TestPausedProcessSendsNothingForGoneCallers(t *testing.T) {
 	for name, c := range map[string]struct {
 		open int
-		// failing says that all replies are failures.
-		failing bool
-	}{"queued": {open: 120}, "retried": {open: 30, failing: true}} {
+		// failures is the share of replies that are failures.
+		failures float64
+	}{"queued": {open: 120}, "retried": {open: 30, failures: 1}} {
 		for _, form := range requestForms {
 			t.Run(name+" "+form[1], func(t *testing.T) {
 				t.Parallel()
@@ -26,26 +29,29 @@
 				p, searchers := processSiteOf(t, ledger, 20*time.Millisecond)
 				time.Sleep(startupPeriod + 2*periodicInterval) // it has its part of the connections
 				conns := connectAll(t, p, c.open)
-				before := ledger.Arrivals()
-				if c.failing {
-					for _, s := range searchers {
-						s.SetFaults(site.SearcherFaults{Fail: 1})
-					}
+				before, finish := ledger.Arrivals(), make(chan struct{})
+				for _, s := range searchers {
+					s.SetFaults(site.SearcherFaults{Until: finish, Fail: c.failures})
 				}
-				path := fmt.Sprintf("%s?%s=%d", form[1], site.WorkQuery, (pauseLength / 2).Milliseconds())
 				for i, conn := range conns {
-					sendTimed(t, conn, form[0], path, fmt.Sprint("open", i), requestDeadline)
+					sendTimed(t, conn, form[0], form[1], fmt.Sprint("open", i), requestDeadline)
 				}
-				eventually(t, "the requests do not run", func() bool { return ledger.Arrivals() >= before+c.open/2 })
+				eventually(t, "the requests do not run", func() bool {
+					n := ledger.Arrivals()
+					time.Sleep(settleTime)
+					return n >= before+c.open*3/4 && ledger.Arrivals() == n
+				})
 				resumed := p.pause(func() {
 					for _, conn := range conns {
 						qt.Assert(t, conn.Close(), qt.IsNil)
 					}
+					close(finish)
 				})
 				time.Sleep(pauseLength)
 				for _, run := range ledger.Runs() {
 					if run.Reached.After(resumed) {
-						t.Errorf("%s reached %s %s after the pause, its caller had left", run.RequestID, run.Searcher, run.Reached.Sub(resumed))
+						t.Errorf("%s reached %s %s after the pause, its caller had left; it ran %d times in all",
+							run.RequestID, run.Searcher, run.Reached.Sub(resumed), ledger.Count(run.RequestID))
 					}
 				}
 			})
--- a/standin/site/searcher.go
+++ b/standin/site/searcher.go
@@ -106,6 +106,8 @@
 	RepeatLate, Unidentified bool
 	// Silent makes requests wait until their callers give up.
 	Silent bool
+	// Until, if not nil, makes requests run until it is closed.
+	Until <-chan struct{}
 	// Work is added to the time that a request takes.
 	Work time.Duration
 	// RateLimit is the rate limit that replies advertise, in requests a second. Zero is none.
@@ -242,6 +244,13 @@
 	case <-r.Context().Done():
 		return
 	}
+	if f.Until != nil {
+		select {
+		case <-f.Until:
+		case <-r.Context().Done():
+			return
+		}
+	}
 	s.answer(w, r, id, f)
 }
 
