--- a/caller/handler.go
+++ b/caller/handler.go
@@ -209,9 +209,10 @@
 }
 
 // deadline returns the time left for the request: the shorter of deadline_ms, counted from
-// the arrival of the request, and the time until the absolute deadline in HeaderDeadlineUnixMs. A deadline_ms of more than
-// one hour counts as one hour. deadline returns zero if the caller stated neither, and an
-// error if one of them has passed or the header is malformed.
+// the arrival of the request, and the time until the absolute deadline in
+// HeaderDeadlineUnixMs. A deadline_ms of more than one hour counts as one hour. deadline
+// returns zero if the caller stated neither, and an error if one of them has passed or the
+// header is malformed.
 func (h *handler) deadline(c echo.Context, ms *int64) (time.Duration, *result.Error) {
 	var left time.Duration
 	if ms != nil {
--- a/fleet/relays.go
+++ b/fleet/relays.go
@@ -10,8 +10,8 @@
 
 // In a small failure domain each instance sends its heartbeats to all others. In a larger
 // one that would cost each instance more with every instance added. There each instance
-// sends them to a few relays only, the last instances of the domain that callers would be sent to and that answer: what
-// a relay sends to others would delay the requests of its callers. A
+// sends them to a few relays only: those that answer of the instances to which callers would be
+// sent last, because what a relay sends to others would delay the requests of its callers. A
 // relay sends a digest of all heartbeats that it receives to those that ask for it. Instances
 // ask for it in a small domain too, because others may know of more instances and use relays.
 const (
@@ -112,9 +112,10 @@
 	return maxRelayedHeartbeatAge
 }
 
-// chooseRelays returns the names of the relays of this instance: the first candidates that are alive, without those that have sent no digest for relayTimeout. If these are too
-// few, instances drawn at random are added, so that an instance that has heard of nobody for a
-// time finds the others again. The caller holds the lock.
+// chooseRelays returns the names of the relays of this instance: the first candidates that are
+// alive, without those that have sent no digest for relayTimeout. If these are too few, instances
+// drawn at random are added, so that an instance that has heard of nobody for a time finds the
+// others again. The caller holds the lock.
 func (s *Instances) chooseRelays(now time.Duration) []string {
 	var relays, others []string
 	for _, k := range s.relayCandidates() {
