Configuration, settings and messages for client accounts and roll-outs

Client accounts, quotas, roll-outs and the versions of searchers had no form in the code. Nothing uses them yet.

Tests of platform, routing, datagram, mirror and standin pass with the race detector.

--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -17,6 +17,7 @@
 
 	"github.com/wisteriawharf/wisteriawharf/arrival"
 	"github.com/wisteriawharf/wisteriawharf/clock"
+	"github.com/wisteriawharf/wisteriawharf/datagram"
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/exchange"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
@@ -42,6 +43,7 @@
 	dispatch  *dispatch.Dispatcher
 	gateway   *gateway.Gateway
 	exchange  *exchange.Exchange
+	datagrams *datagram.Socket
 	self      fleet.Instance
 	outage    mirror.OutageTracker
 	// memory is the budget of the bytes that the instance holds for peers all together.
@@ -105,6 +107,10 @@
 		StoreReachable: func() bool { return !s.outage.Failing() }, OnStoreOutage: s.recordStoreFailure, Memory: s.memory,
 		LinkBytesPerSecond: settings.LinkBytesPerSecond, Serves: func() bool { return s.instances.Serves(s.clock.Boottime()) },
 	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s.datagrams, err = datagram.Listen(internalPortAddress(settings, datagramPortOffset), log)
 	return s, errors.Trace(err)
 }
 
@@ -112,6 +118,7 @@
 const (
 	metricsPortOffset   = 0
 	heartbeatPortOffset = 1
+	datagramPortOffset  = 2
 )
 
 // internalPortAddress returns the address of one of the ports for traffic between
@@ -160,6 +167,7 @@
 		}
 	}()
 	go s.exchange.Run(ctx)
+	go s.datagrams.Run(ctx)
 	go s.registerInstance(ctx)
 	go s.runPeriodicTasks(ctx)
 	log.Info("started", "failure_domain", settings.FailureDomain, "callers", settings.CallerAddress, "store", settings.StoreAddress)
--- a/fleet/searchers.go
+++ b/fleet/searchers.go
@@ -25,6 +25,8 @@
 	// StartUnixMs is the start of the searcher as a Unix time in milliseconds, zero if
 	// the entry does not state it.
 	StartUnixMs int64
+	// Version is the version of the searcher's software, empty if the entry does not state it.
+	Version string
 }
 
 // entry is a known searcher with the state of its entry in the store.
--- a/routing/config.go
+++ b/routing/config.go
@@ -51,6 +51,8 @@
 	// Regions are the regions whose searchers may run the requests. If empty, all
 	// regions are allowed.
 	Regions []string
+	// Public says that callers need no API key.
+	Public bool
 }
 
 // PickService returns the name of the service for a request of a route with Targets. The
@@ -114,6 +116,9 @@
 	// Services holds the services by name.
 	Services map[string]*Service
 	Limits   Limits
+	// Accounts holds the client accounts. Nil means that callers need no API keys, and that
+	// their credentials are forwarded like any other header.
+	Accounts *Accounts
 
 	// byHost holds the routes of each host, in lower case, the longest path prefix first.
 	byHost map[string][]*Route
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -194,7 +194,7 @@
 	}
 	o := storedObject{Meta: meta{Name: name, Revision: s.revision, Created: s.revision}, Spec: spec}
 	if old, ok := s.kinds[kind][name]; ok {
-		o.Meta.Created = old.Meta.Created
+		o.Meta.Created, o.Status = old.Meta.Created, old.Status
 	}
 	s.kinds[kind][name] = o
 	s.history = append(s.history, change{Kind: kind, Object: o})
@@ -233,7 +233,10 @@
 		return
 	}
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	name, isStatus := strings.CutSuffix(name, "/status")
 	switch {
+	case r.Method == http.MethodPut && isStatus:
+		s.serveStatus(w, r, kind, name, faults)
 	case r.Method == http.MethodGet && name == "" && r.URL.Query().Has("watch"):
 		s.serveWatch(w, r, kind)
 	case r.Method == http.MethodGet && name == "":
@@ -348,6 +351,44 @@
 	reply(w, http.StatusOK, o)
 }
 
+// serveStatus replaces the status of an object. A condition on the revision is checked.
+func (s *Store) serveStatus(w http.ResponseWriter, r *http.Request, kind, name string, faults StoreFaults) {
+	var o storedObject
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.kinds[kind][name]
+	switch {
+	case !ok:
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	case o.Meta.Revision != 0 && o.Meta.Revision != held.Meta.Revision:
+		reply(w, http.StatusConflict, held)
+		return
+	}
+	if !bytes.Equal(o.Status, held.Status) {
+		s.revision++
+		held.Meta.Revision, held.Status = s.revision, o.Status
+		s.kinds[kind][name] = held
+		s.history = append(s.history, change{Kind: kind, Object: held})
+		s.wake()
+	}
+	if faults.LoseWrites {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, http.StatusOK, held)
+}
+
+// Status returns the status of an object, nil if it has none or does not exist.
+func (s *Store) Status(kind, name string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kinds[kind][name].Status
+}
+
 func (s *Store) serveDelete(w http.ResponseWriter, kind, name string, faults StoreFaults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
