Authenticate callers and name their client account to searchers

Requests were forwarded with whatever credentials callers sent. Where the configuration has client accounts, a request needs a known API key unless its route is public; else it gets 401. The key stays at the gateway and searchers get the name of the account, also if the caller sent one. Deployments without accounts forward all headers as before.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -21,10 +21,12 @@
 
 // call is the state of a caller's request while it is served.
 type call struct {
-	g             *Gateway
-	open          *openRequest
-	ctx           context.Context
-	route         *routing.Route
+	g     *Gateway
+	open  *openRequest
+	ctx   context.Context
+	route *routing.Route
+	// account is the client account of the caller, nil if there is none.
+	account       *routing.Account
 	callerRequest platform.RequestMetadata
 	method        string
 	// head is the encoded head of the request that is the same for all attempts.
@@ -70,6 +72,10 @@
 	if route == nil {
 		return nil, &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
+	account, unauthenticated := authenticate(config, route, r.Header)
+	if unauthenticated != nil {
+		return nil, unauthenticated
+	}
 	timeout := route.Timeout
 	if callerRequest.CallerTimeout > 0 && (timeout <= 0 || callerRequest.CallerTimeout < timeout) {
 		timeout = callerRequest.CallerTimeout
@@ -78,7 +84,7 @@
 		timeout = defaultTimeout
 	}
 	c := &call{
-		g: g, ctx: r.Context(), route: route, callerRequest: callerRequest, method: r.Method,
+		g: g, ctx: r.Context(), route: route, account: account, callerRequest: callerRequest, method: r.Method,
 		memory: g.config.Memory.Hold(), arrived: arrived.Latest, deadline: deadlineOf(arrived, timeout),
 		events:         make(chan dispatch.Event, max(len(route.Shards), 1)*maxEventsPerPart),
 		attemptLatency: g.attemptLatencies.forRoute(route.Name),
@@ -88,7 +94,7 @@
 		refusal = c.readBody(w, r, config.Limits)
 	}
 	if refusal == nil {
-		c.head = requestHead(r, len(c.body))
+		c.head = c.requestHead(r, config.Accounts != nil)
 		refusal = c.takeCopies()
 	}
 	if refusal == nil {
@@ -236,8 +242,9 @@
 }
 
 // requestHead returns the encoded head of the request to a searcher. It contains neither
-// the headers that differ between attempts nor the empty line at the end.
-func requestHead(r *http.Request, bodyBytes int) []byte {
+// the headers that differ between attempts nor the empty line at the end. If the configuration has
+// client accounts, the account of the request takes the place of the caller's credentials.
+func (c *call) requestHead(r *http.Request, hasAccounts bool) []byte {
 	b := make([]byte, 0, 512)
 	b = append(b, r.Method...)
 	b = append(b, ' ')
@@ -246,7 +253,7 @@
 	b = append(b, r.Host...)
 	b = append(b, "\r\n"...)
 	for name, values := range r.Header {
-		if platform.IsAttemptHeader(name) || isHopByHop(name, r.Header) {
+		if platform.IsAttemptHeader(name) || isHopByHop(name, r.Header) || hasAccounts && platform.IsAccountHeader(name) {
 			continue
 		}
 		for _, v := range values {
@@ -256,6 +263,10 @@
 			b = append(b, "\r\n"...)
 		}
 	}
+	if c.account != nil {
+		b = platform.AppendAccountHeader(b, c.account.Name)
+	}
+	bodyBytes := len(c.body)
 	if bodyBytes > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
 		b = append(b, "Content-Length: "...)
 		b = strconv.AppendInt(b, int64(bodyBytes), 10)
