Roll-outs of services to another version

Searchers of a new version got requests as soon as their entries were written, and orders in the store were not carried out. The package rollout now decides which version an attempt may go to, whether a new version is bad and which step follows. The dispatcher filters searchers by version and counts requests and replies under an order. Instances send their counts to the leader of their failure domain, leaders exchange sums, decide and write the status conditionally. Without canary_share in the settings there is no mirror, no message and no filter.

--- a/cmd/wharf-gateway/mirrors.go
+++ b/cmd/wharf-gateway/mirrors.go
@@ -50,12 +50,16 @@
 // createMirrors creates a mirror for each kind of object in the platform's store.
 func (s *service) createMirrors() {
 	s.mirrors = make(map[string]*mirror.Mirror)
-	for kind, changed := range map[string]func(platform.Event){
+	kinds := map[string]func(platform.Event){
 		platform.KindConfig:      s.configChanged,
 		platform.KindSearchers:   s.searcherChanged,
 		platform.KindEvacuations: s.evacuationChanged,
 		platform.KindInstances:   s.instanceChanged,
-	} {
+	}
+	if s.rollouts != nil {
+		kinds[platform.KindRollouts] = s.rollouts.changed
+	}
+	for kind, changed := range kinds {
 		config := mirror.Config{
 			Kind: kind, Store: s.store, Outage: &s.outage, Log: s.log,
 			WatchTimeout: func() time.Duration { return watchTimeout(kind) }, WatchesStore: s.isLeader,
@@ -81,6 +85,8 @@
 var appliesRestored = map[string]mirror.RestoredFunc{
 	// Configurations are ordered by their versions.
 	platform.KindConfig: func(_, _ platform.StoredObject) bool { return true },
+	// Orders keep what is known of them whatever status the copy has.
+	platform.KindRollouts: func(_, _ platform.StoredObject) bool { return true },
 	platform.KindSearchers: func(known, restored platform.StoredObject) bool {
 		before, err := platform.DecodeSearcher(known)
 		after, restoredErr := platform.DecodeSearcher(restored)
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -44,8 +44,10 @@
 	gateway   *gateway.Gateway
 	exchange  *exchange.Exchange
 	datagrams *datagram.Socket
-	self      fleet.Instance
-	outage    mirror.OutageTracker
+	// rollouts moves services to other versions, nil if the settings allow no roll-outs.
+	rollouts *rollouts
+	self     fleet.Instance
+	outage   mirror.OutageTracker
 	// memory is the budget of the bytes that the instance holds for peers all together.
 	memory *memory.Budget
 	// startedAt is when the instance started, as returned by Boottime of the clock.
@@ -100,6 +102,9 @@
 		StalledBetween: s.stalls.StalledBetween, Memory: s.memory,
 	})
 	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, StalledBetween: s.stalls.StalledBetween, Memory: s.memory})
+	if settings.Bounds.CanaryShare > 0 {
+		s.rollouts = newRollouts(s)
+	}
 	s.createMirrors()
 	s.exchange, err = exchange.Listen(exchange.Config{
 		Self: s.self, HeartbeatAddress: internalPortAddress(settings, heartbeatPortOffset), Seeds: settings.Seeds, Instances: s.instances, Mirrors: s.mirrors, InstanceKind: platform.KindInstances,
@@ -111,6 +116,9 @@
 		return nil, errors.Trace(err)
 	}
 	s.datagrams, err = datagram.Listen(internalPortAddress(settings, datagramPortOffset), log)
+	if err == nil && s.rollouts != nil {
+		s.datagrams.Handle(datagram.Rollout, s.rollouts.receive)
+	}
 	return s, errors.Trace(err)
 }
 
@@ -140,6 +148,9 @@
 	if s.stopping.Load() || s.gateway.RoutingConfig() == nil {
 		return false
 	}
+	if s.rollouts != nil && s.mirrors[platform.KindRollouts].Revision() == 0 {
+		return false // versions that no order allows would not be known
+	}
 	// The other instances must be known, because this one's share of the budgets depends on
 	// their number.
 	return s.mirrors[platform.KindSearchers].Revision() > 0 && s.mirrors[platform.KindInstances].Revision() > 0
@@ -168,6 +179,9 @@
 	}()
 	go s.exchange.Run(ctx)
 	go s.datagrams.Run(ctx)
+	if s.rollouts != nil {
+		go s.rollouts.run(ctx)
+	}
 	go s.registerInstance(ctx)
 	go s.runPeriodicTasks(ctx)
 	log.Info("started", "failure_domain", settings.FailureDomain, "callers", settings.CallerAddress, "store", settings.StoreAddress)
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -85,6 +85,8 @@
 // Request describes a request to send and how to choose the searcher for it.
 type Request struct {
 	Service string
+	// Route is the name of the route, by which roll-outs compare versions.
+	Route string
 	// Regions holds the regions that the searcher may be in; empty means any region.
 	Regions   []string
 	RequestID string
@@ -142,6 +144,12 @@
 	// it counts against the limit of a cold searcher.
 	rateLimited bool
 	cold        bool
+	// order counts under the order that ran when the searcher was chosen, nil if none did.
+	// toOrdered says that the searcher is of its target version, versionObserved that the end
+	// of the attempt was counted.
+	order           *orderCounts
+	toOrdered       bool
+	versionObserved bool
 	// detached says that the attempt was cancelled or abandoned, so that its outcome is
 	// not reported. finished says that the attempt has ended.
 	detached bool
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -90,6 +90,8 @@
 	searchers     map[string]*target
 	// outDomains holds the failure domains that are out of service.
 	outDomains map[string]bool
+	// rolloutContact is the last time at which the known orders of roll-outs were up to date.
+	rolloutContact time.Duration
 	// removedNotices holds the notices of removed searchers by ID.
 	removedNotices map[string]removedNotices
 }
@@ -157,7 +159,7 @@
 		t = nil
 	}
 	if t == nil {
-		t = &target{Searcher: s, service: d.service(s.Service), notices: d.takeRemovedNotices(s)}
+		t = &target{Searcher: s, service: d.service(s.Service), notices: d.takeRemovedNotices(s), knownSince: now}
 		t.service.targets = append(t.service.targets, t)
 		d.searchers[s.ID] = t
 	}
@@ -170,6 +172,7 @@
 	if s.Draining {
 		stale = append(stale, t.takeIdle()...)
 	}
+	d.classify(t.service)
 	tasks := t.service.launchQueued(d)
 	d.mu.Unlock()
 	closeAll(stale)
@@ -195,6 +198,7 @@
 	var tasks []func()
 	if t := d.searchers[id]; t != nil {
 		stale = d.removeTarget(t)
+		d.classify(t.service)
 		tasks = t.service.launchQueued(d)
 	}
 	d.mu.Unlock()
--- a/dispatch/giveup.go
+++ b/dispatch/giveup.go
@@ -113,6 +113,7 @@
 	}
 	waited := now - a.chosenAt
 	median, _ := a.service.latency.Quantile(0.5)
+	a.observeGivenUp(now, waited > max(silentFactor*median, minSilent))
 	if waited > max(silentFactor*median, minSilent) {
 		a.target.stats.MarkUnreachable(now)
 		a.target.observations.AddFailure(now)
@@ -121,5 +122,7 @@
 	a.target.stats.ObserveGivenUp(waited)
 	a.target.observations.AddReply(now, waited, median)
 	a.target.limit.ObserveLatency(now, waited, a.LatencyTarget, a.outstanding)
-	a.service.latency.Add(now, waited)
+	if a.countsForService() {
+		a.service.latency.Add(now, waited)
+	}
 }
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -45,7 +45,7 @@
 // searcher is not checked again if it counts the request already.
 func (d *Dispatcher) maySend(a *Attempt, t *target) bool {
 	now := d.config.Clock.Boottime()
-	if t.notices.Decide(now, 0).Reason == eligibility.Paused {
+	if t.notices.Decide(now, 0).Reason == eligibility.Paused || !d.mayUse(a, t, now) {
 		return false
 	}
 	if a.cold {
@@ -119,6 +119,7 @@
 	if reply != nil {
 		stale = d.observeNotices(a, now, e.Outcome, &reply.Metadata)
 	}
+	a.observeReplyOfVersion(e, now, err)
 	switch e.Outcome {
 	case Answered:
 		t.service.replySizes.Observe(int64(len(reply.Body)))
@@ -151,7 +152,9 @@
 	}
 	t.stats.ObserveReply(now, e.Latency, true)
 	t.limit.ObserveLatency(now, e.Latency, a.LatencyTarget, a.outstanding)
-	a.service.latency.Add(now, e.Latency)
+	if a.countsForService() {
+		a.service.latency.Add(now, e.Latency)
+	}
 	median, _ := a.service.latency.Quantile(0.5)
 	t.observations.AddReply(now, e.Latency, median)
 }
--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -96,8 +96,9 @@
 	defer d.mu.Unlock()
 	now := d.config.Clock.Boottime()
 	var left time.Duration
+	class, restricted := d.allowedClasses(d.service(service), regions, now)
 	for _, t := range d.service(service).targets {
-		if !d.available(t, regions) {
+		if !d.available(t, regions) || restricted && t.class != class {
 			continue
 		}
 		notice := t.notices.Decide(now, 0)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -17,6 +17,7 @@
 	if r.Kind == First {
 		s.budget.Earn(d.allowance(), 1)
 		s.averageUnanswered.Add(float64(s.unanswered()))
+		s.countFirst(&a.Request)
 	}
 	if r.Kind.UsesRetryBudget() && !d.takeBudget(s, r.Kind.Optional()) {
 		d.mu.Unlock()
@@ -75,6 +76,9 @@
 func (d *Dispatcher) place(a *Attempt, ahead int) (func(), error) {
 	now, wall := d.config.Clock.Boottime(), time.Now()
 	s := a.service
+	if launch := d.placeAtOrdered(a, now, wall); launch != nil {
+		return launch, nil
+	}
 	var candidates []balance.Candidate
 	var targets []*target
 	eligible := d.eligible(s, a.Request, now)
@@ -146,7 +150,11 @@
 // It also updates which searchers are outside of this instance's subset.
 func (d *Dispatcher) eligible(s *service, r Request, now time.Duration) []*target {
 	var usable []*target
+	class, restricted := d.allowedClasses(s, r.Regions, now)
 	for _, t := range s.targets {
+		if restricted && t.class != class {
+			continue
+		}
 		if d.usable(t, r.Regions, now) && !t.stats.Blocked(now) {
 			usable = append(usable, t)
 		}
@@ -178,6 +186,7 @@
 	a.searcherID, a.address = t.ID, t.Address
 	t.addRunning(a)
 	a.outstanding = len(t.running)
+	a.bindVersion(t)
 	if now < t.coldUntil {
 		t.coldLimiter.RecordSent(now)
 		a.cold = true
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -21,6 +21,9 @@
 	targets  []*target
 	budget   retry.Budget
 	latency  hedge.Histogram
+	// versions holds which versions of its searchers get requests, nil where there are no
+	// roll-outs.
+	versions *versions
 	// replySizes holds the usual size of its answers.
 	replySizes balance.ReplySizes
 	// averageUnanswered is the moving average of the number of unanswered requests. A
@@ -49,7 +52,7 @@
 func (s *service) slots() int {
 	n := 0
 	for _, t := range s.targets {
-		if !t.Draining && !t.notices.IsLeaving() {
+		if !t.Draining && !t.notices.IsLeaving() && t.class != unordered {
 			n += t.Slots
 		}
 	}
@@ -77,7 +80,11 @@
 	observations balance.Observations
 	coldLimiter  retry.ColdLimiter
 	coldUntil    time.Duration
-	rateLimit    advertisedLimit
+	// knownSince is when the searcher was first seen, class how its version stands to the orders
+	// of the service.
+	knownSince time.Duration
+	class      versionClass
+	rateLimit  advertisedLimit
 	// notices holds what the searcher said of itself in its replies.
 	notices eligibility.Notices
 	// removed says that the searcher was removed from the dispatcher. addressReused says
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -302,6 +302,7 @@
 func (c *call) dispatchRequest(p *part, kind dispatch.Kind) dispatch.Request {
 	return dispatch.Request{
 		Service:       p.service,
+		Route:         c.route.Name,
 		Regions:       c.route.Regions,
 		RequestID:     c.callerRequest.ID,
 		Method:        c.method,
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -92,7 +92,7 @@
 	removedAt, removed := m.restored.removedBefore[o.Name]
 	delete(m.restored.unconfirmed, o.Name)
 	switch {
-	case ok && sameContent(known.Spec, o.Spec):
+	case ok && sameContent(known.Spec, o.Spec) && sameContent(known.Status, o.Status):
 		m.objects[o.Name] = o
 	case ok && o.Revision <= known.Revision && !m.appliesRestored(known, o), !ok && removed && o.Revision <= removedAt:
 		m.restored.deferred[o.Name] = o
--- a/standin/site/node.go
+++ b/standin/site/node.go
@@ -18,6 +18,9 @@
 	Seeds        []string
 	// StopGrace is the time from SIGTERM to SIGKILL in seconds. Zero means GraceSeconds.
 	StopGrace int
+	// CanaryShare, CanarySlack and RollbackMs are the bounds of roll-outs. A CanaryShare of zero
+	// leaves them out.
+	CanaryShare, CanarySlack, RollbackMs float64
 }
 
 // GraceSeconds is the usual time from SIGTERM to SIGKILL in the settings file.
@@ -29,6 +32,10 @@
 	if grace == 0 {
 		grace = GraceSeconds
 	}
+	rollouts := ""
+	if n.CanaryShare > 0 {
+		rollouts = fmt.Sprintf("  canary_share: %g\n  canary_slack: %g\n  rollback_ms: %g\n", n.CanaryShare, n.CanarySlack, n.RollbackMs)
+	}
 	text := fmt.Sprintf(`node_name: %q
 ip: %q
 zone: %q
@@ -48,9 +55,9 @@
   warmup_overage: 1.5
   warmup_slack: 5
   ttl_max_s: 2
-platform: {address: %q}
+%splatform: {address: %q}
 seeds:
-`, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, grace, n.Store)
+`, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, grace, rollouts, n.Store)
 	for _, s := range n.Seeds {
 		text += fmt.Sprintf("  - %q\n", s)
 	}
--- a/standin/site/searcher.go
+++ b/standin/site/searcher.go
@@ -110,6 +110,8 @@
 	Until <-chan struct{}
 	// Work is added to the time that a request takes.
 	Work time.Duration
+	// Slow is the share of requests that take SlowFactor times as long.
+	Slow, SlowFactor float64
 	// RateLimit is the rate limit that replies advertise, in requests a second. Zero is none.
 	RateLimit float64
 	// Leaving makes all replies say that the searcher leaves. Pause is what refusals state as the
@@ -123,6 +125,8 @@
 	ID      string
 	Service string
 	Domain  string
+	// Version is the version in the entry. It is set before Entry is called.
+	Version string
 	ledger  *Ledger
 	work    time.Duration
 	slots   chan struct{}
@@ -145,7 +149,7 @@
 		return nil, err
 	}
 	s := &Searcher{
-		ID: id, Service: service, Domain: domain, ledger: ledger, work: work,
+		ID: id, Service: service, Domain: domain, Version: "v1", ledger: ledger, work: work,
 		slots: make(chan struct{}, slots), address: listener.Addr().String(),
 	}
 	s.server = &http.Server{Handler: s, ConnContext: withRecordingConn}
@@ -180,7 +184,7 @@
 // Entry returns what the searcher says of itself in the store.
 func (s *Searcher) Entry(state string) map[string]any {
 	return map[string]any{
-		"backend": s.Service, "address": s.address, "zone": s.Domain, "version": "v1",
+		"backend": s.Service, "address": s.address, "zone": s.Domain, "version": s.Version,
 		"slots": cap(s.slots), "state": state, "warmup_left_ms": 0, "sequence": 1, "born": 1,
 	}
 }
@@ -239,8 +243,12 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	work := s.work
+	if rand.Float64() < f.Slow {
+		work = time.Duration(f.SlowFactor * float64(work))
+	}
 	select {
-	case <-time.After(s.work + f.Work + askedWork(r)):
+	case <-time.After(work + f.Work + askedWork(r)):
 	case <-r.Context().Done():
 		return
 	}
