--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -47,6 +47,7 @@
 	d.metrics.notices.WithLabelValues("leaving").Inc()
 	if t.notices.ObserveLeaving(now) {
 		d.config.Log.Info("searcher says that it leaves", "searcher", t.ID, "service", t.Service)
+		d.classify(t.service)
 	}
 	return t.takeIdle()
 }
--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -258,7 +258,7 @@
 	if v == nil || v.order == nil {
 		return
 	}
-	a.order, a.toOrdered = v.order, t.class == ordered
+	a.order, a.toOrdered = v.order, t.Version == v.view.Order.Target
 	if a.toOrdered && a.Kind == First {
 		v.order.use.Sent++
 		v.order.update(a.Route, func(c *rollout.Counts) { c.Sent++ })
@@ -336,7 +336,7 @@
 
 // slowFactor returns the factor by which a reply of the searcher is slow.
 func (t *target) slowFactor(now time.Duration) float64 {
-	if now-t.knownSince < youngFor || now < t.coldUntil+youngFor && t.coldUntil > 0 {
+	if now-t.knownSince < youngFor || now < t.coldUntil {
 		return slowFactorYoung
 	}
 	return slowFactor
--- a/rollout/established.go
+++ b/rollout/established.go
@@ -14,6 +14,10 @@
 // service that is replaced without an order is replaced within this time.
 const peakRetention = 60 * time.Second
 
+// settleTime is how long after the first searcher of a service the version is chosen anew with each
+// change: an instance that starts learns of the searchers one by one, in no order.
+const settleTime = 3 * time.Second
+
 // Established finds the version of a service that gets its requests without an order. The zero
 // value knows none. It is not safe for concurrent use.
 type Established struct {
@@ -21,6 +25,9 @@
 	known   bool
 	// completed is the completed order that was last taken into account.
 	completed Key
+	// since is when the first searcher was seen, if any was.
+	since time.Duration
+	seen  bool
 	// peak is the largest recent number of its searchers, reached last at peakAt.
 	peak   int
 	peakAt time.Duration
@@ -36,6 +43,12 @@
 		e.completed = completed
 		e.set(completed.Target)
 	}
+	if !e.seen && len(census) > 0 {
+		e.seen, e.since = true, now
+	}
+	if e.seen && now-e.since < settleTime {
+		e.settle(census, barred)
+	}
 	current := 0
 	for _, c := range census {
 		if c.Version == e.version && e.known {
@@ -57,6 +70,20 @@
 	return e.version
 }
 
+// settle chooses the version anew: the target of the completed order if it has searchers, else the
+// one with the most.
+func (e *Established) settle(census []Census, barred func(string) bool) {
+	best, ok := most(census, barred)
+	for _, c := range census {
+		if e.completed != (Key{}) && c.Version == e.completed.Target {
+			best, ok = c, true
+		}
+	}
+	if ok && (best.Version != e.version || !e.known) {
+		e.set(best.Version)
+	}
+}
+
 func (e *Established) set(version string) {
 	e.version, e.known = version, true
 	e.peak, e.peakAt = 0, 0
--- a/rollout/sums.go
+++ b/rollout/sums.go
@@ -11,9 +11,10 @@
 	Unconfirmed, RunningOld int
 }
 
-// silentAfter is the time after which a silent source no longer counts as unconfirmed: it has died or
-// is cut off, and sends nothing to other versions by then. It is longer than MaxContactAge.
-const silentAfter = 3 * time.Second
+// silentAfter is the time after which a silent source no longer counts as unconfirmed: it has died, or
+// it is cut off for a time that nobody knows. In the phase Promote reports come every quarter of a
+// second, so that five are lost by then.
+const silentAfter = 1500 * time.Millisecond
 
 // source is the last report of one source.
 type source struct {
