--- a/cmd/wharf-gateway/rollout_messages.go
+++ b/cmd/wharf-gateway/rollout_messages.go
@@ -33,6 +33,8 @@
 	Domain string `json:"d,omitempty"`
 	// AskedAt is the time on the sender's boot clock in microseconds, which the answer repeats.
 	AskedAt int64 `json:"q,omitempty"`
+	// Writes says that the leader that sends sums reaches the store.
+	Writes bool `json:"w,omitempty"`
 	// Epoch and Revision are the place up to which the leader knows the orders.
 	Epoch    int64             `json:"e,omitempty"`
 	Revision int64             `json:"r,omitempty"`
@@ -150,7 +152,7 @@
 		r.receiveContact(m, now)
 	case countsMessage:
 		r.receiveReports(m, orders, from, now)
-		if m.Domain == r.s.self.FailureDomain && r.knowsOrders() {
+		if r.knowsOrders() {
 			p := r.position()
 			r.send([]netip.Addr{from}, rolloutMessage{Kind: contactMessage, AskedAt: m.AskedAt, Epoch: p.Epoch, Revision: p.Revision}, nil)
 		}
--- a/cmd/wharf-gateway/rollouts.go
+++ b/cmd/wharf-gateway/rollouts.go
@@ -27,7 +27,7 @@
 	rolloutRefresh = 1 * time.Second
 	// deferredWrite is how much later than the one before it each further leader writes the
 	// same decision: usually the first write has arrived by then.
-	deferredWrite = 400 * time.Millisecond
+	deferredWrite = 300 * time.Millisecond
 	// badRepeats is how often the news of a bad version is sent, since messages may be lost.
 	badRepeats = 4
 )
@@ -69,6 +69,8 @@
 type peerLeader struct {
 	name string
 	at   time.Duration
+	// writes says that it reaches the store.
+	writes bool
 }
 
 type invalidOrder struct {
@@ -204,17 +206,19 @@
 		}
 	}
 	r.mu.Unlock()
-	r.report(now, current, ownAddresses)
+	r.report(now, current, ownAddresses, otherAddresses)
 	if leader {
 		r.sendSums(now, current, otherAddresses)
+		// Without the store the verdict still counts, and is sent to the others.
 		r.decide(ctx, now, current)
 	}
 	r.sendBad(append(otherAddresses, r.addressesOf(r.s.instances.InDomain())...), leader)
 }
 
 // report records the counts of this instance and sends those that have changed to the leader of the
-// failure domain, and to the instance that would be the next one.
-func (r *rollouts) report(now time.Duration, current []rollout.Current, to []netip.Addr) {
+// failure domain, and to the instance that would be the next one. If the store refuses the whole failure
+// domain, the leaders of others are asked for contact; they get the counts as the sums of the domain.
+func (r *rollouts) report(now time.Duration, current []rollout.Current, to, others []netip.Addr) {
 	var orders []orderMessage
 	r.mu.Lock()
 	refresh := now-r.reportedAt >= rolloutRefresh
@@ -242,6 +246,9 @@
 		r.reportedAt = now
 	}
 	r.mu.Unlock()
+	if len(to) == 0 && r.s.outage.Failing() {
+		to, orders = others, nil
+	}
 	if refresh || len(orders) > 0 {
 		r.send(to, rolloutMessage{Kind: countsMessage, AskedAt: now.Microseconds()}, orders)
 	}
@@ -268,7 +275,7 @@
 		return
 	}
 	if sums {
-		r.peers[from] = peerLeader{name: m.Sender, at: now}
+		r.peers[from] = peerLeader{name: m.Sender, at: now, writes: m.Writes}
 	}
 	for _, o := range orders {
 		if !r.isCurrent(o.key()) {
@@ -307,7 +314,7 @@
 	}
 	r.mu.Unlock()
 	if len(orders) > 0 {
-		r.send(to, rolloutMessage{Kind: sumsMessage}, orders)
+		r.send(to, rolloutMessage{Kind: sumsMessage, Writes: !r.s.outage.Failing()}, orders)
 	}
 }
 
@@ -419,7 +426,7 @@
 		since = now
 		r.pending[name] = now
 	}
-	if r.writing[name] || !atOnce && now-since < time.Duration(r.rank(name))*deferredWrite {
+	if r.s.outage.Failing() || r.writing[name] || !atOnce && now-since < time.Duration(r.rank(name))*deferredWrite {
 		return
 	}
 	r.writing[name] = true
@@ -439,7 +446,7 @@
 	weight := func(leader string) uint64 { return xxhash.Sum64String(leader + "\x00" + name) }
 	rank := 0
 	for _, p := range r.peers {
-		if weight(p.name) > weight(r.s.self.Name) {
+		if p.writes && weight(p.name) > weight(r.s.self.Name) {
 			rank++
 		}
 	}
--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -152,9 +152,9 @@
 		return established, false
 	}
 	order := [...]versionClass{established, ordered, unordered}
-	// An instance without contact that knew of a promotion can't see its completion, at which the
-	// established searchers stop. They are used while any of them answers.
-	lost := v.view.Active && v.view.Phase == rollout.Promote && !d.promoted(v, now) && !s.anyHealthy(established, now)
+	// An instance without contact can't see the completion of the order, at which the established
+	// searchers stop. They are used while any of them answers.
+	lost := v.view.Active && !d.inContact(now) && !s.anyHealthy(established, now)
 	if lost || d.promoted(v, now) {
 		order[0], order[1] = ordered, established
 	}
