Count routes under keys that are the same everywhere

Beyond eight routes the keys depended on the order in which routes were first seen, so that sums of several instances could move from one key to another and shrink. Keys are now one of 16, by the hash of the route's name. The reason of an order that is not completed names suspicious replies. Tests of rollout and dispatch pass; TestVerdicts gives the same figures as before.

--- a/cmd/wharf-gateway/rollout_messages.go
+++ b/cmd/wharf-gateway/rollout_messages.go
@@ -75,7 +75,7 @@
 func (m orderMessage) report() rollout.Report {
 	r := rollout.Report{Tally: make(rollout.Tally, len(m.Counts)), Unconfirmed: m.Unconfirmed, RunningOld: m.RunningOld}
 	for route, c := range m.Counts {
-		r.Tally[route] = rollout.Counts{Requests: c[0], Sent: c[1], OldReplies: c[2], OldBad: c[3], NewReplies: c[4], NewBad: c[5]}
+		r.Tally[route%rollout.MaxRoutes] = rollout.Counts{Requests: c[0], Sent: c[1], OldReplies: c[2], OldBad: c[3], NewReplies: c[4], NewBad: c[5]}
 	}
 	return r
 }
--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -57,9 +57,6 @@
 	latencies map[uint32]*hedge.Histogram
 }
 
-// routeKey returns the key under which a route is counted at all instances.
-func routeKey(route string) uint32 { return uint32(xxhash.Sum64String(route)) }
-
 // SetRollout sets what is known of the orders of a service.
 func (d *Dispatcher) SetRollout(service string, view rollout.View) {
 	d.mu.Lock()
@@ -194,7 +191,7 @@
 
 // update changes the counts of a route.
 func (o *orderCounts) update(route string, change func(*rollout.Counts)) {
-	key := o.tally.Key(routeKey(route))
+	key := rollout.RouteKey(route)
 	c := o.tally[key]
 	change(&c)
 	o.tally[key] = c
@@ -295,7 +292,7 @@
 // usualLatency returns the median latency of the established version on the route, that of the
 // service if too little is known of the route.
 func (a *Attempt) usualLatency() (time.Duration, bool) {
-	if median, known := a.order.median(a.order.tally.Key(routeKey(a.Route))); known {
+	if median, known := a.order.median(rollout.RouteKey(a.Route)); known {
 		return median, true
 	}
 	return a.service.latency.Quantile(0.5)
@@ -312,7 +309,7 @@
 	latency := now - a.chosenAt
 	median, known := a.usualLatency()
 	if !a.toOrdered && !bad {
-		o.addLatency(o.tally.Key(routeKey(a.Route)), now, latency)
+		o.addLatency(rollout.RouteKey(a.Route), now, latency)
 	}
 	bad = bad || known && float64(latency) > factor*float64(median)
 	o.update(a.Route, func(c *rollout.Counts) { c.AddReply(a.toOrdered, bad) })
--- a/rollout/counts.go
+++ b/rollout/counts.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "github.com/cespare/xxhash/v2"
+
 // Counts counts the requests to a service and the replies to them, on one route, since the order
 // was first seen. They only grow.
 type Counts struct {
@@ -41,29 +43,20 @@
 	}
 }
 
-// OtherRoutes is the key of the routes beyond MaxRoutes.
-const OtherRoutes uint32 = 0
-
-// MaxRoutes is the number of routes of a service that are counted apart. More would not fit into a
-// datagram.
-const MaxRoutes = 8
+// MaxRoutes is the number of keys for the routes of a service. Routes may share one: more keys would not
+// fit into a datagram.
+const MaxRoutes = 16
 
-// Tally holds counts by route. The keys stand for routes and are the same at all instances.
+// Tally holds counts by the keys of routes.
 type Tally map[uint32]Counts
 
-// Key returns the key under which a route is counted.
-func (t Tally) Key(route uint32) uint32 {
-	if _, ok := t[route]; ok || len(t) < MaxRoutes {
-		return route
-	}
-	return OtherRoutes
-}
+// RouteKey returns the key under which all instances count a route.
+func RouteKey(route string) uint32 { return uint32(xxhash.Sum64String(route) % MaxRoutes) }
 
 // Add adds counts of other requests.
 func (t Tally) Add(other Tally) {
 	for route, c := range other {
-		key := t.Key(route)
-		t[key] = t[key].plus(c)
+		t[route] = t[route].plus(c)
 	}
 }
 
@@ -71,8 +64,7 @@
 // latest one, since counts only grow.
 func (t Tally) Merge(other Tally) {
 	for route, c := range other {
-		key := t.Key(route)
-		t[key] = t[key].max(c)
+		t[route] = t[route].max(c)
 	}
 }
 
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -124,10 +124,10 @@
 		return "no warm searcher of the target version"
 	case !s.hasCapacity():
 		return fmt.Sprintf("warm searchers of the target version have %d slots, the others %d", s.NewSlots, s.OldSlots)
-	case s.Order.Status.Phase == Promote:
-		return fmt.Sprintf("%d requests run on searchers of other versions, %d instances have not confirmed the promotion", s.RunningOld, s.Unconfirmed)
 	case s.Verdict.Suspected:
 		return "the replies of the target version are suspicious"
+	case s.Order.Status.Phase == Promote:
+		return fmt.Sprintf("%d requests run on searchers of other versions, %d instances have not confirmed the promotion", s.RunningOld, s.Unconfirmed)
 	case !s.evidence(b):
 		return fmt.Sprintf("only %d replies of the target version", s.Sums.Total().NewReplies)
 	}
