Roll-outs: orders that wait, short orders, late evidence

The time of an order that waited for another one of its service ran from its creation, so that it was rolled back just after it came into force. It now begins then. Orders of less than 7 s were promoted too late to be completed; the promotion is now 2.6 s before the end at the latest, and is not made when it could not be completed. Reasons name these cases.

--- a/cmd/wharf-gateway/rollouts.go
+++ b/cmd/wharf-gateway/rollouts.go
@@ -96,22 +96,22 @@
 func (r *rollouts) changed(e platform.Event) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	name := e.Object.Name
+	name, now := e.Object.Name, r.s.clock.Boottime()
 	services := []string{r.book.ServiceOf(name)}
 	delete(r.invalid, name)
 	order, err := platform.DecodeRollout(e.Object)
 	switch {
 	case e.Deleted:
-		r.book.Remove(name)
+		r.book.Remove(name, now)
 		r.s.log.Info("order of a roll-out is gone", "order", name, "service", services[0])
 	case err != nil:
-		r.book.Remove(name)
+		r.book.Remove(name, now)
 		r.s.log.Error("invalid order of a roll-out, traffic stays as it is", "order", name, "error", err.Error())
 		if order.TargetVersion != "" {
 			r.invalid[name] = invalidOrder{order: order, reason: "invalid order: " + err.Error()}
 		}
 	default:
-		r.book.Put(name, order, r.s.clock.Boottime(), r.s.clock.Now())
+		r.book.Put(name, order, now, r.s.clock.Now())
 		services = append(services, order.Service)
 		r.s.log.Info("roll-out", "order", name, "service", order.Service, "target_version", order.TargetVersion, "state", string(order.Status.State),
 			"phase", string(order.Status.Phase), "share", order.Status.Share, "reason", order.Status.Reason, "revision", e.Object.Revision)
@@ -379,7 +379,7 @@
 // markBad records that a version is bad, so that it gets no request from here on, and schedules the
 // news for others. The caller holds the lock.
 func (r *rollouts) markBad(k rollout.Key, reason, source string) {
-	if !r.book.MarkBad(k, reason) {
+	if !r.book.MarkBad(k, reason, r.s.clock.Boottime()) {
 		return
 	}
 	r.s.log.Warn("new version is bad", "service", k.Service, "target_version", k.Target, "reason", reason, "source", source)
--- a/cmd/wharf-gateway/rollouts_test.go
+++ b/cmd/wharf-gateway/rollouts_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -15,6 +16,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/standin/site"
 )
 
@@ -215,3 +217,17 @@
 		})
 	}
 }
+
+// TestNoRolloutsWithoutShare guards against a deployment without roll-outs that follows their orders.
+func TestNoRolloutsWithoutShare(t *testing.T) {
+	for _, share := range []float64{0, 0.1} {
+		ip := instanceIP(lastInstanceNumber.Add(1))
+		s, err := newService(&platform.InstanceSettings{
+			Name: "n", IP: ip, FailureDomain: "a", StoreAddress: "127.0.0.1:1", ExchangeAddress: ip + ":1", CallerAddress: ip + ":2",
+			InternalPorts: [2]int{firstInternalPort, firstInternalPort + 9}, Bounds: platform.Bounds{CanaryShare: share},
+		}, slog.New(slog.DiscardHandler))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, s.mirrors[platform.KindRollouts] != nil, qt.Equals, share > 0)
+		qt.Assert(t, s.rollouts != nil, qt.Equals, share > 0)
+	}
+}
--- a/rollout/book.go
+++ b/rollout/book.go
@@ -28,6 +28,8 @@
 	// start doesn't depend on the time of day.
 	start     time.Duration
 	witnessed bool
+	// waited says that another order of the service was in force since it was first seen.
+	waited bool
 	// bad says why the new version is bad, empty if no instance has found that.
 	bad string
 	// promotedAt is when this instance learned of the phase Promote, zero if it has not.
@@ -62,6 +64,7 @@
 // Put records an order as the store holds it under a name. An ended order that returns as running,
 // from an older copy of the store, stays ended. unix is the time of day.
 func (b *Book) Put(name string, o Order, now time.Duration, unix time.Time) {
+	defer b.updateWaiting(now)
 	before := b.entries[name]
 	if o.Status.State == Completed {
 		b.completed[o.Service] = Key{Service: o.Service, Created: o.Created, Target: o.Status.TargetVersion}
@@ -97,14 +100,24 @@
 	e.promotedAt = 0
 }
 
-// Remove forgets an object and returns the service of its order.
-func (b *Book) Remove(name string) string {
-	e := b.entries[name]
-	if e == nil {
-		return ""
+// updateWaiting lets the time of an order that waited for another one begin when it comes into force.
+func (b *Book) updateWaiting(now time.Duration) {
+	for name, e := range b.entries {
+		if e.state() != None {
+			continue
+		}
+		inForce, _ := b.current(e.order.Service)
+		if inForce == name && e.waited {
+			e.start, e.witnessed = now, true
+		}
+		e.waited = inForce != name
 	}
+}
+
+// Remove forgets the order of an object.
+func (b *Book) Remove(name string, now time.Duration) {
 	delete(b.entries, name)
-	return e.order.Service
+	b.updateWaiting(now)
 }
 
 // ServiceOf returns the service of the order under a name, empty if there is none.
@@ -117,10 +130,11 @@
 
 // MarkBad records that an instance has found the new version of an order bad, and reports whether
 // that is new.
-func (b *Book) MarkBad(k Key, reason string) bool {
+func (b *Book) MarkBad(k Key, reason string, now time.Duration) bool {
 	for _, e := range b.entries {
 		if e.order.Key() == k && !e.ended() {
 			e.bad = reason
+			b.updateWaiting(now)
 			return true
 		}
 	}
--- a/rollout/book_test.go
+++ b/rollout/book_test.go
@@ -30,9 +30,14 @@
 	b.Put("other", second, time.Second, noon)
 	qt.Assert(t, b.View("s").Order.Target, qt.Equals, "v2")
 	qt.Assert(t, b.Waiting(), qt.DeepEquals, []string{"other"})
-	b.Remove("other")
+	b.Remove("s", 3*time.Second)
+	second.Status = running("v3", Canary)
+	b.Put("other", second, 4*time.Second, noon)
+	qt.Assert(t, b.View("s").Start, qt.Equals, 3*time.Second, qt.Commentf("its time begins when it comes into force"))
+	b.Remove("other", 4*time.Second)
+	b.Put("s", order, 4*time.Second, noon)
 
-	qt.Assert(t, b.MarkBad(order.Key(), "why"), qt.IsTrue)
+	qt.Assert(t, b.MarkBad(order.Key(), "why", 0), qt.IsTrue)
 	qt.Assert(t, b.View("s").Active, qt.IsFalse)
 	qt.Assert(t, b.Current(0)[0].Bad, qt.Equals, "why", qt.Commentf("the verdict is still to be written"))
 	order.Status = Status{State: RolledBack, TargetVersion: "v2"}
@@ -50,7 +55,7 @@
 	order.Status = Status{State: Completed, TargetVersion: "v4"}
 	b.Put("s", order, 5*time.Second, noon)
 	qt.Assert(t, b.View("s").Completed.Target, qt.Equals, "v4")
-	b.Remove("s")
+	b.Remove("s", 6*time.Second)
 	qt.Assert(t, b.View("s").Completed.Target, qt.Equals, "v4", qt.Commentf("the version stays established"))
 }
 
@@ -153,6 +158,10 @@
 		{"few requests", func(s *Situation) {
 			s.Order.Status.Phase, s.Sums = Canary, Tally{1: {Requests: 9, Sent: 6, NewReplies: 6, OldReplies: 3}}
 		}, Running, Promote},
+		{"evidence comes too late", func(s *Situation) { s.Order.Status.Phase, s.Elapsed = Canary, 10500*time.Millisecond }, Running, Canary},
+		{"short order", func(s *Situation) {
+			s.Order.Status.Phase, s.Order.Duration, s.Elapsed = Canary, 5*time.Second, 2500*time.Millisecond
+		}, Running, Promote},
 		{"no evidence", func(s *Situation) { s.Order.Status.Phase, s.Sums = Canary, Tally{1: {Requests: 900}} }, Running, Canary},
 	} {
 		s := base
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"time"
@@ -30,6 +31,9 @@
 	minPromoted = 1000 * time.Millisecond
 	// decisionDelay is about how old the sums are, with the time until a decision is in force.
 	decisionDelay = 800 * time.Millisecond
+	// completionTime is the least time from the promotion to the end of the duration: minPromoted,
+	// giveUpBefore, and that for messages and writes.
+	completionTime = 2600 * time.Millisecond
 	// unknownServiceAfter is the age of an order from which its service counts as unknown: its
 	// configuration may be written after the order.
 	unknownServiceAfter = 2 * time.Second
@@ -71,16 +75,16 @@
 	case !s.KnownService && s.Elapsed >= unknownServiceAfter:
 		return now.rolledBack("the service is not known"), true
 	case portion >= giveUpAt || s.Elapsed >= s.Order.Duration-giveUpBefore:
-		return now.rolledBack("not completed in time: " + b.obstacle(s)), true
+		return now.rolledBack("not completed in time: " + cmp.Or(b.obstacle(s), "the evidence came too late")), true
 	case now.Phase == Promote && s.Verdict.Suspected && b.isSpent(s, portion):
 		return now.rolledBack("suspicious replies since the promotion, and the new version has got what a bad one may get"), true
 	case now.Phase == Promote:
 		return now.completed(s)
-	case portion >= promoteAt && b.obstacle(s) == "":
+	case s.Elapsed >= s.Order.promoteAfter() && s.Elapsed <= s.Order.Duration-giveUpBefore-minPromoted && b.obstacle(s) == "":
 		now.Phase, now.Share = Promote, 1
 		now.Reason = fmt.Sprintf("%d good replies of the new version", s.Sums.Total().NewReplies-s.Sums.Total().NewBad)
 		return now, true
-	case portion >= rampAt && now.Phase == Canary && portion < promoteAt && !s.Verdict.Suspected && s.evidence(b) && b.rampFits(s, portion):
+	case portion >= rampAt && now.Phase == Canary && s.Elapsed < s.Order.promoteAfter() && !s.Verdict.Suspected && s.evidence(b) && b.rampFits(s, portion):
 		now.Phase, now.Share, now.Reason = Ramp, rampShare, "the canary's replies are good"
 		return now, true
 	case now.Phase == Ramp && now.Share == rampShare && (s.Verdict.Suspected || !b.withinRamp(s.Sums.Total(), 0)):
@@ -90,6 +94,12 @@
 	return now, false
 }
 
+// promoteAfter returns the age of an order at which its target is promoted. A short order leaves time for
+// the completion.
+func (o Order) promoteAfter() time.Duration {
+	return min(time.Duration(promoteAt*float64(o.Duration)), o.Duration-completionTime)
+}
+
 func (s Status) rolledBack(reason string) Status {
 	s.State, s.Phase, s.Share, s.Reason = RolledBack, "", 0, reason
 	return s
@@ -126,6 +136,8 @@
 		return fmt.Sprintf("warm searchers of the target version have %d slots, the others %d", s.NewSlots, s.OldSlots)
 	case s.Verdict.Suspected:
 		return "the replies of the target version are suspicious"
+	case s.Order.Status.Phase == Promote && s.PromotedFor < minPromoted:
+		return "it was promoted too late"
 	case s.Order.Status.Phase == Promote:
 		return fmt.Sprintf("%d requests run on searchers of other versions, %d instances have not confirmed the promotion", s.RunningOld, s.Unconfirmed)
 	case !s.evidence(b):
