Send sums of roll-outs to leaders that are heard

Leaders sent their sums to two candidates of each other failure domain every 250 ms, and only one of them leads. Sums now go to the leaders that were heard within a second, and to the candidates each second.

--- a/cmd/wharf-gateway/rollouts.go
+++ b/cmd/wharf-gateway/rollouts.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/rollout"
@@ -59,6 +60,9 @@
 	// reported holds the last reports that were sent, reportedAt when any was sent.
 	reported   map[rollout.Key]string
 	reportedAt time.Duration
+	// standbyAt is when the sums were last sent also to instances that would be the next leaders.
+	// Only tick uses it.
+	standbyAt time.Duration
 }
 
 type orderSums struct {
@@ -67,8 +71,8 @@
 }
 
 type peerLeader struct {
-	name string
-	at   time.Duration
+	name, domain string
+	at           time.Duration
 	// writes says that it reaches the store.
 	writes bool
 }
@@ -197,24 +201,53 @@
 	}
 	own, others := r.s.instances.LeaderCandidates(r.s.awake())
 	ownAddresses, otherAddresses := r.addressesOf(own), r.addressesOf(others)
-	r.mu.Lock()
-	for address, p := range r.peers {
-		if now-p.at > rollout.MaxContactAge {
-			delete(r.peers, address)
-		} else if !slices.Contains(otherAddresses, address) {
+	sumsTo := r.peerAddresses(now, others)
+	for _, address := range sumsTo {
+		if !slices.Contains(otherAddresses, address) {
 			otherAddresses = append(otherAddresses, address)
 		}
 	}
-	r.mu.Unlock()
+	if now-r.standbyAt >= rolloutRefresh {
+		r.standbyAt = now
+		sumsTo = otherAddresses
+	}
 	r.report(now, current, ownAddresses, otherAddresses)
 	if leader {
-		r.sendSums(now, current, otherAddresses)
+		r.sendSums(now, current, sumsTo)
 		// Without the store the verdict still counts, and is sent to the others.
 		r.decide(ctx, now, current)
 	}
 	r.sendBad(append(otherAddresses, r.addressesOf(r.s.instances.InDomain())...), leader)
 }
 
+// peerAddresses returns the addresses of the leaders of other failure domains that were heard lately,
+// and of the candidates of the domains without one.
+func (r *rollouts) peerAddresses(now time.Duration, candidates []fleet.Instance) []netip.Addr {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var addresses []netip.Addr
+	heard := make(map[string]bool)
+	for address, p := range r.peers {
+		if now-p.at > rollout.MaxContactAge {
+			delete(r.peers, address)
+			continue
+		}
+		heard[p.domain] = heard[p.domain] || now-p.at <= rolloutRefresh
+		addresses = append(addresses, address)
+	}
+	for _, c := range candidates {
+		if heard[c.FailureDomain] {
+			continue
+		}
+		for _, address := range r.addressesOf([]fleet.Instance{c}) {
+			if !slices.Contains(addresses, address) {
+				addresses = append(addresses, address)
+			}
+		}
+	}
+	return addresses
+}
+
 // report records the counts of this instance and sends those that have changed to the leader of the
 // failure domain, and to the instance that would be the next one. If the store refuses the whole failure
 // domain, the leaders of others are asked for contact; they get the counts as the sums of the domain.
@@ -275,7 +308,7 @@
 		return
 	}
 	if sums {
-		r.peers[from] = peerLeader{name: m.Sender, at: now, writes: m.Writes}
+		r.peers[from] = peerLeader{name: m.Sender, domain: m.Domain, at: now, writes: m.Writes}
 	}
 	for _, o := range orders {
 		if !r.isCurrent(o.key()) {
