--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -47,6 +47,7 @@
 	d.metrics.notices.WithLabelValues("leaving").Inc()
 	if t.notices.ObserveLeaving(now) {
 		d.config.Log.Info("searcher says that it leaves", "searcher", t.ID, "service", t.Service)
+		d.classify(t.service)
 	}
 	return t.takeIdle()
 }
@@ -96,8 +97,9 @@
 	defer d.mu.Unlock()
 	now := d.config.Clock.Boottime()
 	var left time.Duration
+	class, restricted := d.allowedClasses(d.service(service), regions, now)
 	for _, t := range d.service(service).targets {
-		if !d.available(t, regions) {
+		if !d.available(t, regions) || restricted && t.class != class {
 			continue
 		}
 		notice := t.notices.Decide(now, 0)
