Refuse API keys when the configuration may be out of date

An instance that is cut off, or was paused, went on accepting keys that a newer configuration had taken away, and an instance that had not yet learned of a new key refused it at once.

Each instance now knows the latest time at which its configuration was the newest: when a call to the store that returned was sent, or when a question to another instance was sent, less the age that it states. Deployments without client accounts, or without strict revocation, ask and refuse nothing.

Tests of freshness, freshnessexchange, mirror, exchange, fleet and platform, and those of keys in gateway pass with the race detector.

--- a/cmd/wharf-gateway/mirrors.go
+++ b/cmd/wharf-gateway/mirrors.go
@@ -67,6 +67,8 @@
 		}
 		if kind != platform.KindConfig {
 			config.BatchDelay = batchDelay
+		} else {
+			s.followConfigClosely(&config)
 		}
 		if kind == platform.KindSearchers {
 			config.OnRestore = s.searchers.ForgetRevisions
@@ -113,6 +115,7 @@
 	if s.gateway.SetRoutingConfig(c) {
 		s.log.Info("configuration in force", "version", c.Version, "routes", c.RouteCount(), "revision", e.Object.Revision)
 	}
+	s.freshness.Hold(c.Version)
 }
 
 // searcherChanged adds, updates or removes a searcher. An entry that can't be decoded
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -21,6 +21,7 @@
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/exchange"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
+	"github.com/wisteriawharf/wisteriawharf/freshnessexchange"
 	"github.com/wisteriawharf/wisteriawharf/gateway"
 	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
@@ -44,6 +45,8 @@
 	gateway   *gateway.Gateway
 	exchange  *exchange.Exchange
 	datagrams *datagram.Socket
+	// freshness tells how old the configuration may be.
+	freshness *freshnessexchange.Exchange
 	self      fleet.Instance
 	outage    mirror.OutageTracker
 	// memory is the budget of the bytes that the instance holds for peers all together.
@@ -99,7 +102,12 @@
 		Position:      func() float64 { return math.Float64frombits(s.position.Load()) }, Log: log, Registry: s.registry,
 		StalledBetween: s.stalls.StalledBetween, Memory: s.memory,
 	})
-	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, StalledBetween: s.stalls.StalledBetween, Memory: s.memory})
+	s.datagrams, err = datagram.Listen(internalPortAddress(settings, datagramPortOffset), log)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s.createFreshness()
+	s.gateway = gateway.New(gateway.Config{Freshness: s.freshness, Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, StalledBetween: s.stalls.StalledBetween, Memory: s.memory})
 	s.createMirrors()
 	s.exchange, err = exchange.Listen(exchange.Config{
 		Self: s.self, HeartbeatAddress: internalPortAddress(settings, heartbeatPortOffset), Seeds: settings.Seeds, Instances: s.instances, Mirrors: s.mirrors, InstanceKind: platform.KindInstances,
@@ -107,10 +115,6 @@
 		StoreReachable: func() bool { return !s.outage.Failing() }, OnStoreOutage: s.recordStoreFailure, Memory: s.memory,
 		LinkBytesPerSecond: settings.LinkBytesPerSecond, Serves: func() bool { return s.instances.Serves(s.clock.Boottime()) },
 	})
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	s.datagrams, err = datagram.Listen(internalPortAddress(settings, datagramPortOffset), log)
 	return s, errors.Trace(err)
 }
 
@@ -137,7 +141,7 @@
 
 // ready reports whether callers may be sent to this instance.
 func (s *service) ready() bool {
-	if s.stopping.Load() || s.gateway.RoutingConfig() == nil {
+	if s.stopping.Load() || s.gateway.RoutingConfig() == nil || s.awaitsFreshness() {
 		return false
 	}
 	// The other instances must be known, because this one's share of the budgets depends on
@@ -168,6 +172,7 @@
 	}()
 	go s.exchange.Run(ctx)
 	go s.datagrams.Run(ctx)
+	go s.freshness.Run(ctx)
 	go s.registerInstance(ctx)
 	go s.runPeriodicTasks(ctx)
 	log.Info("started", "failure_domain", settings.FailureDomain, "callers", settings.CallerAddress, "store", settings.StoreAddress)
--- a/exchange/fetch.go
+++ b/exchange/fetch.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -105,6 +107,14 @@
 	})
 }
 
+// FetchFrom fetches the changes of a kind from the instance at an IP address and applies them, unless
+// that is under way already. All instances use the same port.
+func (x *Exchange) FetchFrom(kind string, from netip.Addr) {
+	if _, port, err := net.SplitHostPort(x.config.Self.InternalAddress); err == nil {
+		x.fetch(context.Background(), kind, net.JoinHostPort(from.String(), port))
+	}
+}
+
 // fetch fetches the changes of a kind from another instance and applies them. It does nothing
 // if the kind is being fetched already. A failure is only logged.
 func (x *Exchange) fetch(ctx context.Context, kind, address string) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -26,7 +26,9 @@
 	ctx   context.Context
 	route *routing.Route
 	// account is the client account of the caller, nil if there is none.
-	account       *routing.Account
+	account *routing.Account
+	// header is that of the caller's request. It may hold an API key and is never logged.
+	header        http.Header
 	callerRequest platform.RequestMetadata
 	method        string
 	// head is the encoded head of the request that is the same for all attempts.
@@ -67,25 +69,14 @@
 	if headersTooLarge(r, config.Limits) {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "headers are too large"}
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route := config.Match(r.Host, path)
-	if route == nil {
-		return nil, &refusal{status: http.StatusNotFound, reason: "no route"}
-	}
-	account, unauthenticated := authenticate(config, route, r.Header)
-	if unauthenticated != nil {
-		return nil, unauthenticated
-	}
-	timeout := route.Timeout
-	if callerRequest.CallerTimeout > 0 && (timeout <= 0 || callerRequest.CallerTimeout < timeout) {
-		timeout = callerRequest.CallerTimeout
-	}
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	admitted, refused := g.admit(r, callerRequest, arrived)
+	if refused != nil {
+		return nil, refused
 	}
+	config, route := admitted.config, admitted.route
 	c := &call{
-		g: g, ctx: r.Context(), route: route, account: account, callerRequest: callerRequest, method: r.Method,
-		memory: g.config.Memory.Hold(), arrived: arrived.Latest, deadline: deadlineOf(arrived, timeout),
+		g: g, ctx: r.Context(), route: route, account: admitted.account, header: r.Header, callerRequest: callerRequest, method: r.Method,
+		memory: g.config.Memory.Hold(), arrived: arrived.Latest, deadline: admitted.deadline,
 		events:         make(chan dispatch.Event, max(len(route.Shards), 1)*maxEventsPerPart),
 		attemptLatency: g.attemptLatencies.forRoute(route.Name),
 	}
@@ -93,6 +84,9 @@
 	if refusal == nil {
 		refusal = c.readBody(w, r, config.Limits)
 	}
+	if refusal == nil && c.body != nil {
+		refusal = c.keyRefusal() // the body may have come long after the head
+	}
 	if refusal == nil {
 		c.head = c.requestHead(r, config.Accounts != nil)
 		refusal = c.takeCopies()
@@ -110,6 +104,18 @@
 	return c, nil
 }
 
+// requestTimeout returns the time limit of a request.
+func requestTimeout(route *routing.Route, callerRequest platform.RequestMetadata) time.Duration {
+	timeout := route.Timeout
+	if callerRequest.CallerTimeout > 0 && (timeout <= 0 || callerRequest.CallerTimeout < timeout) {
+		timeout = callerRequest.CallerTimeout
+	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return timeout
+}
+
 // defaultTimeout is the time limit of a request for which neither its caller nor its route sets
 // one.
 const defaultTimeout = 30 * time.Second
@@ -314,7 +320,7 @@
 		Avoid:         p.searchersToAvoid(),
 		Earlier:       p.earlier,
 		Kind:          kind,
-		Wanted:        func() bool { return !c.leftInStall() },
+		Wanted:        func() bool { return !c.leftInStall() && !c.revokedInStall() },
 		Tag:           p.index,
 		OnEnd: func(e dispatch.Event) {
 			c.replies.add(e.Reply)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,8 @@
 	StalledBetween func(since, now time.Duration) bool
 	// Memory bounds the bodies of all requests together. Nil means no bound.
 	Memory *memory.Budget
+	// Freshness tells how old the configuration may be. Nil means that its age does not matter.
+	Freshness Freshness
 }
 
 // Gateway is the http.Handler that serves callers. It is safe for concurrent use.
@@ -39,7 +41,9 @@
 	metrics *metrics
 	// routingConfig is the configuration in force. It is nil before the first one is set.
 	routingConfig atomic.Pointer[routing.Config]
-	stop          plannedStop
+	// newConfig wakes requests that wait for a newer configuration.
+	newConfig broadcast
+	stop      plannedStop
 	// inFlight is the number of requests that are being served.
 	inFlight atomic.Int64
 	// open holds these requests.
@@ -57,6 +61,9 @@
 	if config.StalledBetween == nil {
 		config.StalledBetween = func(_, _ time.Duration) bool { return false }
 	}
+	if config.Freshness == nil {
+		config.Freshness = alwaysFresh{}
+	}
 	return &Gateway{
 		config: config, metrics: newMetrics(config.Registry), requestLog: requestlog.NewWriter(config.Log),
 		attemptLatencies: latencyHistograms{byRoute: make(map[string]*latencyHistogram)},
@@ -75,6 +82,7 @@
 		}
 		if g.routingConfig.CompareAndSwap(old, c) {
 			g.attemptLatencies.prune(c)
+			g.newConfig.send()
 			return true
 		}
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -4,10 +4,12 @@
 
 // metrics holds the metrics of the answers to callers.
 type metrics struct {
-	outcomes      *prometheus.CounterVec
-	refusals      *prometheus.CounterVec
-	answerLatency prometheus.Histogram
-	readDelay     prometheus.Histogram
+	outcomes *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	// unauthenticated counts the requests that were refused because of their API key.
+	unauthenticated *prometheus.CounterVec
+	answerLatency   prometheus.Histogram
+	readDelay       prometheus.Histogram
 }
 
 // newMetrics returns metrics that are registered at r. It panics if r has them already.
@@ -21,6 +23,10 @@
 			Name: "wharf_refusals_total",
 			Help: "Requests that were not answered by a searcher, by reason.",
 		}, []string{"reason"}),
+		unauthenticated: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "wharf_unauthenticated_requests_total",
+			Help: "Requests that were refused because of their API key, by reason.",
+		}, []string{"reason"}),
 		answerLatency: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "wharf_answer_seconds",
 			Help:    "Time from the arrival of a request to its answer.",
@@ -32,6 +38,6 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}),
 	}
-	r.MustRegister(m.outcomes, m.refusals, m.answerLatency, m.readDelay)
+	r.MustRegister(m.outcomes, m.refusals, m.unauthenticated, m.answerLatency, m.readDelay)
 	return m
 }
--- a/gateway/part.go
+++ b/gateway/part.go
@@ -67,6 +67,10 @@
 		c.attemptNotStarted(p, kind, errCallerGone)
 		return false
 	}
+	if c.revokedInStall() {
+		c.attemptNotStarted(p, kind, errConfigOutdated)
+		return false
+	}
 	a, err := c.dispatchAttempt(p, kind)
 	if err != nil {
 		c.attemptNotStarted(p, kind, err)
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -110,12 +110,18 @@
 // timeout, so that it soon shows whether the store answers. A dropped history is not an
 // error: callStore sets *listed to false, so that the next call is a listing.
 func (m *Mirror) callStore(ctx context.Context, listed *bool, probe bool) error {
+	var sent time.Duration
+	if m.config.OnCurrent != nil {
+		sent = m.config.Clock.Boottime()
+	}
 	if !*listed {
 		l, err := m.config.Store.List(ctx, m.config.Kind)
 		if err != nil {
 			return err
 		}
-		if !m.ApplyListing(l) {
+		if m.ApplyListing(l) {
+			m.current(sent)
+		} else {
 			held := m.Position()
 			m.config.Log.Warn("listing is older than the mirror and ignored", "kind", m.config.Kind, "epoch", l.Epoch, "revision", l.Revision,
 				"held_epoch", held.Epoch, "held_revision", held.Revision)
@@ -144,8 +150,18 @@
 		*listed = false
 		return nil
 	}
+	if !changes.Behind {
+		m.current(sent)
+	}
 	if len(changes.Events) > 0 && m.config.BatchDelay > 0 {
 		_ = clock.Pause(ctx, m.config.BatchDelay) // only returns the error of ctx, and then Run goes on at once
 	}
 	return nil
 }
+
+// current reports that the mirror holds all changes up to the time at which a call was sent.
+func (m *Mirror) current(sent time.Duration) {
+	if m.config.OnCurrent != nil {
+		m.config.OnCurrent(sent)
+	}
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
 
@@ -46,6 +47,12 @@
 	// OnRestore is called when the store has come back from a copy, before the changes that
 	// follow from it. Like OnChange, it must not call the mirror's methods.
 	OnRestore func()
+	// OnCurrent is called when a call to the store has returned and its result is applied: the mirror
+	// then holds all changes up to a time on the boot clock, at which the call was sent. A watch may
+	// hear nothing of changes while it waits, so the time of its return says nothing. OnCurrent may be
+	// nil; else Clock must be set.
+	OnCurrent func(sent time.Duration)
+	Clock     clock.Clock
 	// AppliesRestored says which objects of the copy are applied at once, none if it is nil.
 	AppliesRestored RestoredFunc
 	// Outage is shared by all mirrors of one store.
--- a/standin/site/searcher.go
+++ b/standin/site/searcher.go
@@ -19,6 +19,8 @@
 	Searcher  string
 	Path      string
 	Body      string
+	// Header holds the headers of the request.
+	Header http.Header
 	// Reached is when the request reached the searcher, At when it began to run.
 	Reached time.Time
 	At      time.Time
@@ -234,7 +236,7 @@
 		return
 	}
 	defer func() { <-s.slots }()
-	s.ledger.ran(Run{RequestID: id, Searcher: s.ID, Path: r.RequestURI, Body: string(body), Reached: reached, At: time.Now(), Left: left})
+	s.ledger.ran(Run{RequestID: id, Searcher: s.ID, Path: r.RequestURI, Body: string(body), Header: r.Header.Clone(), Reached: reached, At: time.Now(), Left: left})
 	if f.Silent {
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
