--- a/standin/site/node.go
+++ b/standin/site/node.go
@@ -18,6 +18,8 @@
 	Seeds        []string
 	// StopGrace is the time from SIGTERM to SIGKILL in seconds. Zero means GraceSeconds.
 	StopGrace int
+	// RevokeMs demands strict revocation of API keys within this time. Zero means that it is not demanded.
+	RevokeMs int
 }
 
 // GraceSeconds is the usual time from SIGTERM to SIGKILL in the settings file.
@@ -48,9 +50,11 @@
   warmup_overage: 1.5
   warmup_slack: 5
   ttl_max_s: 2
+  strict_revocation: %t
+  revoke_ms: %d
 platform: {address: %q}
 seeds:
-`, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, grace, n.Store)
+`, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, grace, n.RevokeMs > 0, n.RevokeMs, n.Store)
 	for _, s := range n.Seeds {
 		text += fmt.Sprintf("  - %q\n", s)
 	}
