Rank requests by the fair shares of their client accounts

When the searchers lack capacity, an account that sends ten times its usual load took its share of requests from all others: ranks were drawn alike for all, and requests to single searchers were served in the order of their arrival.

Without accounts the ranks are as before.

The tests of fairness, gateway and requestlog pass with the race detector.

--- a/gateway/account.go
+++ b/gateway/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/arrival"
+	"github.com/wisteriawharf/wisteriawharf/balance"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
@@ -172,6 +174,21 @@
 	return c.route.Priority
 }
 
+// rankFairly draws the rank of the request, which is the same at all services, from what its client account and
+// the others send. A request without an account has one by its priority alone.
+func (c *call) rankFairly() {
+	if c.account == nil {
+		c.rank = balance.Rank(rand.Float64(), c.priority())
+		return
+	}
+	var above bool
+	c.rank, above = c.g.fairness.Rank(c.now(), c.account.Name, c.priority(), rand.Float64())
+	c.ranked = true
+	if above {
+		c.g.metrics.aboveFairShare.Inc()
+	}
+}
+
 // broadcast wakes all that wait for an event. The zero value is ready for use. It is safe for concurrent
 // use.
 type broadcast struct {
--- a/gateway/account_test.go
+++ b/gateway/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wisteriawharf/wisteriawharf/arrival"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
 
@@ -212,3 +214,26 @@
 	qt.Assert(t, time.Since(began) >= maxKeyWait, qt.IsTrue)
 	qt.Assert(t, time.Since(began) < promptTimeout, qt.IsTrue)
 }
+
+// TestRanksWithAccounts guards against requests to one searcher that all have the same rank although the configuration
+// has client accounts, and against other ranks than before where it has none.
+func TestRanksWithAccounts(t *testing.T) {
+	h := newHarness(t, "one")
+	ranks := func(accounts *routing.Accounts, version int64) map[float64]bool {
+		h.configureAccounts(version, accounts)
+		seen := make(map[float64]bool)
+		for range 20 {
+			r := httptest.NewRequest(http.MethodGet, "/r/x", nil)
+			r.Host = "a.example"
+			r.Header.Set("Authorization", "Bearer "+testKey)
+			now := h.gateway.config.Clock.Boottime()
+			c, refused := h.gateway.newCall(httptest.NewRecorder(), r, arrival.Span{Earliest: now, Latest: now})
+			qt.Assert(t, refused, qt.IsNil)
+			c.memory.Release()
+			seen[c.rank] = true
+		}
+		return seen
+	}
+	qt.Assert(t, ranks(nil, 1), qt.DeepEquals, map[float64]bool{0: true})
+	qt.Assert(t, len(ranks(accountOf("acme", testKey), 2)) > 10, qt.IsTrue)
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -47,8 +47,10 @@
 	// attemptLatency is the distribution of the latencies of the route's attempts.
 	attemptLatency *latencyHistogram
 	// rank orders the requests that wait for a searcher, the lowest first. It is zero if
-	// the route has no shards.
+	// the route has no shards and the configuration no client accounts.
 	rank float64
+	// ranked says that the rank is that of the client account, and that the request counts for it.
+	ranked bool
 	// deferRetry reports whether a failed part must not be retried now. That is so if the
 	// request may get too few parts anyway, because other parts are given up or have no
 	// retry budget left in case they fail. It is nil if the route has no shards.
@@ -101,6 +103,9 @@
 		c.memory.Release()
 		return nil, refusal
 	}
+	if config.Accounts != nil {
+		c.rankFairly()
+	}
 	return c, nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/wisteriawharf/wisteriawharf/arrival"
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
+	"github.com/wisteriawharf/wisteriawharf/fairness"
 	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/requestlog"
@@ -50,6 +51,8 @@
 	open openRequests
 	// requestLog writes, at a limited rate, the log lines that explain single requests.
 	requestLog *requestlog.Writer
+	// fairness ranks requests by what their client accounts send.
+	fairness fairness.Tracker
 	// attemptLatencies holds the latencies of the attempts of each route.
 	attemptLatencies latencyHistograms
 }
@@ -176,9 +179,15 @@
 		return
 	}
 	if a.refusal != nil {
+		if c.account != nil {
+			a.refusal.account = c.account.Name
+		}
 		g.refuse(w, r, a.refusal)
 		return
 	}
+	if c.ranked {
+		g.fairness.Served(c.now())
+	}
 	h := w.Header()
 	for name, values := range a.header {
 		if !isHopByHop(name, a.header) {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,8 +8,10 @@
 	refusals *prometheus.CounterVec
 	// unauthenticated counts the requests that were refused because of their API key.
 	unauthenticated *prometheus.CounterVec
-	answerLatency   prometheus.Histogram
-	readDelay       prometheus.Histogram
+	// aboveFairShare counts the requests beyond the fair shares of their client accounts.
+	aboveFairShare prometheus.Counter
+	answerLatency  prometheus.Histogram
+	readDelay      prometheus.Histogram
 }
 
 // newMetrics returns metrics that are registered at r. It panics if r has them already.
@@ -27,6 +29,10 @@
 			Name: "wharf_unauthenticated_requests_total",
 			Help: "Requests that were refused because of their API key, by reason.",
 		}, []string{"reason"}),
+		aboveFairShare: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "wharf_above_fair_share_requests_total",
+			Help: "Requests beyond the fair shares of their client accounts while capacity was short. They are sent last and refused first.",
+		}),
 		answerLatency: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "wharf_answer_seconds",
 			Help:    "Time from the arrival of a request to its answer.",
@@ -38,6 +44,6 @@
 			Buckets: prometheus.ExponentialBuckets(0.005, 2, 12),
 		}),
 	}
-	r.MustRegister(m.outcomes, m.refusals, m.unauthenticated, m.answerLatency, m.readDelay)
+	r.MustRegister(m.outcomes, m.refusals, m.unauthenticated, m.aboveFairShare, m.answerLatency, m.readDelay)
 	return m
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -19,6 +19,8 @@
 	// retryAfter is how long the caller should wait before it repeats the request. If it is
 	// zero, the answer has no Retry-After header.
 	retryAfter time.Duration
+	// account is the name of the client account for the log, empty if there is none.
+	account string
 }
 
 // refuse sends a refusal to the caller and counts it. If its status is a server error, it is
@@ -32,7 +34,11 @@
 	g.stop.countRefusal()
 	if response.status >= http.StatusInternalServerError && g.requestLog.Allow() {
 		callerRequest, _ := platform.ReadRequestMetadata(r.Header) // the ID is read even if there is an error
-		g.requestLog.Write(requestlog.Refused, "request", callerRequest.ID, "path", r.URL.Path, "status", response.status, "reason", response.reason)
+		facts := []any{"request", callerRequest.ID, "path", r.URL.Path, "status", response.status, "reason", response.reason}
+		if response.account != "" {
+			facts = append(facts, "account", response.account)
+		}
+		g.requestLog.Write(requestlog.Refused, facts...)
 	}
 	text := response.reason
 	if response.detail != "" {
--- a/gateway/sharded.go
+++ b/gateway/sharded.go
@@ -53,7 +53,9 @@
 		needed:    c.route.MinShards(),
 		partialAt: max(c.arrived+c.latencyBudget(), c.now()+c.latencyBudget()/2),
 	}
-	c.rank = balance.Rank(rand.Float64(), c.priority())
+	if !c.ranked {
+		c.rank = balance.Rank(rand.Float64(), c.priority())
+	}
 	c.deferRetry = func(p *part) bool { return !q.retryState(p).WorthRetrying() }
 	for i, service := range c.route.Shards {
 		q.parts = append(q.parts, &part{service: service, index: i})
