--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -21,6 +21,7 @@
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/exchange"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
+	"github.com/wisteriawharf/wisteriawharf/freshnessexchange"
 	"github.com/wisteriawharf/wisteriawharf/gateway"
 	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
@@ -46,8 +47,10 @@
 	datagrams *datagram.Socket
 	// rollouts moves services to other versions, nil if the settings allow no roll-outs.
 	rollouts *rollouts
-	self     fleet.Instance
-	outage   mirror.OutageTracker
+	// freshness tells how old the configuration may be.
+	freshness *freshnessexchange.Exchange
+	self      fleet.Instance
+	outage    mirror.OutageTracker
 	// memory is the budget of the bytes that the instance holds for peers all together.
 	memory *memory.Budget
 	// startedAt is when the instance started, as returned by Boottime of the clock.
@@ -101,9 +104,15 @@
 		Position:      func() float64 { return math.Float64frombits(s.position.Load()) }, Log: log, Registry: s.registry,
 		StalledBetween: s.stalls.StalledBetween, Memory: s.memory,
 	})
-	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, StalledBetween: s.stalls.StalledBetween, Memory: s.memory})
+	s.datagrams, err = datagram.Listen(internalPortAddress(settings, datagramPortOffset), log)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s.createFreshness()
+	s.gateway = gateway.New(gateway.Config{Freshness: s.freshness, Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, StalledBetween: s.stalls.StalledBetween, Memory: s.memory})
 	if settings.Bounds.CanaryShare > 0 {
 		s.rollouts = newRollouts(s)
+		s.datagrams.Handle(datagram.Rollout, s.rollouts.receive)
 	}
 	s.createMirrors()
 	s.exchange, err = exchange.Listen(exchange.Config{
@@ -112,13 +121,6 @@
 		StoreReachable: func() bool { return !s.outage.Failing() }, OnStoreOutage: s.recordStoreFailure, Memory: s.memory,
 		LinkBytesPerSecond: settings.LinkBytesPerSecond, Serves: func() bool { return s.instances.Serves(s.clock.Boottime()) },
 	})
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	s.datagrams, err = datagram.Listen(internalPortAddress(settings, datagramPortOffset), log)
-	if err == nil && s.rollouts != nil {
-		s.datagrams.Handle(datagram.Rollout, s.rollouts.receive)
-	}
 	return s, errors.Trace(err)
 }
 
@@ -145,7 +147,7 @@
 
 // ready reports whether callers may be sent to this instance.
 func (s *service) ready() bool {
-	if s.stopping.Load() || s.gateway.RoutingConfig() == nil {
+	if s.stopping.Load() || s.gateway.RoutingConfig() == nil || s.awaitsFreshness() {
 		return false
 	}
 	if s.rollouts != nil && s.mirrors[platform.KindRollouts].Revision() == 0 {
@@ -179,6 +181,7 @@
 	}()
 	go s.exchange.Run(ctx)
 	go s.datagrams.Run(ctx)
+	go s.freshness.Run(ctx)
 	if s.rollouts != nil {
 		go s.rollouts.run(ctx)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/wisteriawharf/wisteriawharf/arrival"
 	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
+	"github.com/wisteriawharf/wisteriawharf/fairness"
 	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 	"github.com/wisteriawharf/wisteriawharf/requestlog"
@@ -31,6 +32,8 @@
 	StalledBetween func(since, now time.Duration) bool
 	// Memory bounds the bodies of all requests together. Nil means no bound.
 	Memory *memory.Budget
+	// Freshness tells how old the configuration may be. Nil means that its age does not matter.
+	Freshness Freshness
 }
 
 // Gateway is the http.Handler that serves callers. It is safe for concurrent use.
@@ -39,13 +42,17 @@
 	metrics *metrics
 	// routingConfig is the configuration in force. It is nil before the first one is set.
 	routingConfig atomic.Pointer[routing.Config]
-	stop          plannedStop
+	// newConfig wakes requests that wait for a newer configuration.
+	newConfig broadcast
+	stop      plannedStop
 	// inFlight is the number of requests that are being served.
 	inFlight atomic.Int64
 	// open holds these requests.
 	open openRequests
 	// requestLog writes, at a limited rate, the log lines that explain single requests.
 	requestLog *requestlog.Writer
+	// fairness ranks requests by what their client accounts send.
+	fairness fairness.Tracker
 	// attemptLatencies holds the latencies of the attempts of each route.
 	attemptLatencies latencyHistograms
 }
@@ -57,6 +64,9 @@
 	if config.StalledBetween == nil {
 		config.StalledBetween = func(_, _ time.Duration) bool { return false }
 	}
+	if config.Freshness == nil {
+		config.Freshness = alwaysFresh{}
+	}
 	return &Gateway{
 		config: config, metrics: newMetrics(config.Registry), requestLog: requestlog.NewWriter(config.Log),
 		attemptLatencies: latencyHistograms{byRoute: make(map[string]*latencyHistogram)},
@@ -75,6 +85,7 @@
 		}
 		if g.routingConfig.CompareAndSwap(old, c) {
 			g.attemptLatencies.prune(c)
+			g.newConfig.send()
 			return true
 		}
 	}
@@ -168,9 +179,15 @@
 		return
 	}
 	if a.refusal != nil {
+		if c.account != nil {
+			a.refusal.account = c.account.Name
+		}
 		g.refuse(w, r, a.refusal)
 		return
 	}
+	if c.ranked {
+		g.fairness.Served(c.now())
+	}
 	h := w.Header()
 	for name, values := range a.header {
 		if !isHopByHop(name, a.header) {
--- a/standin/site/node.go
+++ b/standin/site/node.go
@@ -21,6 +21,8 @@
 	// CanaryShare, CanarySlack and RollbackMs are the bounds of roll-outs. A CanaryShare of zero
 	// leaves them out.
 	CanaryShare, CanarySlack, RollbackMs float64
+	// RevokeMs demands strict revocation of API keys within this time. Zero means that it is not demanded.
+	RevokeMs int
 }
 
 // GraceSeconds is the usual time from SIGTERM to SIGKILL in the settings file.
@@ -55,9 +57,11 @@
   warmup_overage: 1.5
   warmup_slack: 5
   ttl_max_s: 2
+  strict_revocation: %t
+  revoke_ms: %d
 %splatform: {address: %q}
 seeds:
-`, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, grace, rollouts, n.Store)
+`, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, grace, n.RevokeMs > 0, n.RevokeMs, rollouts, n.Store)
 	for _, s := range n.Seeds {
 		text += fmt.Sprintf("  - %q\n", s)
 	}
