Watch the orders of roll-outs in longer turns

A watch that waits for orders returns at once when there is one; its time limit only bounds how long a stalled one stays unnoticed. 2.5 s, as for evacuations, saves half of the calls that the kind costs without an order.

--- a/cmd/wharf-gateway/mirrors.go
+++ b/cmd/wharf-gateway/mirrors.go
@@ -11,9 +11,9 @@
 const (
 	// How long a watch of the store waits for changes, by kind of object. A watch that no
 	// longer delivers changes is detected only when this time is over.
-	defaultWatchTimeout    = 1200 * time.Millisecond
-	evacuationWatchTimeout = 2500 * time.Millisecond
-	instanceWatchTimeout   = 10 * time.Second
+	defaultWatchTimeout  = 1200 * time.Millisecond
+	orderWatchTimeout    = 2500 * time.Millisecond
+	instanceWatchTimeout = 10 * time.Second
 	// batchDelay is the pause after a watch that returned changes. In this time more
 	// changes collect, and the next watch returns them together. It applies to the kinds
 	// whose changes come in bursts.
@@ -30,8 +30,8 @@
 	switch kind {
 	case platform.KindInstances:
 		return instanceWatchTimeout
-	case platform.KindEvacuations:
-		return evacuationWatchTimeout
+	case platform.KindEvacuations, platform.KindRollouts:
+		return orderWatchTimeout
 	}
 	return defaultWatchTimeout
 }
