--- a/gateway/account.go
+++ b/gateway/account.go
@@ -153,9 +153,6 @@
 	}
 	stale := c.g.config.Freshness.Stale()
 	_, refused := authenticate(c.g.routingConfig.Load(), stale, c.route, c.header)
-	if refused != nil {
-		c.g.countUnauthenticated(refused)
-	}
 	return refused
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -87,7 +87,10 @@
 		refusal = c.readBody(w, r, config.Limits)
 	}
 	if refusal == nil && c.body != nil {
-		refusal = c.keyRefusal() // the body may have come long after the head
+		// The body may have come long after the head.
+		if refusal = c.keyRefusal(); refusal != nil {
+			g.countUnauthenticated(refusal)
+		}
 	}
 	if refusal == nil {
 		c.head = c.requestHead(r, config.Accounts != nil)
