An instance that nobody vouches for asks the store after its start

Under strict revocation an instance is not ready until it knows that its configuration is current, and only instances that serve callers call the store when nobody tells them. One that starts beside instances that do not answer its questions, and that is no leader, would never have become ready. Found by reading, there is no test of it. The process tests of revocation and start pass with the race detector.

--- a/cmd/wharf-gateway/freshness.go
+++ b/cmd/wharf-gateway/freshness.go
@@ -86,10 +86,17 @@
 		if s.isLeader() {
 			return true
 		}
-		return s.configAgeMatters() && !s.stopping.Load() && s.configOlderThan(freshness.WatchAge) && s.instances.Serves(s.clock.Boottime())
+		return s.configAgeMatters() && !s.stopping.Load() && s.configOlderThan(freshness.WatchAge) && s.servesOrAwaitsFreshness()
 	}
 }
 
+// servesOrAwaitsFreshness reports whether this instance serves callers, or does not because nobody has told it for
+// leaderStartDelay after its start that its configuration is current.
+func (s *service) servesOrAwaitsFreshness() bool {
+	now := s.clock.Boottime()
+	return s.instances.Serves(now) || now-s.startedAt > leaderStartDelay && s.awaitsFreshness()
+}
+
 // configOlderThan reports whether the configuration was not known to be current within a time.
 func (s *service) configOlderThan(limit time.Duration) bool {
 	age, known := s.freshness.Age()
