Quotas of client accounts over all instances

An account's rate and burst were configured and not enforced. Instances now delegate their parts of 16 buckets of accounts to coordinators by leases of 1.2 s, and ask these for tokens. A request beyond the quota gets 429 with a Retry-After before its body is read, and before any work is done for it. A coordinator's token buckets are deeper than the burst by part of the slack, as an account of one request a second and a burst of one is otherwise refused a third of its requests at 0.6 of its quota.

Tests of quota, gateway, routing, fleet and datagram pass with the race detector.

--- /dev/null
+++ b/cmd/wharf-gateway/quotas.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"math"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/datagram"
+	"github.com/wisteriawharf/wisteriawharf/fleet"
+	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/quota"
+	"github.com/wisteriawharf/wisteriawharf/quotaexchange"
+)
+
+// createQuotas creates the part of the instance that keeps the quotas of client accounts. The socket
+// for datagrams must be open, and the gateway is created afterwards.
+func (s *service) createQuotas() {
+	counted := &countedSince{entered: s.entered}
+	s.quotas = quotaexchange.New(quotaexchange.Config{
+		Self: s.self.Name, StartUnixMs: s.self.StartUnixMs, Socket: s.datagrams, Peers: s.quotaPeers,
+		Bounds:  quota.Bounds{Window: s.settings.Bounds.QuotaWindow, Overage: s.settings.Bounds.QuotaOverage, Slack: s.settings.Bounds.QuotaSlack},
+		Counted: counted.atLeast, Stopping: s.stopping.Load, Limited: s.hasQuotas, Limit: s.quotaLimit,
+		Share: func() (int, float64) {
+			return int(s.budgetSharers.Load()), math.Float64frombits(s.position.Load())
+		},
+		Clock: s.clock, Log: s.log, Registry: s.registry,
+	})
+	s.datagrams.Handle(datagram.Quota, s.quotas.Handle)
+}
+
+// entered reports whether the store holds an entry of this instance, as far as it knows. The entry may
+// be that of an earlier start, as the other instances count either.
+func (s *service) entered() bool {
+	_, ok := s.mirrors[platform.KindInstances].Confirmed(s.self.Name)
+	return ok
+}
+
+// countedSince notes since when the store has held an entry of this instance. The others learn of it
+// in the time from then on.
+type countedSince struct {
+	entered func() bool
+	// since is when the entry was first seen, zero if there is none.
+	since atomic.Int64
+}
+
+// atLeast reports whether there has been an entry for at least a time. It has to be called often.
+func (c *countedSince) atLeast(now, atLeast time.Duration) bool {
+	if !c.entered() {
+		c.since.Store(0)
+		return false
+	}
+	c.since.CompareAndSwap(0, int64(now))
+	return now-time.Duration(c.since.Load()) >= atLeast
+}
+
+// quotaPeers returns the known instances, and by how many the quotas are divided.
+func (s *service) quotaPeers(now time.Duration) ([]quotaexchange.Peer, int) {
+	instances, sharers := s.instances.Known(now)
+	peers := make([]quotaexchange.Peer, 0, len(instances))
+	for _, i := range instances {
+		if address, ok := quotaPeerAddress(i); ok {
+			peers = append(peers, quotaexchange.Peer{
+				Member: quota.Member{Name: i.Name, FailureDomain: i.FailureDomain, Cores: i.Cores}, Address: address,
+			})
+		}
+	}
+	return peers, sharers
+}
+
+// quotaPeerAddress returns the address at which an instance gets datagrams.
+func quotaPeerAddress(i fleet.Instance) (netip.Addr, bool) {
+	address, err := netip.ParseAddrPort(i.InternalAddress)
+	return address.Addr(), err == nil
+}
+
+// hasQuotas reports whether the configuration in force has a client account with a limit.
+func (s *service) hasQuotas() bool {
+	c := s.gateway.RoutingConfig()
+	return c != nil && c.Accounts != nil && c.Accounts.Limited()
+}
+
+// quotaLimit returns the limit of a client account, which is zero if there is none.
+func (s *service) quotaLimit(account string) quota.Limit {
+	c := s.gateway.RoutingConfig()
+	if c == nil || c.Accounts == nil {
+		return quota.Limit{}
+	}
+	a := c.Accounts.Named(account)
+	if a == nil {
+		return quota.Limit{}
+	}
+	return quota.Limit{PerSecond: a.Quota.PerSecond, Burst: a.Quota.Burst, Version: c.Version}
+}
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -25,6 +25,7 @@
 	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/quotaexchange"
 )
 
 // periodicInterval is the time between two runs of the periodic tasks.
@@ -44,6 +45,7 @@
 	gateway   *gateway.Gateway
 	exchange  *exchange.Exchange
 	datagrams *datagram.Socket
+	quotas    *quotaexchange.Exchange
 	self      fleet.Instance
 	outage    mirror.OutageTracker
 	// memory is the budget of the bytes that the instance holds for peers all together.
@@ -99,7 +101,12 @@
 		Position:      func() float64 { return math.Float64frombits(s.position.Load()) }, Log: log, Registry: s.registry,
 		StalledBetween: s.stalls.StalledBetween, Memory: s.memory,
 	})
-	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, StalledBetween: s.stalls.StalledBetween, Memory: s.memory})
+	s.datagrams, err = datagram.Listen(internalPortAddress(settings, datagramPortOffset), log)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	s.createQuotas()
+	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, StalledBetween: s.stalls.StalledBetween, Memory: s.memory, Quotas: s.quotas})
 	s.createMirrors()
 	s.exchange, err = exchange.Listen(exchange.Config{
 		Self: s.self, HeartbeatAddress: internalPortAddress(settings, heartbeatPortOffset), Seeds: settings.Seeds, Instances: s.instances, Mirrors: s.mirrors, InstanceKind: platform.KindInstances,
@@ -107,10 +114,6 @@
 		StoreReachable: func() bool { return !s.outage.Failing() }, OnStoreOutage: s.recordStoreFailure, Memory: s.memory,
 		LinkBytesPerSecond: settings.LinkBytesPerSecond, Serves: func() bool { return s.instances.Serves(s.clock.Boottime()) },
 	})
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	s.datagrams, err = datagram.Listen(internalPortAddress(settings, datagramPortOffset), log)
 	return s, errors.Trace(err)
 }
 
@@ -168,6 +171,7 @@
 	}()
 	go s.exchange.Run(ctx)
 	go s.datagrams.Run(ctx)
+	go s.quotas.Run(ctx)
 	go s.registerInstance(ctx)
 	go s.runPeriodicTasks(ctx)
 	log.Info("started", "failure_domain", settings.FailureDomain, "callers", settings.CallerAddress, "store", settings.StoreAddress)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,7 +27,13 @@
 	ctx   context.Context
 	route *routing.Route
 	// account is the client account of the caller, nil if there is none.
-	account       *routing.Account
+	account *routing.Account
+	// configVersion is the version of the configuration in which route and account are.
+	configVersion int64
+	// admittedUntil is when the request must have been sent by its account's quota, zero if that has
+	// not been asked. overdrawn says that it was sent later.
+	admittedUntil time.Duration
+	overdrawn     atomic.Bool
 	callerRequest platform.RequestMetadata
 	method        string
 	// head is the encoded head of the request that is the same for all attempts.
@@ -84,12 +91,15 @@
 		timeout = defaultTimeout
 	}
 	c := &call{
-		g: g, ctx: r.Context(), route: route, account: account, callerRequest: callerRequest, method: r.Method,
+		g: g, ctx: r.Context(), route: route, account: account, configVersion: config.Version, callerRequest: callerRequest, method: r.Method,
 		memory: g.config.Memory.Hold(), arrived: arrived.Latest, deadline: deadlineOf(arrived, timeout),
 		events:         make(chan dispatch.Event, max(len(route.Shards), 1)*maxEventsPerPart),
 		attemptLatency: g.attemptLatencies.forRoute(route.Name),
 	}
 	refusal := c.lateRefusal()
+	if refusal == nil {
+		refusal = c.admit()
+	}
 	if refusal == nil {
 		refusal = c.readBody(w, r, config.Limits)
 	}
@@ -103,6 +113,10 @@
 	if refusal == nil {
 		refusal = c.stopRefusal()
 	}
+	if refusal == nil {
+		// A body may take so long that requests admitted one after another would run at once.
+		refusal = c.admit()
+	}
 	if refusal != nil {
 		c.memory.Release()
 		return nil, refusal
@@ -278,6 +292,7 @@
 // encode returns the encoded request for a searcher, with the time that is left until the
 // deadline.
 func (c *call) encode(searcherID string, left time.Duration) []byte {
+	c.countOverdrawn()
 	b := make([]byte, 0, len(c.head)+len(c.body)+attemptHeaderBytes)
 	b = append(b, c.head...)
 	b = platform.AppendAttemptHeaders(b, searcherID, left)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,8 @@
 	StalledBetween func(since, now time.Duration) bool
 	// Memory bounds the bodies of all requests together. Nil means no bound.
 	Memory *memory.Budget
+	// Quotas admits the requests of client accounts. Nil means that there are no quotas.
+	Quotas Quotas
 }
 
 // Gateway is the http.Handler that serves callers. It is safe for concurrent use.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -19,10 +19,12 @@
 	// retryAfter is how long the caller should wait before it repeats the request. If it is
 	// zero, the answer has no Retry-After header.
 	retryAfter time.Duration
+	// account is the client account whose quota is the reason, empty if it is another one.
+	account string
 }
 
-// refuse sends a refusal to the caller and counts it. If its status is a server error, it is
-// logged, unless the rate limit of the log is reached.
+// refuse sends a refusal to the caller and counts it. If its status is a server error, or a quota is
+// the reason, it is logged, unless the rate limit of the log is reached.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, response *refusal) {
 	if response.retryAfter > 0 {
 		platform.SetRetryAfter(w.Header(), response.retryAfter)
@@ -30,9 +32,13 @@
 	g.endConnection(w, r)
 	g.metrics.refusals.WithLabelValues(response.reason).Inc()
 	g.stop.countRefusal()
-	if response.status >= http.StatusInternalServerError && g.requestLog.Allow() {
+	if (response.status >= http.StatusInternalServerError || response.account != "") && g.requestLog.Allow() {
 		callerRequest, _ := platform.ReadRequestMetadata(r.Header) // the ID is read even if there is an error
-		g.requestLog.Write(requestlog.Refused, "request", callerRequest.ID, "path", r.URL.Path, "status", response.status, "reason", response.reason)
+		fields := []any{"request", callerRequest.ID, "path", r.URL.Path, "status", response.status, "reason", response.reason}
+		if response.account != "" {
+			fields = append(fields, "account", response.account, "retry_after_ms", response.retryAfter.Milliseconds())
+		}
+		g.requestLog.Write(requestlog.Refused, fields...)
 	}
 	text := response.reason
 	if response.detail != "" {
--- a/routing/account.go
+++ b/routing/account.go
@@ -31,6 +31,8 @@
 type Accounts struct {
 	byName map[string]*Account
 	byKey  map[keyDigest]*Account
+	// limited says that an account has a limit.
+	limited bool
 }
 
 // NewAccounts returns an empty set of accounts.
@@ -42,6 +44,7 @@
 // later one gets it.
 func (a *Accounts) Add(account Account, keys []string) {
 	a.byName[account.Name] = &account
+	a.limited = a.limited || account.Quota.Limited()
 	for _, key := range keys {
 		a.byKey[sha256.Sum256([]byte(key))] = &account
 	}
@@ -53,5 +56,8 @@
 // Named returns the account with a name, or nil if there is none.
 func (a *Accounts) Named(name string) *Account { return a.byName[name] }
 
+// Limited reports whether an account has a limit.
+func (a *Accounts) Limited() bool { return a.limited }
+
 // Len returns the number of accounts.
 func (a *Accounts) Len() int { return len(a.byName) }
--- a/standin/site/node.go
+++ b/standin/site/node.go
@@ -48,6 +48,9 @@
   warmup_overage: 1.5
   warmup_slack: 5
   ttl_max_s: 2
+  quota_window_s: 5
+  quota_overage: 0.1
+  quota_slack: 20
 platform: {address: %q}
 seeds:
 `, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, grace, n.Store)
