--- a/cmd/wharf-gateway/quotas.go
+++ b/cmd/wharf-gateway/quotas.go
@@ -3,7 +3,7 @@
 import (
 	"math"
 	"net/netip"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/datagram"
@@ -36,22 +36,35 @@
 	return ok
 }
 
-// countedSince notes since when the store has held an entry of this instance. The others learn of it
-// in the time from then on.
+// countedSince notes since when the other instances have counted this one, because the store holds its
+// entry.
 type countedSince struct {
 	entered func() bool
-	// since is when the entry was first seen, zero if there is none.
-	since atomic.Int64
+
+	mu      sync.Mutex
+	counted bool
+	since   time.Duration
+	seen    time.Duration
 }
 
-// atLeast reports whether there has been an entry for at least a time. It has to be called often.
+// missingEntryGrace is how long an instance counts as entered after its entry disappeared, for instance
+// because the store came back from a copy. The others count it for 12 s (fleet.Instances.Known).
+const missingEntryGrace = 8 * time.Second
+
+// atLeast reports whether this instance has been counted for at least a time. It has to be called often.
 func (c *countedSince) atLeast(now, atLeast time.Duration) bool {
-	if !c.entered() {
-		c.since.Store(0)
-		return false
+	entered := c.entered()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case entered && !c.counted:
+		c.counted, c.since, c.seen = true, now, now
+	case entered:
+		c.seen = now
+	case c.counted && now-c.seen > missingEntryGrace:
+		c.counted = false
 	}
-	c.since.CompareAndSwap(0, int64(now))
-	return now-time.Duration(c.since.Load()) >= atLeast
+	return c.counted && now-c.since >= atLeast
 }
 
 // quotaPeers returns the known instances, and by how many the quotas are divided.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -31,9 +31,11 @@
 	// configVersion is the version of the configuration in which route and account are.
 	configVersion int64
 	// admittedUntil is when the request must have been sent by its account's quota, zero if that has
-	// not been asked. overdrawn says that it was sent later.
+	// not been asked. sent says that it was sent to a searcher, quotaExpired that it was not because
+	// it needs another token.
 	admittedUntil time.Duration
-	overdrawn     atomic.Bool
+	sent          atomic.Bool
+	quotaExpired  atomic.Bool
 	callerRequest platform.RequestMetadata
 	method        string
 	// head is the encoded head of the request that is the same for all attempts.
@@ -98,7 +100,9 @@
 	}
 	refusal := c.lateRefusal()
 	if refusal == nil {
-		refusal = c.admit()
+		if refusal = c.admit(); refusal != nil {
+			c.discardBody(w, r)
+		}
 	}
 	if refusal == nil {
 		refusal = c.readBody(w, r, config.Limits)
@@ -290,9 +294,11 @@
 }
 
 // encode returns the encoded request for a searcher, with the time that is left until the
-// deadline.
+// deadline. It returns nil if the quota does not allow that the request is sent now.
 func (c *call) encode(searcherID string, left time.Duration) []byte {
-	c.countOverdrawn()
+	if !c.maySend() {
+		return nil
+	}
 	b := make([]byte, 0, len(c.head)+len(c.body)+attemptHeaderBytes)
 	b = append(b, c.head...)
 	b = platform.AppendAttemptHeaders(b, searcherID, left)
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -50,6 +50,9 @@
 // notRunRefusal returns the refusal of a request that no searcher has run or will run. pauseLeft is
 // the time until the searchers that have asked for a pause can take it, zero if there are none.
 func (c *call) notRunRefusal(cause string, pauseLeft time.Duration) *refusal {
+	if expired := c.quotaExpiredRefusal(); expired != nil {
+		return expired
+	}
 	wait := retryAfter(c.deadline-c.now(), c.latencyBudget())
 	return &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + cause, retryAfter: max(wait, pauseLeft)}
 }
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -101,7 +101,10 @@
 	refusedUntil time.Duration
 	refusal      string
 	retryAt      time.Duration
-	reserve      retry.RateLimiter
+	// exceeded says that a request was refused beyond the quota, the last time at exceededAt.
+	exceeded   bool
+	exceededAt time.Duration
+	reserve    retry.RateLimiter
 }
 
 // lot is the unused part of a grant.
@@ -169,6 +172,9 @@
 		a.reserve.Take()
 		return Outcome{Decision: FromReserve, Expires: now + TokenLifetime}
 	}
+	if reason == ReasonExceeded {
+		a.exceeded, a.exceededAt = true, now
+	}
 	return Outcome{Decision: Refused, RetryAfter: max(retryAfter, minRetryAfter), Reason: reason}
 }
 
@@ -259,6 +265,19 @@
 	return h.withoutGrant(a, c, now, ReasonNoCoordinator, Lease), true
 }
 
+// Late decides about a request that was admitted, is about to be sent, and whose token has expired: it
+// had to wait for a searcher, or the process was paused. If the account exceeded its quota in the last
+// window, the request needs another token. Otherwise all that waited could be sent in one window with all
+// that the quota allows in it.
+func (h *Holder) Late(name string, l Limit, now time.Duration) bool {
+	a := h.accounts[name]
+	if a == nil || !a.exceeded || now-a.exceededAt > h.bounds.Window {
+		return true
+	}
+	_, ok := a.take(l, now)
+	return ok
+}
+
 // Heard records that a coordinator was heard of: requests wait for it again. Its buckets are those for
 // which coordinates is true.
 func (h *Holder) Heard(coordinates func(bucket int) bool) {
--- a/quotaexchange/exchange.go
+++ b/quotaexchange/exchange.go
@@ -41,7 +41,7 @@
 	// Peers returns the known instances, this one included, and by how many the quotas are divided.
 	Peers func(now time.Duration) ([]Peer, int)
 	// Counted reports whether the other instances have counted this one among those that share the
-	// quotas since it started or was last missing for at least a time.
+	// quotas for at least a time. It is called at least every quota.AskInterval.
 	Counted func(now, atLeast time.Duration) bool
 	// Stopping reports whether a planned stop has begun.
 	Stopping func() bool
@@ -95,6 +95,9 @@
 const (
 	// sweepInterval is the time between two removals of idle accounts.
 	sweepInterval = 10 * time.Second
+	// countedDelay is how long an instance waits after its entry is known, so that coordinators divide
+	// the quotas by one more. They are among the instances that learn of changes first.
+	countedDelay = quota.Lease / 2
 	// solicitedTimeout is how long this instance answers coordinators after the last question
 	// if its own configuration has no limits.
 	solicitedTimeout = 10 * time.Second
@@ -121,6 +124,7 @@
 func (e *Exchange) Tick() {
 	now := e.config.Clock.Boottime()
 	limited := e.config.Limited()
+	e.config.Counted(now, 0) // notes when this began
 	e.mu.Lock()
 	if !limited && !(e.solicited && now-e.solicitedAt <= solicitedTimeout) {
 		e.mu.Unlock()
@@ -227,7 +231,7 @@
 	// The time must be read before the reply is sent and after the question was, so that the lease of
 	// the coordinator ends first.
 	now := e.config.Clock.Boottime()
-	may := now-e.started >= quota.Lease && e.config.Counted(now, quota.Lease)
+	may := now-e.started >= quota.Lease && e.config.Counted(now, countedDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.solicited, e.solicitedAt = true, now
@@ -325,8 +329,18 @@
 	return o
 }
 
-// Overdrawn counts a request that was sent after its token had expired.
-func (e *Exchange) Overdrawn() { e.metrics.overdrawn.Inc() }
+// Late decides whether a request may still be sent whose token has expired.
+func (e *Exchange) Late(account string, l quota.Limit) bool {
+	e.mu.Lock()
+	may := e.holder.Late(account, l, e.config.Clock.Boottime())
+	e.mu.Unlock()
+	if may {
+		e.metrics.overdrawn.Inc()
+	} else {
+		e.metrics.expired.Inc()
+	}
+	return may
+}
 
 func (e *Exchange) admit(ctx context.Context, account string, l quota.Limit, wait time.Duration) quota.Outcome {
 	contact := e.contact()
--- a/quotaexchange/metrics.go
+++ b/quotaexchange/metrics.go
@@ -4,9 +4,9 @@
 
 // metrics holds the metrics of quotas.
 type metrics struct {
-	granted, reserve, refused, unlimited prometheus.Counter
-	overdrawn                            prometheus.Counter
-	accounts                             prometheus.Gauge
+	granted, reserve, refused, unlimited, expired prometheus.Counter
+	overdrawn                                     prometheus.Counter
+	accounts                                      prometheus.Gauge
 }
 
 // newMetrics returns metrics that are registered at r. It panics if r has them already.
@@ -18,6 +18,7 @@
 	m := &metrics{
 		granted: requests.WithLabelValues("granted"), reserve: requests.WithLabelValues("reserve"),
 		refused: requests.WithLabelValues("refused"), unlimited: requests.WithLabelValues("no limit"),
+		expired: requests.WithLabelValues("expired"),
 		overdrawn: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "wharf_quota_overdrawn_total",
 			Help: "Requests of client accounts that were sent to a searcher after their token had expired.",
