Quotas: credit of new coordinators by delegation, quick starts, documents

Each new coordinator gave itself a starting credit, once in a window. With half of the coordinators stopped as planned and started again every 0.56 s this exceeded the bound of a window by 3 requests (generated case). Now each instance lends its part of the credit once in a window. A coordinator that stops as planned says so, an instance goes on asking the coordinator that still has its lease, and a coordinator that takes over asks for delegations every 100 ms.

After a start, instances delegated nothing for the time of a lease. Now they delegate as soon as all candidates have said that they have no delegation of an earlier process.

--- a/cmd/wharf-gateway/quotas.go
+++ b/cmd/wharf-gateway/quotas.go
@@ -29,22 +29,28 @@
 	s.datagrams.Handle(datagram.Quota, s.quotas.Handle)
 }
 
-// entered reports whether the store holds an entry of this instance, as far as it knows. The entry may
-// be that of an earlier start, as the other instances count either.
-func (s *service) entered() bool {
-	_, ok := s.mirrors[platform.KindInstances].Confirmed(s.self.Name)
-	return ok
+// entered reports whether the store holds an entry of this instance, as far as it knows, and whether that
+// is one of an earlier start. The other instances count either.
+func (s *service) entered() (entered, earlier bool) {
+	o, ok := s.mirrors[platform.KindInstances].Confirmed(s.self.Name)
+	if !ok {
+		return false, false
+	}
+	entry, err := platform.DecodeInstance(o)
+	return true, err == nil && entry.StartUnixMs != s.self.StartUnixMs
 }
 
 // countedSince notes since when the other instances have counted this one, because the store holds its
 // entry.
 type countedSince struct {
-	entered func() bool
+	entered func() (entered, earlier bool)
 
 	mu      sync.Mutex
 	counted bool
-	since   time.Duration
-	seen    time.Duration
+	// since is when the entry was first seen. It is the start of the machine for one of an earlier
+	// start of the instance, since the others have known that.
+	since time.Duration
+	seen  time.Duration
 }
 
 // missingEntryGrace is how long an instance counts as entered after its entry disappeared, for instance
@@ -53,12 +59,15 @@
 
 // atLeast reports whether this instance has been counted for at least a time. It has to be called often.
 func (c *countedSince) atLeast(now, atLeast time.Duration) bool {
-	entered := c.entered()
+	entered, earlier := c.entered()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case entered && !c.counted:
 		c.counted, c.since, c.seen = true, now, now
+		if earlier {
+			c.since = 0
+		}
 	case entered:
 		c.seen = now
 	case c.counted && now-c.seen > missingEntryGrace:
--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -33,7 +33,7 @@
 			c := NewCoordinator(testBounds)
 			now := time.Duration(0)
 			delegate := func(i int) {
-				c.Delegate(fmt.Sprint("instance-", i%instances), math.MaxUint16, instances, now, now)
+				c.Delegate(fmt.Sprint("instance-", i%instances), math.MaxUint16, 0, instances, now, now)
 			}
 			for i := range instances {
 				delegate(i)
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -38,6 +38,8 @@
 type delegated struct {
 	mask uint16
 	part float64
+	// credit has the buckets whose lent credit is counted.
+	credit uint16
 	// until is when it ends. countedTo is up to when it is counted in bucket.filled.
 	until     time.Duration
 	countedTo time.Duration
@@ -53,10 +55,13 @@
 	// ceilings bound the levels of all accounts, with rising shares.
 	ceilings []ceiling
 	// established says that most of the bucket was delegated since it last was not at all, and
-	// credited when this last happened.
-	established bool
-	credited    time.Duration
-	wasCredited bool
+	// establishedAt when this last happened. credit is the part of the credit that was lent since.
+	established   bool
+	establishedAt time.Duration
+	credit        float64
+	// preferred says that the instance itself prefers this coordinator, since preferredAt.
+	preferred   bool
+	preferredAt time.Duration
 	// majority is when at least half of the bucket was last delegated, or when delegations began.
 	majority time.Duration
 }
@@ -92,7 +97,8 @@
 
 // Delegate records the reply of an instance to a question that was sent at askedAt. instances is by
 // how many the quotas are divided, the greater of what both know.
-func (c *Coordinator) Delegate(from string, mask uint16, instances int, askedAt, now time.Duration) {
+// credit has the buckets whose credit is lent.
+func (c *Coordinator) Delegate(from string, mask, credit uint16, instances int, askedAt, now time.Duration) {
 	until := askedAt + Lease - leaseMargin
 	if until <= now || askedAt > now {
 		return
@@ -127,7 +133,11 @@
 		if change != 0 {
 			c.setShare(b, c.buckets[b].share+change, now)
 		}
+		if credit&^d.credit&(1<<b) != 0 {
+			c.buckets[b].credit += d.part
+		}
 	}
+	d.credit |= credit
 }
 
 // count adds to the buckets what an instance has delegated since it was last counted.
@@ -185,7 +195,7 @@
 }
 
 const (
-	// establishedShare is the share from which on a coordinator gets the credit, lostShare the one
+	// establishedShare is the share from which on a coordinator may use the credit, lostShare the one
 	// below which it counts as new again. roundingError is a share that is no change.
 	establishedShare = 0.5
 	lostShare        = 0.01
@@ -208,13 +218,10 @@
 	}
 	switch {
 	case share < lostShare:
-		k.established = false
+		k.established, k.credit = false, 0
 	case share >= establishedShare && !k.established:
-		k.established = true
-		if !k.wasCredited || now-k.credited >= c.bounds.Window {
-			k.wasCredited, k.credited = true, now
-			c.restart(b)
-		}
+		k.established, k.establishedAt = true, now
+		c.restart(b)
 	}
 }
 
@@ -253,7 +260,7 @@
 	for _, x := range k.ceilings {
 		most := x.share*depth + l.PerSecond*(k.filled-x.filled)
 		if x.credited {
-			most += c.bounds.credit(l)
+			most += min(k.credit, 1) * c.bounds.credit(l)
 		}
 		level = min(level, most)
 	}
@@ -283,7 +290,7 @@
 	a.filled = k.filled
 	a.refused = max(a.refused-rate*(now-a.used).Seconds(), 0)
 	a.used = now
-	g := Grant{Account: q.Account, ID: q.ID, Limit: limit, New: !k.established || now-k.credited < c.bounds.Window}
+	g := Grant{Account: q.Account, ID: q.ID, Limit: limit, New: !k.established || now-k.establishedAt < c.bounds.Window}
 	if rate <= 0 || k.share < establishedShare && now-k.majority > minorityTimeout {
 		g.Next, g.RetryAfter = unleasedRetryAfter, unleasedRetryAfter
 		return g
@@ -311,6 +318,40 @@
 	return c.buckets[b].share
 }
 
+// Holds reports whether an instance delegates anything.
+func (c *Coordinator) Holds(from string, now time.Duration) bool {
+	d := c.delegators[from]
+	return d != nil && d.mask != 0 && d.until > now
+}
+
+// While a coordinator takes over, it asks for delegations every takeoverInterval, so that little time
+// passes between the end of the leases of the one before it and its own. This lasts until it has
+// takeoverShare of the bucket, and no longer than takeoverTime.
+const (
+	takeoverInterval = 100 * time.Millisecond
+	takeoverTime     = 3 * time.Second
+	takeoverShare    = 0.9
+)
+
+// NextAsk returns the time until the coordinator has to ask for delegations again. d is the Delegator of
+// the same instance, whose name is self.
+func (c *Coordinator) NextAsk(d *Delegator, self string, now time.Duration) time.Duration {
+	c.refresh(now)
+	interval := AskInterval
+	for b := range c.buckets {
+		k := &c.buckets[b]
+		preferred := d.preferred(b, now) == self
+		if preferred && !k.preferred {
+			k.preferredAt = now
+		}
+		k.preferred = preferred
+		if preferred && k.share < takeoverShare && now-k.preferredAt <= takeoverTime {
+			interval = takeoverInterval
+		}
+	}
+	return interval
+}
+
 // Len returns the number of accounts in memory.
 func (c *Coordinator) Len() int { return len(c.accounts) }
 
--- a/quota/delegation.go
+++ b/quota/delegation.go
@@ -11,7 +11,7 @@
 const (
 	// Lease is how long an instance leaves its part of a bucket to a coordinator. An instance that
 	// starts waits as long before it delegates, because the process before it may have delegated just
-	// before it ended.
+	// before it ended, unless all candidates say that they have no delegation of it.
 	Lease = 1200 * time.Millisecond
 	// AskInterval is the time between two questions of a coordinator for delegations. Two of three
 	// questions may be lost before a lease ends.
@@ -80,19 +80,42 @@
 	candidates []string
 	// ranking holds the candidates of each bucket, the preferred one first.
 	ranking [Buckets][]string
-	// heard holds when each candidate last asked for delegations.
-	heard  map[string]time.Duration
-	leases [Buckets]lease
+	heard   map[string]heardCandidate
+	leases  [Buckets]lease
+	// window is the time in which a part of the credit is lent once.
+	window time.Duration
+	// started is when the process started. denied has the candidates that have said since that they
+	// have no delegation of an earlier process, and claimed says that one has said the contrary.
+	started time.Duration
+	denied  map[string]bool
+	claimed bool
+}
+
+// heardCandidate says when a candidate last asked for delegations, or said that it leaves.
+type heardCandidate struct {
+	at     time.Duration
+	leaves bool
 }
 
 // lease says until when a part of a bucket is left to a coordinator.
 type lease struct {
 	to    string
+	start int64
 	until time.Duration
+	// lentAt is when the credit was last lent, to the instance lentTo if that is not empty.
+	lentTo    string
+	lentStart int64
+	lentAt    time.Duration
 }
 
-// NewDelegator returns a Delegator without candidates.
-func NewDelegator() *Delegator { return &Delegator{heard: make(map[string]time.Duration)} }
+// lendTime is how long the reply to the same coordinator states that the credit is lent, in case a reply
+// is lost. It is shorter than the coordinator's lease, so that the coordinator knows what it has counted.
+const lendTime = 2 * AskInterval
+
+// NewDelegator returns a Delegator without candidates. The window is that of the bounds.
+func NewDelegator(window, started time.Duration) *Delegator {
+	return &Delegator{window: window, started: started, denied: make(map[string]bool), heard: make(map[string]heardCandidate)}
+}
 
 // SetCandidates sets the candidates as returned by Candidates.
 func (d *Delegator) SetCandidates(names []string) {
@@ -126,37 +149,90 @@
 	return ranked
 }
 
-// Coordinator returns the coordinator of a bucket: the first candidate in its order that has asked
-// for delegations lately. It is empty if there is none.
+// Coordinator returns the instance to ask for tokens of a bucket: the one to which this instance delegates
+// its part, else the preferred one. It is empty if there is none.
 func (d *Delegator) Coordinator(bucket int, now time.Duration) string {
+	if l := d.leases[bucket]; now < l.until && d.isAlive(l.to, now) {
+		return l.to // after a change the others still delegate to it, too
+	}
+	return d.preferred(bucket, now)
+}
+
+// preferred returns the first candidate of a bucket that has asked for delegations lately and goes on
+// coordinating, empty if there is none.
+func (d *Delegator) preferred(bucket int, now time.Duration) string {
 	for _, name := range d.ranking[bucket] {
-		if at, ok := d.heard[name]; ok && now-at <= coordinatorTimeout {
+		if d.isAlive(name, now) && !d.heard[name].leaves {
 			return name
 		}
 	}
 	return ""
 }
 
-// Asked records that a candidate asks for delegations, and returns the buckets that are delegated to
-// it, one bit each. If may is false, nothing is delegated.
-func (d *Delegator) Asked(by string, may bool, now time.Duration) uint16 {
+// isAlive reports whether a candidate has asked for delegations lately.
+func (d *Delegator) isAlive(name string, now time.Duration) bool {
+	c, ok := d.heard[name]
+	return ok && now-c.at <= coordinatorTimeout
+}
+
+// Asked records that a candidate, by its name and the time of its start, asks for delegations, and returns the buckets that are delegated to
+// it, one bit each, and those of them whose credit is lent to it. claims says that the candidate has
+// delegations of this instance. If may is false, nothing is delegated.
+func (d *Delegator) Asked(by string, start int64, claims, may bool, now time.Duration) (mask, credit uint16) {
 	if !slices.Contains(d.candidates, by) {
-		return 0
+		return 0, 0
 	}
-	d.heard[by] = now
-	if !may {
-		return 0
+	d.heard[by] = heardCandidate{at: now}
+	if !may || !d.maySinceStart(by, claims, now) {
+		return 0, 0
 	}
-	var mask uint16
 	for b := range d.leases {
 		l := &d.leases[b]
-		if d.Coordinator(b, now) == by && (l.to == by || now >= l.until) {
-			*l = lease{to: by, until: now + Lease}
+		if d.preferred(b, now) == by && (l.to == by || now >= l.until) {
+			if (l.to != by || l.start != start) && (l.lentTo == "" || now-l.lentAt >= d.window+lendTime) {
+				l.lentTo, l.lentStart, l.lentAt = by, start, now
+			}
+			l.to, l.start, l.until = by, start, now+Lease
 			mask |= 1 << b
+			if l.lentTo == by && l.lentStart == start && now-l.lentAt < lendTime {
+				credit |= 1 << b
+			}
 		}
 	}
-	return mask
+	return mask, credit
 }
 
-// Left records that a candidate coordinates no longer.
-func (d *Delegator) Left(name string) { delete(d.heard, name) }
+// firstDelegation is how long after its start an instance delegates at the earliest. By then each
+// coordinator has asked, also one that is no candidate any more as it stops.
+const firstDelegation = AskInterval + leaseMargin
+
+// maySinceStart reports whether no delegation of an earlier process can be valid. It notes what
+// a candidate says of that.
+func (d *Delegator) maySinceStart(by string, claims bool, now time.Duration) bool {
+	if now-d.started >= Lease {
+		return true
+	}
+	d.noteClaim(by, claims)
+	d.denied[by] = true
+	if d.claimed || now-d.started < firstDelegation {
+		return false
+	}
+	return !slices.ContainsFunc(d.candidates, func(name string) bool { return !d.denied[name] })
+}
+
+// noteClaim notes whether an instance says that it has delegations of this one. Those of this process do
+// not count: they replaced any of an earlier one.
+func (d *Delegator) noteClaim(by string, claims bool) {
+	if claims && !slices.ContainsFunc(d.leases[:], func(l lease) bool { return l.to == by }) {
+		d.claimed = true
+	}
+}
+
+// Leaves records that a candidate will coordinate no longer. Until the lease ends it is still asked for
+// tokens. claims says that it has delegations of this instance.
+func (d *Delegator) Leaves(name string, claims bool, now time.Duration) {
+	d.noteClaim(name, claims)
+	if slices.Contains(d.candidates, name) {
+		d.heard[name] = heardCandidate{at: now, leaves: true}
+	}
+}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -20,9 +20,10 @@
 	usageHalfLife = 250 * time.Millisecond
 	// maxAhead is the largest number of tokens that are asked for ahead.
 	maxAhead = 64
-	// maxKnownRefusal is how long requests are refused because of one reply. The coordinator's share
-	// may rise meanwhile.
+	// maxKnownRefusal is how long requests are refused because of one reply, and maxNewRefusal how long
+	// if the coordinator is new. Its share may rise meanwhile.
 	maxKnownRefusal = 250 * time.Millisecond
+	maxNewRefusal   = 50 * time.Millisecond
 	// silentQuestions is the number of questions without a reply after which requests no longer wait
 	// for a coordinator, until it is heard of again.
 	silentQuestions = 2
@@ -239,6 +240,7 @@
 	a.retryAt = now + max(g.RetryAfter, g.Next)
 	a.refusal = ReasonExceeded
 	if g.New {
+		a.refusedUntil = now + min(g.Next, maxNewRefusal)
 		a.refusal = ReasonNewCoordinator
 	}
 	for _, w := range a.waiters {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -44,15 +44,13 @@
 	// that deepen the token bucket.
 	depthSlackShare  = 0.4
 	depthRateOverage = 0.3
-	// creditSlackShare is the part of the slack that a coordinator has at first. Up to four
-	// coordinators can follow one another within a window of 5 s, since leases must end before.
-	creditSlackShare = 0.1
-	// creditTime is the time whose tokens a coordinator has at first. It is less than the time in
-	// which nothing is granted before: a lease less the time since it was renewed.
-	creditTime = 600 * time.Millisecond
+	// creditSlackShare is the part of the slack, and creditTime the time whose tokens, that a new
+	// coordinator has at first. An instance lends its part of both once in a window.
+	creditSlackShare = 0.15
+	creditTime       = 500 * time.Millisecond
 	// reserveSlackShare is the part of the slack that all instances together may use in a window
 	// without a coordinator.
-	reserveSlackShare = 0.2
+	reserveSlackShare = 0.1
 )
 
 // depth returns the number of tokens that the whole token bucket of an account can hold. A bucket
@@ -61,7 +59,7 @@
 	return max(l.Burst*(1+b.Overage)+depthRateOverage*b.Overage*b.Window.Seconds()*l.PerSecond+depthSlackShare*b.Slack, 1)
 }
 
-// credit returns the tokens that a coordinator has at first.
+// credit returns the tokens that a coordinator has at first if all instances lend their parts.
 func (b Bounds) credit(l Limit) float64 {
 	return creditSlackShare*b.Slack + creditTime.Seconds()*l.PerSecond
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -125,7 +125,7 @@
 // TestStart guards against accounts that are refused within their quotas when the instances of a whole
 // deployment have just started.
 func TestStart(t *testing.T) {
-	for _, after := range []time.Duration{1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+	for _, after := range []time.Duration{time.Second, 1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
 		needed, needless := 0, 0
 		for seed := range uint64(3) {
 			s := newSimulation(seed, 65, powerLaw())
@@ -194,7 +194,7 @@
 func leased(now time.Duration) *Coordinator {
 	c := NewCoordinator(testBounds)
 	for at := time.Duration(0); at <= now; at += AskInterval {
-		c.Delegate("a", math.MaxUint16, 1, at, at)
+		c.Delegate("a", math.MaxUint16, 0, 1, at, at)
 	}
 	return c
 }
@@ -212,7 +212,7 @@
 			now += AskInterval
 			instances := 1 + random.IntN(50)/49 // now and then a part is missing
 			for _, c := range []*Coordinator{kept, dropped} {
-				c.Delegate("a", math.MaxUint16, instances, now, now)
+				c.Delegate("a", math.MaxUint16, 0, instances, now, now)
 			}
 		}
 		dropped.Sweep(now)
@@ -237,7 +237,7 @@
 	}
 	for _, at := range again {
 		for ; now+AskInterval < at; now += AskInterval {
-			c.Delegate("a", math.MaxUint16, 1, now+AskInterval, now+AskInterval)
+			c.Delegate("a", math.MaxUint16, 0, 1, now+AskInterval, now+AskInterval)
 		}
 		// The lease is counted in steps of refreshInterval.
 		qt.Assert(t, c.Answer(Question{Account: "x", Waiting: 1, Limit: l}, l, at+refreshInterval).Tokens, qt.Equals, 1)
@@ -273,10 +273,47 @@
 	c := NewCoordinator(testBounds)
 	l := Limit{PerSecond: 40, Burst: 40, Version: 1}
 	for now := time.Duration(0); now < minorityTimeout+10*time.Second; now += AskInterval {
-		c.Delegate("a", math.MaxUint16, 3, now, now)
+		c.Delegate("a", math.MaxUint16, 0, 3, now, now)
 		g := c.Answer(Question{Account: "x", Waiting: 1, Limit: l}, l, now)
 		if now > time.Second {
 			qt.Assert(t, g.Tokens == 1, qt.Equals, now <= minorityTimeout, qt.Commentf("%s", now))
 		}
 	}
 }
+
+// TestRefusalsAfterFaults guards against quotas that are lost for long after a fault. Accounts send 0.6 of
+// their quotas.
+func TestRefusalsAfterFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		kind  int
+		share float64
+		most  float64 // of the requests in the 10 s from the fault on
+	}{
+		{"one in six coordinators killed and started", 4, 1.0 / 6, 0.05},
+		{"one in six coordinators stopped as planned", 5, 1.0 / 6, 0.02},
+		{"all coordinators killed and started", 4, 1, 0.25},
+		{"0.6 of all instances restart within 1 s", 0, 0.6, 0.25},
+		{"0.3 of all instances cut off", 3, 0.3, 0.35},
+	} {
+		needed, needless := 0, 0
+		for seed := range uint64(5) {
+			s := newSimulation(seed, 65, powerLaw())
+			s.measured = 20 * time.Second
+			s.runUntil(s.measured - 5*time.Second)
+			for _, a := range s.accounts {
+				s.load(a, 0.6*a.limit.PerSecond, s.measured+10*time.Second, func() int { return s.serving[s.random.IntN(len(s.serving))] }, s.request)
+			}
+			s.runUntil(s.measured)
+			s.fault(c.kind, c.share)
+			s.runUntil(s.measured + 11*time.Second)
+			for _, a := range s.accounts {
+				needed, needless = needed+a.needed, needless+a.needless
+			}
+			over, _ := s.worst()
+			qt.Check(t, over <= 0, qt.IsTrue)
+		}
+		t.Logf("%s: %.2f %% refused needlessly", c.name, 100*float64(needless)/float64(needed))
+		qt.Check(t, float64(needless) <= c.most*float64(needed), qt.IsTrue)
+	}
+}
--- a/quota/simulation_test.go
+++ b/quota/simulation_test.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// simulatedEntry is the time from the start of an instance until the others count it.
+const simulatedEntry = 700 * time.Millisecond
+
 // testBounds are the bounds of the deployments.
 var testBounds = Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
@@ -41,6 +44,8 @@
 	coordinator *Coordinator
 	holder      *Holder
 	dead        bool
+	// leaves says that a planned stop has begun.
+	leaves bool
 	// resumes is when the process goes on after a pause.
 	resumes time.Duration
 }
@@ -106,7 +111,7 @@
 	if old := s.nodes[i]; old != nil {
 		old.dead = true
 	}
-	n := &node{name: fmt.Sprintf("n%03d", i), started: s.now, delegator: NewDelegator(), coordinator: NewCoordinator(testBounds), holder: NewHolder(testBounds, uint64(s.now))}
+	n := &node{name: fmt.Sprintf("n%03d", i), started: s.now, delegator: NewDelegator(testBounds.Window, s.now), coordinator: NewCoordinator(testBounds), holder: NewHolder(testBounds, uint64(s.now))}
 	s.nodes[i] = n
 	var members []Member
 	for k := range s.nodes {
@@ -149,17 +154,22 @@
 		return
 	}
 	askedAt := max(s.now, n.resumes)
-	s.at(askedAt+AskInterval, func() { s.solicit(i, n) })
+	s.at(askedAt+n.coordinator.NextAsk(n.delegator, n.name, s.now), func() { s.solicit(i, n) })
 	if s.now < n.resumes {
 		return
 	}
 	for k := range s.nodes {
+		claims := n.coordinator.Holds(s.nodes[k].name, s.now)
 		s.send(i, k, func(d *node) {
-			mask := d.delegator.Asked(n.name, s.now-d.started >= Lease, s.now)
+			if n.leaves {
+				d.delegator.Leaves(n.name, claims, s.now)
+				return
+			}
+			mask, credit := d.delegator.Asked(n.name, int64(n.started), claims, s.now-d.started >= simulatedEntry, s.now)
 			d.holder.Heard(func(b int) bool { return d.delegator.Coordinator(b, s.now) == n.name })
 			s.send(k, i, func(c *node) {
 				if c == n {
-					c.coordinator.Delegate(d.name, mask, len(s.nodes), askedAt, s.now)
+					c.coordinator.Delegate(d.name, mask, credit, len(s.nodes), askedAt, s.now)
 				}
 			})
 		})
@@ -326,6 +336,11 @@
 			s.at(s.now+time.Duration(s.random.Int64N(int64(2*time.Second))), func() { s.start(i) })
 		case 3: // they are cut off
 			cut[i] = 1
+		case 5: // coordinators stop as planned and start again
+			if len(n.coordinator.delegators) > 0 {
+				n.leaves = true
+				s.at(s.now+2*time.Second, func() { s.start(i) })
+			}
 		case 4: // coordinators restart
 			if len(n.coordinator.delegators) > 0 {
 				s.start(i)
@@ -335,7 +350,7 @@
 	s.side = func(i int) int { return cut[i] }
 }
 
-const faultKinds = 5
+const faultKinds = 6
 
 // powerLaw returns the limits of 75 accounts with rates from 40 to 1 a second, and of one that is smaller.
 func powerLaw() []Limit {
--- a/quotaexchange/exchange.go
+++ b/quotaexchange/exchange.go
@@ -60,8 +60,7 @@
 type Exchange struct {
 	config  Config
 	metrics *metrics
-
-	// started is when this process started to answer.
+	// started is when the process started.
 	started time.Duration
 
 	mu          sync.Mutex
@@ -86,7 +85,7 @@
 func New(config Config) *Exchange {
 	return &Exchange{
 		config: config, metrics: newMetrics(config.Registry), started: config.Clock.Boottime(),
-		delegator: quota.NewDelegator(), coordinator: quota.NewCoordinator(config.Bounds),
+		delegator: quota.NewDelegator(config.Bounds.Window, config.Clock.Boottime()), coordinator: quota.NewCoordinator(config.Bounds),
 		// The time makes the IDs of questions differ from those of an earlier process.
 		holder: quota.NewHolder(config.Bounds, uint64(config.Clock.Now().UnixNano())),
 	}
@@ -95,9 +94,13 @@
 const (
 	// sweepInterval is the time between two removals of idle accounts.
 	sweepInterval = 10 * time.Second
-	// countedDelay is how long an instance waits after its entry is known, so that coordinators divide
-	// the quotas by one more. They are among the instances that learn of changes first.
-	countedDelay = quota.Lease / 2
+	// countedDelay is how long an instance waits after its entry is known, so that all coordinators divide
+	// the quotas by one more. A coordinator takes delegations only of instances that it knows.
+	countedDelay = 300 * time.Millisecond
+	// In startTime after the start, an instance checks every startInterval whether there is
+	// a configuration with limits, so that quotas are there soon after callers are served.
+	startTime     = 3 * time.Second
+	startInterval = 100 * time.Millisecond
 	// solicitedTimeout is how long this instance answers coordinators after the last question
 	// if its own configuration has no limits.
 	solicitedTimeout = 10 * time.Second
@@ -105,30 +108,25 @@
 
 // Run asks for delegations if this instance may be a coordinator, until ctx ends.
 func (e *Exchange) Run(ctx context.Context) {
-	if clock.Pause(ctx, rand.N(quota.AskInterval)) != nil {
+	if clock.Pause(ctx, rand.N(startInterval)) != nil {
 		return
 	}
-	ticker := time.NewTicker(quota.AskInterval)
-	defer ticker.Stop()
-	for {
-		e.Tick()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for clock.Pause(ctx, e.tick()) == nil {
 	}
 }
 
-// Tick does what Run does in each interval.
-func (e *Exchange) Tick() {
+// tick does what Run does in each interval, and returns the time until it has to be done again.
+func (e *Exchange) tick() time.Duration {
 	now := e.config.Clock.Boottime()
 	limited := e.config.Limited()
 	e.config.Counted(now, 0) // notes when this began
 	e.mu.Lock()
 	if !limited && !(e.solicited && now-e.solicitedAt <= solicitedTimeout) {
 		e.mu.Unlock()
-		return
+		if now-e.started < startTime {
+			return startInterval
+		}
+		return quota.AskInterval
 	}
 	e.mu.Unlock()
 	peers, sharers := e.config.Peers(now)
@@ -155,7 +153,7 @@
 	e.metrics.accounts.Set(float64(e.Accounts()))
 
 	if !candidate || !limited {
-		return
+		return quota.AskInterval
 	}
 	m := message{Type: typeSolicit, From: e.config.Self, Start: e.config.StartUnixMs, AskedAt: int64(now)}
 	if stopping {
@@ -163,15 +161,26 @@
 	}
 	for name, address := range addresses {
 		if name != e.config.Self {
+			m.Claims = e.holds(name, now)
 			e.config.Socket.Send(address, datagram.Quota, m)
 		}
 	}
+	m.Claims = false
 	if stopping {
 		e.left(m)
-		return
+		return quota.AskInterval
 	}
-	reply := e.delegation(m)
-	e.delegated(reply)
+	e.delegated(e.delegation(m))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.coordinator.NextAsk(e.delegator, e.config.Self, now)
+}
+
+// holds reports whether an instance delegates anything to this one.
+func (e *Exchange) holds(name string, now time.Duration) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.coordinator.Holds(name, now)
 }
 
 // Accounts returns the number of accounts in memory.
@@ -231,12 +240,12 @@
 	// The time must be read before the reply is sent and after the question was, so that the lease of
 	// the coordinator ends first.
 	now := e.config.Clock.Boottime()
-	may := now-e.started >= quota.Lease && e.config.Counted(now, countedDelay)
+	may := e.config.Counted(now, countedDelay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.solicited, e.solicitedAt = true, now
 	reply := message{Type: typeDelegation, From: e.config.Self, Start: m.Start, AskedAt: m.AskedAt, Instances: e.sharers}
-	reply.Mask = e.delegator.Asked(m.From, may, now)
+	reply.Mask, reply.Credit = e.delegator.Asked(m.From, m.Start, m.Claims, may, now)
 	e.holder.Heard(func(b int) bool { return e.delegator.Coordinator(b, now) == m.From })
 	return reply
 }
@@ -249,14 +258,18 @@
 	now := e.config.Clock.Boottime()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.coordinator.Delegate(m.From, m.Mask, max(m.Instances, e.sharers), time.Duration(m.AskedAt), now)
+	if _, known := e.addresses[m.From]; !known {
+		return // it is not counted here yet
+	}
+	e.coordinator.Delegate(m.From, m.Mask, m.Credit, max(m.Instances, e.sharers), time.Duration(m.AskedAt), now)
 }
 
-// left notes that an instance coordinates no longer.
+// left notes that an instance will coordinate no longer.
 func (e *Exchange) left(m message) {
+	now := e.config.Clock.Boottime()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.delegator.Left(m.From)
+	e.delegator.Leaves(m.From, m.Claims, now)
 }
 
 // answer returns the reply to a question for tokens.
--- a/quotaexchange/message.go
+++ b/quotaexchange/message.go
@@ -11,7 +11,7 @@
 	// typeSolicit asks an instance for its delegations, typeDelegation is the reply.
 	typeSolicit    = "s"
 	typeDelegation = "d"
-	// typeLeave says that the sender coordinates no longer.
+	// typeLeave says that the sender will coordinate no longer.
 	typeLeave = "l"
 	// typeQuestion asks a coordinator for tokens, typeGrant is the reply.
 	typeQuestion = "q"
@@ -27,9 +27,12 @@
 	// sent by the sender's boot clock, in nanoseconds. The reply repeats both.
 	Start   int64 `json:"s,omitempty"`
 	AskedAt int64 `json:"k,omitempty"`
-	// Mask has a bit for each bucket that is delegated. Instances is by how many the sender divides
+	// Claims says that the sender has delegations of the receiver, maybe of an earlier process.
+	Claims bool `json:"h,omitempty"`
+	// Mask has a bit for each bucket that is delegated, Credit for each whose credit is lent. Instances is by how many the sender divides
 	// the quotas.
 	Mask      uint16 `json:"m,omitempty"`
+	Credit    uint16 `json:"c,omitempty"`
 	Instances int    `json:"i,omitempty"`
 
 	Question *question `json:"q,omitempty"`
