--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -26,6 +26,7 @@
 	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/mirror"
 	"github.com/wisteriawharf/wisteriawharf/platform"
+	"github.com/wisteriawharf/wisteriawharf/quotaexchange"
 )
 
 // periodicInterval is the time between two runs of the periodic tasks.
@@ -49,8 +50,10 @@
 	rollouts *rollouts
 	// freshness tells how old the configuration may be.
 	freshness *freshnessexchange.Exchange
-	self      fleet.Instance
-	outage    mirror.OutageTracker
+	// quotas keeps the quotas of client accounts.
+	quotas *quotaexchange.Exchange
+	self   fleet.Instance
+	outage mirror.OutageTracker
 	// memory is the budget of the bytes that the instance holds for peers all together.
 	memory *memory.Budget
 	// startedAt is when the instance started, as returned by Boottime of the clock.
@@ -109,7 +112,11 @@
 		return nil, errors.Trace(err)
 	}
 	s.createFreshness()
-	s.gateway = gateway.New(gateway.Config{Freshness: s.freshness, Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, StalledBetween: s.stalls.StalledBetween, Memory: s.memory})
+	s.createQuotas()
+	s.gateway = gateway.New(gateway.Config{
+		Dispatcher: s.dispatch, Freshness: s.freshness, Quotas: s.quotas, Clock: s.clock, Log: log, Registry: s.registry,
+		StalledBetween: s.stalls.StalledBetween, Memory: s.memory,
+	})
 	if settings.Bounds.CanaryShare > 0 {
 		s.rollouts = newRollouts(s)
 		s.datagrams.Handle(datagram.Rollout, s.rollouts.receive)
@@ -182,6 +189,7 @@
 	go s.exchange.Run(ctx)
 	go s.datagrams.Run(ctx)
 	go s.freshness.Run(ctx)
+	go s.quotas.Run(ctx)
 	if s.rollouts != nil {
 		go s.rollouts.run(ctx)
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -28,7 +29,15 @@
 	// account is the client account of the caller, nil if there is none.
 	account *routing.Account
 	// header is that of the caller's request. It may hold an API key and is never logged.
-	header        http.Header
+	header http.Header
+	// configVersion is the version of the configuration in which route and account are.
+	configVersion int64
+	// admittedUntil is when the request must have been sent by its account's quota, zero if that has
+	// not been asked. sent says that it was sent to a searcher, quotaExpired that it was not because
+	// it needs another token.
+	admittedUntil time.Duration
+	sent          atomic.Bool
+	quotaExpired  atomic.Bool
 	callerRequest platform.RequestMetadata
 	method        string
 	// head is the encoded head of the request that is the same for all attempts.
@@ -77,12 +86,17 @@
 	}
 	config, route := admitted.config, admitted.route
 	c := &call{
-		g: g, ctx: r.Context(), route: route, account: admitted.account, header: r.Header, callerRequest: callerRequest, method: r.Method,
+		g: g, ctx: r.Context(), route: route, account: admitted.account, header: r.Header, configVersion: config.Version, callerRequest: callerRequest, method: r.Method,
 		memory: g.config.Memory.Hold(), arrived: arrived.Latest, deadline: admitted.deadline,
 		events:         make(chan dispatch.Event, max(len(route.Shards), 1)*maxEventsPerPart),
 		attemptLatency: g.attemptLatencies.forRoute(route.Name),
 	}
 	refusal := c.lateRefusal()
+	if refusal == nil {
+		if refusal = c.admitByQuota(); refusal != nil {
+			c.discardBody(w, r)
+		}
+	}
 	if refusal == nil {
 		refusal = c.readBody(w, r, config.Limits)
 	}
@@ -102,6 +116,10 @@
 	if refusal == nil {
 		refusal = c.stopRefusal()
 	}
+	if refusal == nil {
+		// A body may take so long that requests admitted one after another would run at once.
+		refusal = c.admitByQuota()
+	}
 	if refusal != nil {
 		c.memory.Release()
 		return nil, refusal
@@ -290,8 +308,11 @@
 }
 
 // encode returns the encoded request for a searcher, with the time that is left until the
-// deadline.
+// deadline. It returns nil if the quota does not allow that the request is sent now.
 func (c *call) encode(searcherID string, left time.Duration) []byte {
+	if !c.maySend() {
+		return nil
+	}
 	b := make([]byte, 0, len(c.head)+len(c.body)+attemptHeaderBytes)
 	b = append(b, c.head...)
 	b = platform.AppendAttemptHeaders(b, searcherID, left)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,8 @@
 	Memory *memory.Budget
 	// Freshness tells how old the configuration may be. Nil means that its age does not matter.
 	Freshness Freshness
+	// Quotas admits the requests of client accounts. Nil means that there are no quotas.
+	Quotas Quotas
 }
 
 // Gateway is the http.Handler that serves callers. It is safe for concurrent use.
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -23,8 +23,8 @@
 	account string
 }
 
-// refuse sends a refusal to the caller and counts it. If its status is a server error, it is
-// logged, unless the rate limit of the log is reached.
+// refuse sends a refusal to the caller and counts it. If its status is a server error, or a quota is
+// the reason, it is logged, unless the rate limit of the log is reached.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, response *refusal) {
 	if response.retryAfter > 0 {
 		platform.SetRetryAfter(w.Header(), response.retryAfter)
@@ -32,11 +32,11 @@
 	g.endConnection(w, r)
 	g.metrics.refusals.WithLabelValues(response.reason).Inc()
 	g.stop.countRefusal()
-	if response.status >= http.StatusInternalServerError && g.requestLog.Allow() {
+	if (response.status >= http.StatusInternalServerError || response.account != "") && g.requestLog.Allow() {
 		callerRequest, _ := platform.ReadRequestMetadata(r.Header) // the ID is read even if there is an error
 		facts := []any{"request", callerRequest.ID, "path", r.URL.Path, "status", response.status, "reason", response.reason}
 		if response.account != "" {
-			facts = append(facts, "account", response.account)
+			facts = append(facts, "account", response.account, "retry_after_ms", response.retryAfter.Milliseconds())
 		}
 		g.requestLog.Write(requestlog.Refused, facts...)
 	}
@@ -50,6 +50,9 @@
 // notRunRefusal returns the refusal of a request that no searcher has run or will run. pauseLeft is
 // the time until the searchers that have asked for a pause can take it, zero if there are none.
 func (c *call) notRunRefusal(cause string, pauseLeft time.Duration) *refusal {
+	if expired := c.quotaExpiredRefusal(); expired != nil {
+		return expired
+	}
 	wait := retryAfter(c.deadline-c.now(), c.latencyBudget())
 	return &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + cause, retryAfter: max(wait, pauseLeft)}
 }
--- a/standin/site/node.go
+++ b/standin/site/node.go
@@ -59,6 +59,9 @@
   ttl_max_s: 2
   strict_revocation: %t
   revoke_ms: %d
+  quota_window_s: 5
+  quota_overage: 0.1
+  quota_slack: 20
 %splatform: {address: %q}
 seeds:
 `, n.Name, n.IP, n.Domain, n.Callers, n.Ready, n.Directory, n.Exchange, n.InternalPort, n.InternalPort+9, grace, n.RevokeMs > 0, n.RevokeMs, rollouts, n.Store)
