Learn the cost of requests and the speed of searchers

The choice of a searcher knows a mean latency for each searcher and a count of outstanding requests, so that a cheap and a dear request count alike. The package cost learns the expected cost by route, account and size, the slowness of a searcher apart from the work that it got, and the time that its outstanding requests will still take. Nothing uses it yet.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -170,6 +170,11 @@
 	// OutsideSubset says that the searcher is not in the subset of this instance, so that
 	// its connections are not kept after a request.
 	OutsideSubset bool
+	// Expected is the time until a reply that is expected for this request, and OldestExpected
+	// that which was expected for the oldest outstanding one, where the costs of requests are
+	// known. Zero stands for unknown: then the usual latency of the searcher is used.
+	Expected       time.Duration
+	OldestExpected time.Duration
 }
 
 // Choose returns the index of the candidate with the lowest cost, or -1 if no candidate may
@@ -181,7 +186,7 @@
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Stats.Blocked(now) || (c.Stats.blockDuration > 0 && c.Outstanding > 0) {
+		if !c.allowed(now) {
 			continue
 		}
 		// A small random factor keeps the instances from all choosing the same searcher.
@@ -193,6 +198,20 @@
 	return best
 }
 
+// Cost returns the cost of sending a request to the candidate, without the random factor
+// of Choose. It is infinite if the candidate may not get a request.
+func (c *Candidate) Cost(now, serviceLatency time.Duration) float64 {
+	if !c.allowed(now) {
+		return math.Inf(1)
+	}
+	return c.cost(now, serviceLatency)
+}
+
+// allowed reports whether the candidate may get a request, or a trial request.
+func (c *Candidate) allowed(now time.Duration) bool {
+	return !c.Stats.Blocked(now) && (c.Stats.blockDuration == 0 || c.Outstanding == 0)
+}
+
 // cost returns the cost of sending a request to the candidate. It is the expected time
 // until a reply in nanoseconds, increased by the penalties and by the failure rate.
 func (c *Candidate) cost(now, serviceLatency time.Duration) float64 {
@@ -207,6 +226,9 @@
 		}
 	}
 	cost := float64(latency) * (1 + float64(c.Outstanding)/float64(max(c.Slots, 1)))
+	if c.Expected > 0 {
+		cost, latency = float64(c.Expected), c.OldestExpected
+	}
 	if c.Outstanding > 0 && c.OldestWait > max(stallFactor*latency, minStall) {
 		cost += float64(c.OldestWait)
 	}
--- /dev/null
+++ b/cost/searcher.go
@@ -0,0 +1,198 @@
+package cost
+
+import "time"
+
+const (
+	// maxSpeedWeight bounds the weight of past observations of a searcher's slowness, so that a
+	// searcher that turns slow is noticed within a few requests. balance uses a moving average of
+	// about the same length.
+	maxSpeedWeight = 10
+	// minSpeedWeight is the weight from which a slowness counts as known.
+	minSpeedWeight = 5
+	// A request that took changeFactor times as long as expected, or as short, is a sign that the speed of the
+	// searcher has changed. What was observed before then keeps changeKeeps of its weight.
+	changeFactor = 4
+	changeKeeps  = 0.5
+	// slownessPrior is the weight of the service's usual speed in a searcher's slowness, in observations.
+	// It keeps few observations from counting for much, and makes a searcher that is not used for long
+	// be tried again.
+	slownessPrior = 1
+	// minLeft is the share of the expected time of the outstanding requests that is assumed to be
+	// left however long they have run: one that is not answered still takes a slot.
+	minLeft = 0.25
+	// minOwnShare is the least share of a latency that counts as time of the request itself, where
+	// requests of this instance were ahead of it.
+	minOwnShare = 0.25
+)
+
+// Searcher holds what is known of one searcher: its slowness and the outstanding requests of this
+// instance. The zero value is ready for use.
+type Searcher struct {
+	// slowness is the time of requests relative to their expected cost: 2 means twice as long. It
+	// includes lasting waits behind requests of other instances.
+	slowness mean
+	// outstanding is the number of requests of this instance without a reply, work the sum of
+	// their expected costs, startedAt the sum of the times at which they were sent.
+	outstanding int
+	work        time.Duration
+	startedAt   time.Duration
+	// distance is the shortest time in which a connection was opened: that of a round trip through
+	// the network. It is zero if none was opened.
+	distance time.Duration
+}
+
+// ObserveDial records the time in which a connection to the searcher was opened.
+func (s *Searcher) ObserveDial(took time.Duration) {
+	if s.distance == 0 || took < s.distance {
+		s.distance = took
+	}
+}
+
+// Request is a request that was given to a searcher.
+type Request struct {
+	Kind Kind
+	// Cost is its expected cost, Ahead the work for each slot that this instance had at the
+	// searcher before. At is when the searcher was chosen.
+	Cost  time.Duration
+	Ahead time.Duration
+	At    time.Duration
+}
+
+// Slowness returns the expected time of a request at the searcher relative to its cost.
+func (s *Searcher) Slowness(now time.Duration) float64 {
+	if s.slowness.weight == 0 {
+		return 1
+	}
+	return s.slowness.value(now, 1, slownessPrior)
+}
+
+// Start adds a request with the given expected cost to the outstanding ones. slots is the number of
+// requests that the searcher runs at once.
+func (s *Searcher) Start(now time.Duration, k Kind, expected time.Duration, slots int) Request {
+	r := Request{Kind: k, Cost: expected, Ahead: s.left(now, 1) / time.Duration(max(slots, 1)), At: now}
+	s.outstanding++
+	s.work += expected
+	s.startedAt += now
+	return r
+}
+
+// End removes a request from the outstanding ones.
+func (s *Searcher) End(r Request) {
+	s.outstanding--
+	s.work -= r.Cost
+	s.startedAt -= r.At
+}
+
+// left returns the time that the outstanding requests are expected to take still, one after
+// the other.
+func (s *Searcher) left(now time.Duration, slowness float64) time.Duration {
+	if s.outstanding == 0 {
+		return 0
+	}
+	work := time.Duration(slowness * float64(s.work))
+	elapsed := time.Duration(s.outstanding)*now - s.startedAt
+	return max(work-elapsed, time.Duration(minLeft*float64(work)))
+}
+
+// Estimate is what a request is expected to cost at the time of a choice.
+type Estimate struct {
+	// Cost is as Model.Expected returns it.
+	Cost  time.Duration
+	now   time.Duration
+	ratio float64
+}
+
+// Estimate returns what a request is expected to cost.
+func (m *Model) Estimate(now time.Duration, k Kind) Estimate {
+	return Estimate{Cost: m.Expected(now, k), now: now, ratio: m.ratio(now)}
+}
+
+// Completion returns the time in which a searcher is expected to be done with the request, and the slowness of the
+// searcher. slots is the number of requests that it runs at once.
+func (e Estimate) Completion(s *Searcher, slots int) (time.Duration, float64) {
+	slowness := s.Slowness(e.now)
+	wait := e.ratio * float64(s.left(e.now, slowness)) / float64(max(slots, 1))
+	return s.distance + time.Duration(slowness*float64(e.Cost)+wait), slowness
+}
+
+// ObserveReply records the latency of a request from the choice of the searcher to its reply.
+func (m *Model) ObserveReply(now time.Duration, s *Searcher, r Request, latency time.Duration) {
+	slowness := s.Slowness(now)
+	latency = s.withoutDistance(latency)
+	own := max(latency-time.Duration(slowness*m.ratio(now)*float64(r.Ahead)), time.Duration(minOwnShare*float64(latency)))
+	if r.Ahead > 0 && r.Cost > 0 {
+		m.observeWait(now, r.Ahead, time.Duration(float64(latency)/slowness)-r.Cost)
+	}
+	m.observe(now, r.Kind, time.Duration(float64(own)/slowness))
+	m.observeSlowness(now, s, r.Cost, own)
+}
+
+// withoutDistance returns a latency without the time of the network. At least half of it remains, since the
+// distance may be longer than it was when the latency was observed.
+func (s *Searcher) withoutDistance(latency time.Duration) time.Duration {
+	return max(latency-s.distance, latency/2)
+}
+
+// ObserveGivenUp records that a request was given up after this time without a reply. It is ignored
+// if that is less than the time that was expected.
+func (m *Model) ObserveGivenUp(now time.Duration, s *Searcher, r Request, waited time.Duration) {
+	expected := s.Slowness(now) * (float64(r.Cost) + m.ratio(now)*float64(r.Ahead))
+	if r.Cost > 0 && float64(s.withoutDistance(waited)) > expected {
+		m.ObserveReply(now, s, r, waited)
+	}
+}
+
+// ObserveReport records that another instance had this many replies with a mean latency.
+func (m *Model) ObserveReport(now time.Duration, s *Searcher, replies int, latency time.Duration) {
+	for range min(replies, maxSpeedWeight) {
+		m.observeSlowness(now, s, m.ServiceCost(now), s.withoutDistance(latency))
+	}
+}
+
+// observeSlowness records that a request took a time for an expected cost. Requests that are cheap for the
+// service weigh less, since more of their time is that of the network and of this process.
+func (m *Model) observeSlowness(now time.Duration, s *Searcher, expected, took time.Duration) {
+	usual := m.ServiceCost(now)
+	if expected <= 0 || usual <= 0 {
+		return
+	}
+	ratio, before := float64(took)/float64(expected), s.Slowness(now)
+	if ratio > changeFactor*before || ratio < before/changeFactor {
+		s.slowness.scale(changeKeeps)
+	}
+	s.slowness.addWeighted(now, ratio, float64(expected)/float64(expected+usual/4), maxSpeedWeight)
+	slowness := s.Slowness(now)
+	difference := time.Duration((slowness - 1) * float64(usual))
+	if s.slowness.currentWeight(now) >= minSpeedWeight && (slowness >= minSpeedRatio || slowness <= 1/minSpeedRatio) && max(difference, -difference) >= minSpeedDifference {
+		m.activeUntil = now + activeFor
+	}
+}
+
+const (
+	// minRatio is the least and the initial ratio. In the simulation ratios below it, which light loads
+	// teach, gave later replies under load and no earlier ones otherwise.
+	minRatio = 2
+	// maxRatio bounds the ratio.
+	maxRatio = 8
+	// ratioPrior is the weight of minRatio, in observations with as much work ahead as a usual request
+	// costs.
+	ratioPrior = 1
+)
+
+// ratio returns by how much a request is expected to be delayed for each unit of work that this instance
+// has at a searcher. It stands for the work of the other instances there, which is not known but delays
+// replies too: they have the more work the more this instance has.
+func (m *Model) ratio(now time.Duration) float64 {
+	return min(max(m.delay.value(now, minRatio, ratioPrior), minRatio), maxRatio)
+}
+
+// observeWait records that a request that had work ahead of it waited. The wait is negative if the reply came
+// sooner than expected. Observations weigh as in a regression through the origin.
+func (m *Model) observeWait(now, ahead, wait time.Duration) {
+	usual := m.ServiceCost(now)
+	if usual <= 0 {
+		return
+	}
+	share := min(float64(ahead)/float64(usual), 2)
+	m.delay.addWeighted(now, float64(wait)/float64(ahead), share*share, maxWeight)
+}
