Choose searchers by expected cost where requests or searchers differ

A request went to the searcher with the lowest latency times outstanding requests, so that one behind an expensive request looked as good as one behind a cheap one. Where the kinds of requests of a service, or its searchers, differ enough, the dispatcher now compares the times in which searchers are expected to be done. Failure rates, stalls, blocks, subsets and the penalties for cold searchers and other failure domains stay in force. Elsewhere the choice is the same as before. The time of the network and of opening connections no longer counts as work. First requests that find no room, and that can't be answered in time by the work before them, are refused at once.

--- a/balance/report.go
+++ b/balance/report.go
@@ -99,10 +99,11 @@
 const ownReplyPrecedence = 250 * time.Millisecond
 
 // ApplyReport updates the statistics with a report of another instance. The report is
-// ignored if this instance received a reply from the searcher within ownReplyPrecedence.
-func (s *Stats) ApplyReport(now time.Duration, report Report) {
+// ignored if this instance received a reply from the searcher within ownReplyPrecedence;
+// ApplyReport then returns false.
+func (s *Stats) ApplyReport(now time.Duration, report Report) bool {
 	if s.lastReply != 0 && now-s.lastReply < ownReplyPrecedence {
-		return
+		return false
 	}
 	for range min(report.Failed, maxReportedRequests) {
 		s.updateFailureRate(now, true)
@@ -111,6 +112,7 @@
 		s.updateFailureRate(now, false)
 		s.updateLatency(report.MeanLatency)
 	}
+	return true
 }
 
 // PendingReports holds reports of other instances that are to be passed on. The zero value is
--- a/cost/model.go
+++ b/cost/model.go
@@ -130,17 +130,36 @@
 // Expected returns the expected cost of a request: its time at a searcher of the service's usual
 // speed that has no other work. It is zero if nothing is known of the service.
 func (m *Model) Expected(now time.Duration, k Kind) time.Duration {
-	cost := float64(m.ServiceCost(now))
+	return m.expected(now, k).cost
+}
+
+// expectation is the expected cost of a request.
+type expectation struct {
+	cost time.Duration
+	// observed is the mean cost of the kind, or that of its route if little is known of the kind. Unlike
+	// cost it does not start from the value of the service. confidence, from 0 to 1, is that in it.
+	observed   time.Duration
+	confidence float64
+}
+
+func (m *Model) expected(now time.Duration, k Kind) expectation {
+	cost, observed, confidence := float64(m.ServiceCost(now)), 0.0, 0.0
 	if cost == 0 {
-		return 0
+		return expectation{}
 	}
 	for _, key := range [...]Kind{k.ofRoute(), k} {
 		if e, ok := m.kinds[key]; ok {
 			m.recent.MoveToFront(e)
-			cost = e.Value.(*entry).mean.value(now, cost, priorWeight)
+			mean := &e.Value.(*entry).mean
+			cost = mean.value(now, cost, priorWeight)
+			weight := mean.currentWeight(now)
+			confidence /= 2 // the kinds of a route may differ
+			if c := weight / (weight + priorWeight); c >= confidence {
+				observed, confidence = mean.value(now, 0, 0), c
+			}
 		}
 	}
-	return time.Duration(cost)
+	return expectation{time.Duration(cost), time.Duration(observed), confidence}
 }
 
 func (k Kind) ofRoute() Kind { return Kind{Route: k.Route, Size: routeClass} }
--- a/cost/searcher.go
+++ b/cost/searcher.go
@@ -3,12 +3,14 @@
 import "time"
 
 const (
-	// maxSpeedWeight bounds the weight of past observations of a searcher's slowness, so that a
-	// searcher that turns slow is noticed within a few requests. balance uses a moving average of
-	// about the same length.
-	maxSpeedWeight = 10
+	// maxSpeedWeight bounds the weight of past observations of a searcher's slowness. In the simulation 24
+	// gave a lower p99 than 10 and 16. A searcher that turns slow is noticed sooner by changeFactor.
+	maxSpeedWeight = 24
 	// minSpeedWeight is the weight from which a slowness counts as known.
-	minSpeedWeight = 5
+	minSpeedWeight = 9
+	// jitter is the usual error of a latency, from the network and from this process. Requests of which it
+	// is a large part count less for the slowness.
+	jitter = 2 * time.Millisecond
 	// A request that took changeFactor times as long as expected, or as short, is a sign that the speed of the
 	// searcher has changed. What was observed before then keeps changeKeeps of its weight.
 	changeFactor = 4
@@ -53,9 +55,10 @@
 	Kind Kind
 	// Cost is its expected cost, Ahead the work for each slot that this instance had at the
 	// searcher before. At is when the searcher was chosen.
-	Cost  time.Duration
-	Ahead time.Duration
-	At    time.Duration
+	Cost     time.Duration
+	Ahead    time.Duration
+	At       time.Duration
+	expected expectation
 }
 
 // Slowness returns the expected time of a request at the searcher relative to its cost.
@@ -66,12 +69,14 @@
 	return s.slowness.value(now, 1, slownessPrior)
 }
 
-// Start adds a request with the given expected cost to the outstanding ones. slots is the number of
-// requests that the searcher runs at once.
-func (s *Searcher) Start(now time.Duration, k Kind, expected time.Duration, slots int) Request {
-	r := Request{Kind: k, Cost: expected, Ahead: s.left(now, 1) / time.Duration(max(slots, 1)), At: now}
+// Start adds a request to the outstanding ones of a searcher. slots is the number of requests that the
+// searcher runs at once.
+func (m *Model) Start(now time.Duration, s *Searcher, k Kind, slots int) Request {
+	r := Request{Kind: k, Ahead: s.left(now, 1) / time.Duration(max(slots, 1)), At: now}
+	r.expected = m.expected(now, k)
+	r.Cost = r.expected.cost
 	s.outstanding++
-	s.work += expected
+	s.work += r.Cost
 	s.startedAt += now
 	return r
 }
@@ -115,6 +120,15 @@
 	return s.distance + time.Duration(slowness*float64(e.Cost)+wait), slowness
 }
 
+// Left returns the time that the outstanding requests of this instance are expected to take still, one after
+// the other.
+func (s *Searcher) Left(now time.Duration) time.Duration { return s.left(now, s.Slowness(now)) }
+
+// Alone returns the time that a request with the given expected cost takes if it need not wait.
+func (s *Searcher) Alone(now, expected time.Duration) time.Duration {
+	return s.distance + time.Duration(s.Slowness(now)*float64(expected))
+}
+
 // ObserveReply records the latency of a request from the choice of the searcher to its reply.
 func (m *Model) ObserveReply(now time.Duration, s *Searcher, r Request, latency time.Duration) {
 	slowness := s.Slowness(now)
@@ -124,7 +138,7 @@
 		m.observeWait(now, r.Ahead, time.Duration(float64(latency)/slowness)-r.Cost)
 	}
 	m.observe(now, r.Kind, time.Duration(float64(own)/slowness))
-	m.observeSlowness(now, s, r.Cost, own)
+	m.observeSlowness(now, s, r.expected.observed, own, r.expected.confidence)
 }
 
 // withoutDistance returns a latency without the time of the network. At least half of it remains, since the
@@ -145,22 +159,22 @@
 // ObserveReport records that another instance had this many replies with a mean latency.
 func (m *Model) ObserveReport(now time.Duration, s *Searcher, replies int, latency time.Duration) {
 	for range min(replies, maxSpeedWeight) {
-		m.observeSlowness(now, s, m.ServiceCost(now), s.withoutDistance(latency))
+		m.observeSlowness(now, s, m.ServiceCost(now), s.withoutDistance(latency), 1)
 	}
 }
 
-// observeSlowness records that a request took a time for an expected cost. Requests that are cheap for the
-// service weigh less, since more of their time is that of the network and of this process.
-func (m *Model) observeSlowness(now time.Duration, s *Searcher, expected, took time.Duration) {
+// observeSlowness records that a request took a time for an expected cost, with the confidence in that
+// cost: a new kind may be expensive, which does not make the searcher slow.
+func (m *Model) observeSlowness(now time.Duration, s *Searcher, expected, took time.Duration, confidence float64) {
 	usual := m.ServiceCost(now)
-	if expected <= 0 || usual <= 0 {
+	if expected <= 0 || usual <= 0 || confidence <= 0 {
 		return
 	}
 	ratio, before := float64(took)/float64(expected), s.Slowness(now)
-	if ratio > changeFactor*before || ratio < before/changeFactor {
+	if confidence >= 0.5 && (ratio > changeFactor*before || ratio < before/changeFactor) {
 		s.slowness.scale(changeKeeps)
 	}
-	s.slowness.addWeighted(now, ratio, float64(expected)/float64(expected+usual/4), maxSpeedWeight)
+	s.slowness.addWeighted(now, ratio, confidence*float64(expected)/float64(expected+jitter), maxSpeedWeight)
 	slowness := s.Slowness(now)
 	difference := time.Duration((slowness - 1) * float64(usual))
 	if s.slowness.currentWeight(now) >= minSpeedWeight && (slowness >= minSpeedRatio || slowness <= 1/minSpeedRatio) && max(difference, -difference) >= minSpeedDifference {
--- a/cost/simulation_test.go
+++ b/cost/simulation_test.go
@@ -189,7 +189,7 @@
 		free[server][slot] = start + time.Duration(work*l.servers[server].factor(start))
 		r.at = free[server][slot] + hop
 		if p != allKnown {
-			r.request = in.costs[server].Start(now, l.kind(kind), in.model.Expected(now, l.kind(kind)), l.servers[server].slots)
+			r.request = in.model.Start(now, &in.costs[server], l.kind(kind), l.servers[server].slots)
 			in.running[server] = append(in.running[server], r)
 		}
 		heap.Push(&replies, r)
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/wisteriawharf/wisteriawharf/cost"
 	"github.com/wisteriawharf/wisteriawharf/searcher"
 )
 
@@ -100,6 +101,8 @@
 	// of the caller's request. DueBy is the time on the boot clock when the answer is due.
 	LatencyTarget time.Duration
 	DueBy         time.Duration
+	// CostKind says which requests are expected to cost the searchers as much as this one.
+	CostKind cost.Kind
 	// Rank, between 0 and 1, orders queued requests: the lowest goes first. If the
 	// searchers lack room, requests with high ranks may not be queued.
 	Rank float64
@@ -138,10 +141,16 @@
 	// outstanding is the number of requests from this instance that the searcher had not
 	// answered when it was chosen for this one, this one included.
 	outstanding int
+	// work is what the searcher is expected to do for the request. dialTook is the time from the choice of
+	// the searcher until a connection was opened for it, zero if it got an idle one.
+	work     cost.Request
+	dialTook time.Duration
 	// rateLimited says that the attempt counts against the searcher's rate limit, cold that
 	// it counts against the limit of a cold searcher.
 	rateLimited bool
 	cold        bool
+	// queued says that the attempt is or was in the queue.
+	queued bool
 	// detached says that the attempt was cancelled or abandoned, so that its outcome is
 	// not reported. finished says that the attempt has ended.
 	detached bool
--- /dev/null
+++ b/dispatch/choose.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/balance"
+	"github.com/wisteriawharf/wisteriawharf/cost"
+)
+
+// certainlyLate is the share of the expected time until an answer that must be left, else the
+// request is not queued. Times vary around the expected one, and about one request in twenty takes less
+// than half of it.
+const certainlyLate = 0.5
+
+// choose returns the index of the searcher that is to get a request, or -1 if none may get one. The
+// expected cost decides if the service's requests or searchers differ enough, else the latency.
+// targets are the searchers with room.
+func (d *Dispatcher) choose(s *service, r *Request, targets []*target, now time.Duration) int {
+	latency, _ := s.latency.Quantile(0.5)
+	d.candidates = d.candidates[:0]
+	for _, t := range targets {
+		d.candidates = append(d.candidates, t.candidate(now, d.config.FailureDomain))
+	}
+	if !s.costs.Active(now) {
+		d.metrics.placedByLatency.Inc()
+		return balance.Choose(now, d.candidates, latency)
+	}
+	d.metrics.placedByCost.Inc()
+	estimate := s.costs.Estimate(now, r.CostKind)
+	d.options = d.options[:0]
+	for i, t := range targets {
+		c := &d.candidates[i]
+		var slowness float64
+		c.Expected, slowness = estimate.Completion(&t.cost, t.Slots)
+		if len(t.running) > 0 {
+			c.OldestExpected = time.Duration(slowness * float64(t.running[0].work.Cost))
+		}
+		d.options = append(d.options, cost.Option{
+			Cost:     c.Cost(now, latency) * cost.Lateness(c.Expected, r.DueBy-now),
+			Capacity: float64(max(t.Slots, 1)) / slowness,
+		})
+	}
+	return cost.Choose(d.options, rand.Float64())
+}
+
+// certainlyLate reports whether a first request, for which no searcher has room, is certain to be
+// answered too late. The requests of the queue with a lower or the same rank go before it if queued is
+// false. Nothing is certain unless the expected cost decides.
+func (s *service) certainlyLate(r *Request, eligible []*target, queued bool, now time.Duration) bool {
+	if r.Kind != First || !s.costs.Active(now) {
+		return false
+	}
+	var work, fastest time.Duration
+	running := 0
+	estimate := s.costs.Estimate(now, r.CostKind)
+	for _, t := range eligible {
+		running += len(t.running)
+		work += t.cost.Left(now)
+		if own := t.cost.Alone(now, estimate.Cost); fastest == 0 || own < fastest {
+			fastest = own
+		}
+	}
+	if running == 0 {
+		return false
+	}
+	for _, a := range s.queue {
+		if !queued && a.Rank <= r.Rank {
+			work += s.costs.Expected(now, a.CostKind)
+		}
+	}
+	done := work/time.Duration(running) + fastest
+	return time.Duration(certainlyLate*float64(done)) > r.DueBy-now
+}
+
+// observeCost records the latency of an answered attempt. The time in which a connection was opened for
+// it does not count.
+func (a *Attempt) observeCost(now, latency time.Duration) {
+	a.service.costs.ObserveReply(now, &a.target.cost, a.work, max(latency-a.dialTook, 0))
+}
+
+// comparableLatency returns a latency as it is reported to other instances: where the costs of the
+// service's requests differ, that of a request of mean cost, so that a searcher is not reported as
+// slow because it got an expensive request.
+func (a *Attempt) comparableLatency(now, latency time.Duration) time.Duration {
+	if !a.service.costs.Active(now) || a.work.Cost <= 0 {
+		return latency
+	}
+	return time.Duration(float64(latency) * float64(a.service.costs.ServiceCost(now)) / float64(a.work.Cost))
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -11,7 +11,9 @@
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/wisteriawharf/wisteriawharf/balance"
 	"github.com/wisteriawharf/wisteriawharf/clock"
+	"github.com/wisteriawharf/wisteriawharf/cost"
 	"github.com/wisteriawharf/wisteriawharf/eligibility"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/memory"
@@ -38,6 +40,9 @@
 	// ErrPaused reports that the searchers have asked for a pause, and that the request could be
 	// sent only after its answer is due.
 	ErrPaused = errors.ConstError("searchers have asked for a pause")
+	// ErrTooLate reports that the searchers have no room, and that by the expected cost of the
+	// requests before it the request can't be answered before its answer is due.
+	ErrTooLate = errors.ConstError("answer can't be in time")
 )
 
 const (
@@ -92,6 +97,9 @@
 	outDomains map[string]bool
 	// removedNotices holds the notices of removed searchers by ID.
 	removedNotices map[string]removedNotices
+	// candidates and options are buffers of choose.
+	candidates []balance.Candidate
+	options    []cost.Option
 }
 
 // New returns a dispatcher without services and searchers. It registers its metrics.
@@ -245,7 +253,7 @@
 			return true
 		}
 	}
-	return len(eligible) > 0 && s.mayQueue(r, d.placeWait(eligible, now), len(s.queue), now) == nil
+	return len(eligible) > 0 && s.mayQueue(r, d.placeWait(eligible, now), len(s.queue), now) == nil && !s.certainlyLate(&r, eligible, false, now)
 }
 
 // HasRetryBudget reports whether the retry budget of a service has a token left.
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -21,13 +21,17 @@
 func (d *Dispatcher) dial(a *Attempt, t *target) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
+	began := d.config.Clock.Boottime()
 	conn, err := searcher.Dial(ctx, a.address, d.replyLimits(a), func(c *connection) { d.connectionEnded(t, c) })
 	d.metrics.dialed(err)
 	if err != nil {
 		d.dialFailed(a, t)
 		return
 	}
+	dialled := d.config.Clock.Boottime()
 	d.mu.Lock()
+	a.dialTook = dialled - a.chosenAt
+	t.cost.ObserveDial(dialled - began)
 	if a.finished || a.detached || !d.maySend(a, t) {
 		// The request is no longer needed, or the searcher must no longer get it.
 		tasks := d.release(t, conn)
@@ -153,7 +157,8 @@
 	t.limit.ObserveLatency(now, e.Latency, a.LatencyTarget, a.outstanding)
 	a.service.latency.Add(now, e.Latency)
 	median, _ := a.service.latency.Quantile(0.5)
-	t.observations.AddReply(now, e.Latency, median)
+	t.observations.AddReply(now, a.comparableLatency(now, e.Latency), median)
+	a.observeCost(now, e.Latency)
 }
 
 // end ends the attempt and releases its connection, if it has one. It calls OnEnd unless
@@ -248,6 +253,9 @@
 	waiting := make([]balance.QueuedRequest, len(s.queue))
 	for i, a := range s.queue {
 		waiting[i] = balance.QueuedRequest{Rank: a.Rank, DueBy: a.DueBy}
+		if s.costs.Active(now) {
+			waiting[i].Expected = s.costs.Expected(now, a.CostKind)
+		}
 	}
 	median, _ := s.latency.Quantile(0.5)
 	return balance.NextQueued(now, median, waiting)
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -18,6 +18,8 @@
 	failedReplyBytes *prometheus.CounterVec
 	// notices counts what searchers said of themselves in their replies.
 	notices *prometheus.CounterVec
+	// placedByLatency and placedByCost count the choices of a searcher by what decided.
+	placedByLatency, placedByCost prometheus.Counter
 }
 
 // newMetrics registers the metrics. budget may be nil.
@@ -48,7 +50,12 @@
 			Help: "Replies in which searchers said that they leave or asked for a pause, by kind.",
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.outcomes, m.dials, m.toLimited, m.failedReplies, m.failedReplyBytes, m.notices)
+	placements := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "wharf_placements_total",
+		Help: "Choices of a searcher, by what decided: its latency, or the expected cost of the request.",
+	}, []string{"by"})
+	m.placedByLatency, m.placedByCost = placements.WithLabelValues("latency"), placements.WithLabelValues("cost")
+	r.MustRegister(placements, m.outcomes, m.dials, m.toLimited, m.failedReplies, m.failedReplyBytes, m.notices)
 	if budget != nil {
 		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "wharf_held_bytes",
@@ -76,6 +83,8 @@
 		m.outcomes.WithLabelValues("busy").Inc()
 	case errors.Is(err, ErrRateLimited):
 		m.outcomes.WithLabelValues("rate limited").Inc()
+	case errors.Is(err, ErrTooLate):
+		m.outcomes.WithLabelValues("too late").Inc()
 	case errors.Is(err, ErrPaused):
 		m.outcomes.WithLabelValues("paused").Inc()
 	case errors.Is(err, ErrLeaving):
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -8,7 +8,7 @@
 )
 
 // Start chooses a searcher and sends the request, or queues the request until a searcher
-// has room. It returns ErrRetryBudgetSpent, ErrBusy, ErrPaused, ErrRateLimited, ErrLeaving or
+// has room. It returns ErrRetryBudgetSpent, ErrBusy, ErrPaused, ErrRateLimited, ErrTooLate, ErrLeaving or
 // ErrNoSearcher if the attempt is not made; the request is not sent then, and OnEnd is not called.
 func (d *Dispatcher) Start(r Request) (*Attempt, error) {
 	d.mu.Lock()
@@ -65,17 +65,17 @@
 		return ErrBusy
 	}
 	s.queue = append(s.queue, a)
+	a.queued = true
 	return nil
 }
 
 // place binds the attempt to a searcher and returns a function that sends it, to be called
 // without the lock. It returns nil and no error if no searcher has room but the attempt may
-// be queued, ErrBusy, ErrPaused or ErrRateLimited if it may not be queued, and ErrLeaving or
+// be queued, ErrBusy, ErrPaused, ErrRateLimited or ErrTooLate if it may not be queued, and ErrLeaving or
 // ErrNoSearcher if no searcher can take it. ahead is the number of queued attempts that go before it.
 func (d *Dispatcher) place(a *Attempt, ahead int) (func(), error) {
 	now, wall := d.config.Clock.Boottime(), time.Now()
 	s := a.service
-	var candidates []balance.Candidate
 	var targets []*target
 	eligible := d.eligible(s, a.Request, now)
 	for _, t := range eligible {
@@ -83,7 +83,6 @@
 			continue
 		}
 		targets = append(targets, t)
-		candidates = append(candidates, t.candidate(now, d.config.FailureDomain))
 	}
 	if len(eligible) == 0 {
 		return nil, s.noSearcherError()
@@ -93,11 +92,14 @@
 		if err := s.mayQueue(a.Request, wait, ahead, now); err != nil {
 			return nil, err
 		}
+		if s.certainlyLate(&a.Request, eligible, a.queued, now) {
+			s.admission.ObserveUnsent()
+			return nil, ErrTooLate
+		}
 		d.scheduleLaunch(s, wait.next)
 		return nil, nil
 	}
-	latency, _ := s.latency.Quantile(0.5)
-	chosen := balance.Choose(now, candidates, latency)
+	chosen := d.choose(s, &a.Request, targets, now)
 	if chosen < 0 {
 		return nil, ErrNoSearcher
 	}
@@ -176,6 +178,7 @@
 func (d *Dispatcher) bind(a *Attempt, t *target, now time.Duration, wall time.Time) func() {
 	a.target, a.chosenAt = t, now
 	a.searcherID, a.address = t.ID, t.Address
+	a.work = a.service.costs.Start(now, &t.cost, a.CostKind, t.Slots)
 	t.addRunning(a)
 	a.outstanding = len(t.running)
 	if now < t.coldUntil {
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -38,7 +38,9 @@
 	for _, r := range reports {
 		if t := d.searchers[r.Searcher]; t != nil {
 			median, _ := t.service.latency.Quantile(0.5)
-			t.stats.ApplyReport(now, r)
+			if t.stats.ApplyReport(now, r) {
+				t.service.costs.ObserveReport(now, &t.cost, r.Answered, r.MeanLatency)
+			}
 			t.observations.ReceiveReport(now, r, median)
 		}
 	}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/balance"
+	"github.com/wisteriawharf/wisteriawharf/cost"
 	"github.com/wisteriawharf/wisteriawharf/eligibility"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/hedge"
@@ -21,6 +22,8 @@
 	targets  []*target
 	budget   retry.Budget
 	latency  hedge.Histogram
+	// costs holds what its requests are expected to cost.
+	costs cost.Model
 	// replySizes holds the usual size of its answers.
 	replySizes balance.ReplySizes
 	// averageUnanswered is the moving average of the number of unanswered requests. A
@@ -73,6 +76,7 @@
 	fleet.Searcher
 	service      *service
 	stats        balance.Stats
+	cost         cost.Searcher
 	limit        balance.ConcurrencyLimit
 	observations balance.Observations
 	coldLimiter  retry.ColdLimiter
@@ -150,6 +154,7 @@
 	for i := range t.running {
 		if t.running[i] == a {
 			t.running = append(t.running[:i], t.running[i+1:]...)
+			t.cost.End(a.work)
 			return
 		}
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/wisteriawharf/wisteriawharf/arrival"
+	"github.com/wisteriawharf/wisteriawharf/cost"
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
 	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
@@ -310,6 +311,7 @@
 		Deadline:      c.deadline,
 		LatencyTarget: c.latencyBudget(),
 		DueBy:         c.arrived + c.latencyBudget(),
+		CostKind:      c.costKind(),
 		Rank:          c.rank,
 		Avoid:         p.searchersToAvoid(),
 		Earlier:       p.earlier,
@@ -323,6 +325,15 @@
 	}
 }
 
+// costKind returns which requests are expected to cost as much as this one.
+func (c *call) costKind() cost.Kind {
+	k := cost.Kind{Route: c.route.Name, Size: cost.SizeClassOf(len(c.body))}
+	if c.account != nil {
+		k.Account = c.account.Name
+	}
+	return k
+}
+
 // hedgeDelay returns how long to wait for an attempt before a hedge is sent. By then most
 // attempts are answered, but the hedge can usually still be answered within the latency
 // budget. The delay is at least one and a half times the median latency. While there are
