Compare costs with their uncertainty; report comparable latencies

Chance differences among many kinds with few observations made the expected cost decide where nothing differs. A kind now counts with its standard error against a difference. Where costs differ, reports to other instances scale latencies to a usual request, so that an expensive request does not make its searcher count as slow.

--- a/cost/cost_test.go
+++ b/cost/cost_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -57,7 +58,8 @@
 	qt.Check(t, m.Expected(now, dear) > 3*m.Expected(now, cheap), qt.IsTrue, qt.Commentf("a kind in use was dropped"))
 }
 
-// TestEvenServiceIsLeftAlone guards against a choice that changes where neither kinds nor speeds differ.
+// TestEvenServiceIsLeftAlone guards against a choice that changes where neither kinds nor speeds differ, also
+// if there are many kinds whose few observations differ by chance.
 func TestEvenServiceIsLeftAlone(t *testing.T) {
 	var m Model
 	var near, far Searcher
@@ -67,6 +69,12 @@
 		now = serve(&m, &far, serve(&m, &near, now, dear, 1, 5*time.Millisecond), cheap, 1, 9*time.Millisecond)
 		qt.Assert(t, m.Active(now), qt.IsFalse)
 	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range 5000 {
+		latency := time.Duration(math.Exp(0.5*random.NormFloat64()) * float64(6*time.Millisecond))
+		now = 5*time.Millisecond + serve(&m, &near, now, Kind{Route: "many", Account: fmt.Sprint(i % 75)}, 1, latency)
+		qt.Assert(t, m.Active(now), qt.IsFalse, qt.Commentf("after %d requests", i))
+	}
 }
 
 // TestChoose guards against instances that all choose the same of several searchers, and against
--- a/cost/model.go
+++ b/cost/model.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/list"
+	"math"
 	"math/bits"
 	"time"
 )
@@ -15,7 +16,8 @@
 	maxKinds = 512
 	// halfLife is the time in which an observation loses half its weight. An instance sees a searcher of a
 	// large service about once in two seconds. In the simulation 30 s gave a lower p99 than 10 s
-	// with single requests and with 60 instances.
+	// with single requests and with 60 instances. While further observations come, it loses half of its weight
+	// in two thirds of that.
 	halfLife = 30 * time.Second
 	// maxWeight bounds the weight of past observations of a kind, so that its cost follows a
 	// change within some tens of requests however many there are.
@@ -33,8 +35,10 @@
 	// request. The network between failure domains takes up to 3.5 ms, which is no
 	// difference in speed.
 	minSpeedDifference = 4 * time.Millisecond
-	// minWeight is the weight from which a value counts as known.
-	minWeight = 8
+	// minWeight is the weight from which the cost of a kind is compared with that of others, assumedSpread the
+	// standard deviation of the costs of a kind relative to their mean.
+	minWeight     = 6
+	assumedSpread = 0.5
 	// compareEvery is the time between two comparisons of the kinds.
 	compareEvery = time.Second
 	// activeFor is how long the model decides after a difference was last seen. It keeps the choice
@@ -194,19 +198,22 @@
 	return e
 }
 
-// compareKinds extends the time in which the model decides if the kinds differ enough.
+// compareKinds extends the time in which the model decides if the kinds, or the routes, differ enough. A mean
+// counts with its standard error against a difference, so that the chance differences of many kinds with few
+// observations do not suffice.
 func (m *Model) compareKinds(now time.Duration) {
 	lowest, highest := 0.0, 0.0
 	for e := m.recent.Front(); e != nil; e = e.Next() {
-		known := e.Value.(*entry)
-		if known.kind.Size == routeClass || known.mean.currentWeight(now) < minWeight {
+		mean := &e.Value.(*entry).mean
+		weight := mean.currentWeight(now)
+		if weight < minWeight {
 			continue
 		}
-		cost := known.mean.value(now, 0, 0)
-		if lowest == 0 || cost < lowest {
-			lowest = cost
+		cost, uncertainty := mean.value(now, 0, 0), assumedSpread/math.Sqrt(weight)
+		if upper := cost * (1 + uncertainty); lowest == 0 || upper < lowest {
+			lowest = upper
 		}
-		highest = max(highest, cost)
+		highest = max(highest, cost*(1-uncertainty))
 	}
 	if highest >= minKindRatio*lowest && lowest > 0 {
 		m.activeUntil = now + activeFor
--- a/cost/searcher.go
+++ b/cost/searcher.go
@@ -156,10 +156,11 @@
 	}
 }
 
-// ObserveReport records that another instance had this many replies with a mean latency.
-func (m *Model) ObserveReport(now time.Duration, s *Searcher, replies int, latency time.Duration) {
+// ObserveReport records that another instance had this many replies with a mean latency. usual is the usual
+// latency of the service, zero if it is not known.
+func (m *Model) ObserveReport(now time.Duration, s *Searcher, replies int, latency, usual time.Duration) {
 	for range min(replies, maxSpeedWeight) {
-		m.observeSlowness(now, s, m.ServiceCost(now), s.withoutDistance(latency), 1)
+		m.observeSlowness(now, s, s.withoutDistance(usual), s.withoutDistance(latency), 1)
 	}
 }
 
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -79,12 +79,12 @@
 	a.service.costs.ObserveReply(now, &a.target.cost, a.work, max(latency-a.dialTook, 0))
 }
 
-// comparableLatency returns a latency as it is reported to other instances: where the costs of the
-// service's requests differ, that of a request of mean cost, so that a searcher is not reported as
-// slow because it got an expensive request.
-func (a *Attempt) comparableLatency(now, latency time.Duration) time.Duration {
-	if !a.service.costs.Active(now) || a.work.Cost <= 0 {
+// comparableLatency returns a latency as it is reported to other instances. Where the costs of the
+// service's requests differ, it is scaled to a request of the median latency, so that a searcher is
+// not reported as slow because it got an expensive request.
+func (a *Attempt) comparableLatency(now, latency, median time.Duration) time.Duration {
+	if !a.service.costs.Active(now) || a.work.Cost <= 0 || median <= 0 {
 		return latency
 	}
-	return time.Duration(float64(latency) * float64(a.service.costs.ServiceCost(now)) / float64(a.work.Cost))
+	return time.Duration(float64(latency) * float64(median) / float64(a.work.Cost))
 }
--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -26,7 +26,7 @@
 		d.PutSearcher(fleet.Searcher{ID: id, Service: "s", Slots: 2})
 		targets = append(targets, d.searchers[id])
 		for n := range 20 {
-			at := now - 2*time.Second + time.Duration(n)*100*time.Millisecond
+			at := now - 3*time.Second + time.Duration(n)*100*time.Millisecond
 			for kind, latency := range map[cost.Kind]time.Duration{dear: 200 * time.Millisecond, cheap: 10 * time.Millisecond} {
 				if !differ {
 					latency = 10 * time.Millisecond
@@ -58,6 +58,27 @@
 	qt.Check(t, targets[1].cost.Left(now), qt.Equals, time.Duration(0), qt.Commentf("ended requests count as outstanding"))
 }
 
+// TestExpensiveRequestIsNotReportedAsSlow guards against reports that make other instances avoid a searcher
+// because it got an expensive request, and against reports of a slow one that change nothing.
+func TestExpensiveRequestIsNotReportedAsSlow(t *testing.T) {
+	for _, differ := range []bool{true, false} {
+		d, targets, now := newCostDispatcher(1, differ)
+		for range 100 {
+			d.services["s"].latency.Add(now, 10*time.Millisecond)
+		}
+		a := &Attempt{Request: Request{CostKind: dear, LatencyTarget: time.Second}, d: d, service: d.services["s"], target: targets[0]}
+		a.work = d.services["s"].costs.Start(now, &targets[0].cost, dear, 2)
+		targets[0].observeAnswer(a, Event{Latency: 200 * time.Millisecond}, now)
+		qt.Check(t, targets[0].observations.PendingCount(now) > 0, qt.Equals, !differ)
+		d, targets, _ = newCostDispatcher(1, differ)
+		for range 100 {
+			d.services["s"].latency.Add(now, 10*time.Millisecond)
+		}
+		d.ApplyReports([]balance.Report{{Searcher: "0", Answered: 20, MeanLatency: 80 * time.Millisecond}})
+		qt.Check(t, targets[0].cost.Slowness(now) > 3, qt.IsTrue)
+	}
+}
+
 // TestLateRequestsAreRefusedAtOnce guards against a request that waits in the queue until its answer is
 // due although it can't be answered by then, and against refusing one that can.
 func TestLateRequestsAreRefusedAtOnce(t *testing.T) {
--- a/dispatch/giveup.go
+++ b/dispatch/giveup.go
@@ -119,7 +119,7 @@
 		return
 	}
 	a.target.stats.ObserveGivenUp(waited)
-	a.target.observations.AddReply(now, a.comparableLatency(now, waited), median)
+	a.target.observations.AddReply(now, a.comparableLatency(now, waited, median), median)
 	a.service.costs.ObserveGivenUp(now, &a.target.cost, a.work, max(waited-a.dialTook, 0))
 	a.target.limit.ObserveLatency(now, waited, a.LatencyTarget, a.outstanding)
 	a.service.latency.Add(now, waited)
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -157,7 +157,7 @@
 	t.limit.ObserveLatency(now, e.Latency, a.LatencyTarget, a.outstanding)
 	a.service.latency.Add(now, e.Latency)
 	median, _ := a.service.latency.Quantile(0.5)
-	t.observations.AddReply(now, a.comparableLatency(now, e.Latency), median)
+	t.observations.AddReply(now, a.comparableLatency(now, e.Latency, median), median)
 	a.observeCost(now, e.Latency)
 }
 
--- a/dispatch/reports.go
+++ b/dispatch/reports.go
@@ -39,7 +39,7 @@
 		if t := d.searchers[r.Searcher]; t != nil {
 			median, _ := t.service.latency.Quantile(0.5)
 			if t.stats.ApplyReport(now, r) {
-				t.service.costs.ObserveReport(now, &t.cost, r.Answered, r.MeanLatency)
+				t.service.costs.ObserveReport(now, &t.cost, r.Answered, r.MeanLatency, median)
 			}
 			t.observations.ReceiveReport(now, r, median)
 		}
