--- a/cost/searcher.go
+++ b/cost/searcher.go
@@ -124,6 +124,12 @@
 // the other.
 func (s *Searcher) Left(now time.Duration) time.Duration { return s.left(now, s.Slowness(now)) }
 
+// LeftOf returns the time that one outstanding request is expected to take still, if it runs.
+func (s *Searcher) LeftOf(now time.Duration, r Request) time.Duration {
+	expected := s.Alone(now, r.Cost)
+	return max(expected-(now-r.At), time.Duration(minLeft*float64(expected)))
+}
+
 // Alone returns the time that a request with the given expected cost takes if it need not wait.
 func (s *Searcher) Alone(now, expected time.Duration) time.Duration {
 	return s.distance + time.Duration(s.Slowness(now)*float64(expected))
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -51,25 +51,30 @@
 	if r.Kind != First || !s.costs.Active(now) {
 		return false
 	}
-	var work, fastest time.Duration
+	// Room comes when one of the running requests ends, and is shared by those before this one.
+	var firstEnd, fastest, before time.Duration
 	running := 0
 	estimate := s.costs.Estimate(now, r.CostKind)
-	for _, t := range eligible {
-		running += len(t.running)
-		work += t.cost.Left(now)
-		if own := t.cost.Alone(now, estimate.Cost); fastest == 0 || own < fastest {
+	for i, t := range eligible {
+		if own := t.cost.Alone(now, estimate.Cost); i == 0 || own < fastest {
 			fastest = own
 		}
+		for _, a := range t.running {
+			if left := t.cost.LeftOf(now, a.work); running == 0 || left < firstEnd {
+				firstEnd = left
+			}
+			running++
+		}
 	}
 	if running == 0 {
 		return false
 	}
 	for _, a := range s.queue {
 		if !queued && a.Rank <= r.Rank {
-			work += s.costs.Expected(now, a.CostKind)
+			before += s.costs.Expected(now, a.CostKind)
 		}
 	}
-	done := work/time.Duration(running) + fastest
+	done := max(firstEnd, before/time.Duration(running)) + fastest
 	return time.Duration(certainlyLate*float64(done)) > r.DueBy-now
 }
 
