Keep the latency for stalls where the oldest request has no expected cost

A request that was sent before anything was known of its service has no expected cost; it would have counted as stalled after 20 ms. Tests of balance, cost, dispatch and gateway pass with the race detector.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -227,7 +227,10 @@
 	}
 	cost := float64(latency) * (1 + float64(c.Outstanding)/float64(max(c.Slots, 1)))
 	if c.Expected > 0 {
-		cost, latency = float64(c.Expected), c.OldestExpected
+		cost = float64(c.Expected)
+		if c.OldestExpected > 0 {
+			latency = c.OldestExpected
+		}
 		if c.Cold && !c.Stats.measured {
 			cost *= coldFactor
 		}
