--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/balance"
+	"github.com/wisteriawharf/wisteriawharf/cost"
 	"github.com/wisteriawharf/wisteriawharf/eligibility"
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 	"github.com/wisteriawharf/wisteriawharf/hedge"
@@ -24,6 +25,8 @@
 	// versions holds which versions of its searchers get requests, nil where there are no
 	// roll-outs.
 	versions *versions
+	// costs holds what its requests are expected to cost.
+	costs cost.Model
 	// replySizes holds the usual size of its answers.
 	replySizes balance.ReplySizes
 	// averageUnanswered is the moving average of the number of unanswered requests. A
@@ -76,6 +79,7 @@
 	fleet.Searcher
 	service      *service
 	stats        balance.Stats
+	cost         cost.Searcher
 	limit        balance.ConcurrencyLimit
 	observations balance.Observations
 	coldLimiter  retry.ColdLimiter
@@ -157,6 +161,7 @@
 	for i := range t.running {
 		if t.running[i] == a {
 			t.running = append(t.running[:i], t.running[i+1:]...)
+			t.cost.End(a.work)
 			return
 		}
 	}
--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
-	"github.com/wisteriawharf/wisteriawharf/balance"
 	"github.com/wisteriawharf/wisteriawharf/hedge"
 	"github.com/wisteriawharf/wisteriawharf/rollout"
 	"github.com/wisteriawharf/wisteriawharf/searcher"
@@ -232,21 +231,19 @@
 // chooseOf chooses a searcher of a class that has room, nil if none has.
 func (d *Dispatcher) chooseOf(s *service, r Request, now time.Duration, class versionClass) *target {
 	var targets []*target
-	var candidates []balance.Candidate
 	for _, t := range s.targets {
 		if t.class == class && !slices.Contains(r.Avoid, t.ID) && d.usable(t, r.Regions, now) && !t.stats.Blocked(now) && d.hasRoom(t, now) {
 			targets = append(targets, t)
-			candidates = append(candidates, t.candidate(now, d.config.FailureDomain))
 		}
 	}
 	if len(targets) == 0 {
 		return nil
 	}
-	latency, _ := s.latency.Quantile(0.5)
-	if chosen := balance.Choose(now, candidates, latency); chosen >= 0 {
-		return targets[chosen]
+	chosen := d.choose(s, &r, targets, now)
+	if chosen < 0 {
+		return nil
 	}
-	return nil
+	return targets[chosen]
 }
 
 // bindVersion records under which order the attempt is bound to a searcher.
