--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/wisteriawharf/wisteriawharf/balance"
@@ -22,7 +23,7 @@
 	for _, t := range targets {
 		d.candidates = append(d.candidates, t.candidate(now, d.config.FailureDomain))
 	}
-	if !s.costs.Active(now) {
+	if !s.choosesByCost(now) {
 		d.metrics.placedByLatency.Inc()
 		return balance.Choose(now, d.candidates, latency)
 	}
@@ -44,11 +45,18 @@
 	return cost.Choose(d.options, rand.Float64())
 }
 
+// choosesByCost reports whether the expected cost decides where requests of the service go: if they or its
+// searchers differ enough, and none of these fails. Costs are learned from answers. While answers are
+// missing they say too little, and searchers that fail have to be avoided first.
+func (s *service) choosesByCost(now time.Duration) bool {
+	return s.costs.Active(now) && !slices.ContainsFunc(s.targets, func(t *target) bool { return !t.stats.Healthy(now) })
+}
+
 // certainlyLate reports whether a first request, for which no searcher has room, is certain to be
 // answered too late. The requests of the queue with a lower or the same rank go before it if queued is
 // false. Nothing is certain unless the expected cost decides.
 func (s *service) certainlyLate(r *Request, eligible []*target, queued bool, now time.Duration) bool {
-	if r.Kind != First || !s.costs.Active(now) {
+	if r.Kind != First || !s.choosesByCost(now) {
 		return false
 	}
 	// Room comes when one of the running requests ends, and is shared by those before this one.
