Take no reply for an answer whose status is no final status of HTTP

A searcher in trouble may send a status line such as 000 or 777. Statuses below 200 and those that are not three digits were dropped already, but 600 to 999 reached callers as answers. A reply with a status outside 200 to 599 now counts as broken, and its connection is closed; also if it says that the request was not executed, since nothing in it can be trusted.

TestStatusThatIsNoFinalStatus failed for 600, 777 and 999 before and passes now.

--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -49,7 +49,8 @@
 	errTooLarge     = errors.ConstError("reply is too large")
 	errWrongRequest = errors.ConstError("reply belongs to another request")
 	errUnusable     = errors.ConstError("reply has no signature or is encoded")
-	errInterim      = errors.ConstError("searcher sent an interim reply")
+	// errNoFinalStatus reports an interim status, or one that HTTP does not define.
+	errNoFinalStatus = errors.ConstError("reply has no final status")
 )
 
 // Exchange is a request and the callback for its reply.
--- a/searcher/conn_test.go
+++ b/searcher/conn_test.go
@@ -95,6 +95,24 @@
 	}
 }
 
+// TestStatusThatIsNoFinalStatus guards against a reply of a searcher in trouble that is taken for an
+// answer although its status line states no final status of HTTP, from 200 to 599.
+func TestStatusThatIsNoFinalStatus(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "-12", "+99", "20", "2000", "199", "600", "777", "999", "101", "+200", "0200", "20x"} {
+		for _, more := range []string{"", "Not-Executed: 1\r\n"} {
+			t.Run(status, func(t *testing.T) {
+				conn, searcherEnd, closed := newTestConn(t)
+				done := send(conn, "a")
+				go replyOnce(searcherEnd, "HTTP/1.1 "+status+" Odd\r\nRequest-Id: a\r\nServer-Seal: s\r\n"+more+"Content-Length: 4\r\n\r\ntext")
+				o := <-done
+				qt.Assert(t, o.err, qt.IsNotNil)
+				qt.Assert(t, errors.Is(o.err, ErrNotWritten), qt.IsFalse, qt.Commentf("the request may have run"))
+				<-closed
+			})
+		}
+	}
+}
+
 // TestReuse guards against reusing a connection after unsolicited bytes, a reply to another
 // request, or a reply with "Connection: close".
 func TestReuse(t *testing.T) {
--- a/searcher/reply.go
+++ b/searcher/reply.go
@@ -52,8 +52,8 @@
 		return nil, true, errors.Annotate(err, "read the head of the reply")
 	}
 	c.bounded.startBody()
-	if response.StatusCode < http.StatusOK {
-		return nil, true, errors.Annotatef(errInterim, "status %d", response.StatusCode)
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxFinalStatus {
+		return nil, true, errors.Annotatef(errNoFinalStatus, "status %d", response.StatusCode)
 	}
 	reply := &Reply{
 		Status:   response.StatusCode,
@@ -88,6 +88,9 @@
 	return nil, true, errors.Annotate(err, "read the body of the reply")
 }
 
+// maxFinalStatus is the highest final status of HTTP.
+const maxFinalStatus = 599
+
 // Usable reports whether the reply can be an answer: it is signed and its body is as the searcher
 // wrote it, and it is not a refusal.
 func (r *Reply) Usable() bool {
