Answer 503 to requests that were surely not sent

A request counted as possibly run, and got 502 or 504 on routes whose requests may run once, in these cases although no byte of it had left: its attempt ended unsent right before it was stopped; it was stopped between the choice of a connection and the write; the reader noticed the end of the connection before the write that took no byte had failed; the searcher had closed the connection and the reader had not noticed; this process closed the connection while the request was encoded. An attempt now hands out its bytes only if it is not stopped, a connection looks for its end before it writes, and the write decides whether a byte left.

A searcher over its limit of connections closes a new one right away. A request that may run only once waits for a round trip and 4 ms on a new connection, so that it is not written to one that the searcher rejects. Callers are told to come back when the first searcher is tried again, 1 s at most.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -131,6 +131,9 @@
 // reached.
 func (s *Stats) Blocked(now time.Duration) bool { return now < s.blockedUntil }
 
+// BlockedFor returns the time until the searcher may get requests again, zero if it may now.
+func (s *Stats) BlockedFor(now time.Duration) time.Duration { return max(s.blockedUntil-now, 0) }
+
 // Healthy reports whether the failure rate of the searcher is at most
 // maxHealthyFailureRate.
 func (s *Stats) Healthy(now time.Duration) bool { return s.failureRate(now) <= maxHealthyFailureRate }
--- a/dispatch/attempt.go
+++ b/dispatch/attempt.go
@@ -110,6 +110,9 @@
 	// to this attempt.
 	Earlier []*Attempt
 	Kind    Kind
+	// RunOnce says that the request may run only once, so that it is worth a wait to know whether
+	// it was sent.
+	RunOnce bool
 	// Wanted reports whether the caller still waits. It is asked before the request is sent if this
 	// process was stalled since the attempt was made: what it would have noticed may lie unread. Nil
 	// means that the caller waits.
@@ -143,9 +146,13 @@
 	rateLimited bool
 	cold        bool
 	// detached says that the attempt was cancelled or abandoned, so that its outcome is
-	// not reported. finished says that the attempt has ended.
+	// not reported. finished says that the attempt has ended, with outcome.
 	detached bool
 	finished bool
+	outcome  Outcome
+	// encoded says that the request was handed out to be written. It is not once the attempt is
+	// detached.
+	encoded bool
 }
 
 // carriedBy reports whether a connection was used for an earlier attempt of the request.
--- a/dispatch/giveup.go
+++ b/dispatch/giveup.go
@@ -51,18 +51,23 @@
 
 // detach stops the attempt. A queued attempt is taken out of the queue. If the attempt is
 // bound to a searcher, its connection stays open for a reply until wait has passed; if wait
-// is zero, it is closed at once. On a connection that is still being opened the request is
-// not sent. detach reports whether the request may have been sent.
+// is zero, it is closed at once. A request that is not encoded by then is not sent. detach
+// reports whether the request may have been sent, and if the attempt has ended, whether a
+// searcher may have run it.
 func (a *Attempt) detach(wait time.Duration) (sent bool) {
 	d := a.d
 	d.mu.Lock()
 	if a.finished || a.detached {
+		sent = a.encoded
+		if a.finished {
+			sent = a.outcome.MayHaveRun()
+		}
 		d.mu.Unlock()
-		return true // the outcome isn't checked here, so the request may have been sent
+		return sent
 	}
 	a.detached = true
 	if a.target == nil {
-		a.finished = true
+		a.finished, a.outcome = true, Unsent
 		a.service.removeQueued(a)
 		if !d.config.StalledBetween(a.startedAt, d.config.Clock.Boottime()) {
 			a.service.admission.ObserveUnsent()
@@ -73,18 +78,18 @@
 		d.mu.Unlock()
 		return false
 	}
-	conn := a.conn // nil while the connection is being opened
+	conn, sent := a.conn, a.encoded // conn is nil while the connection is being opened
 	if wait == 0 {
 		a.recordGivenUp()
 		d.mu.Unlock()
 		if conn != nil {
 			conn.Close()
 		}
-		return conn != nil
+		return sent
 	}
 	d.mu.Unlock()
 	time.AfterFunc(wait, a.giveUp)
-	return conn != nil
+	return sent
 }
 
 // giveUp closes the connection of an abandoned attempt if it still has no reply.
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -21,6 +21,7 @@
 func (d *Dispatcher) dial(a *Attempt, t *target) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
+	began := d.config.Clock.Boottime()
 	conn, err := searcher.Dial(ctx, a.address, d.replyLimits(a), func(c *connection) { d.connectionEnded(t, c) })
 	d.metrics.dialed(err)
 	if err != nil {
@@ -38,9 +39,21 @@
 	}
 	a.conn = conn
 	d.mu.Unlock()
+	if a.RunOnce {
+		time.Sleep(min(d.config.Clock.Boottime()-began, maxAcceptWait) + minAcceptWait)
+	}
 	d.send(a, conn)
 }
 
+// A searcher that has as many connections as it accepts closes a new one right after it was opened. A
+// request that was written by then may have run as far as is known, so one that may run only once
+// waits for as long as the connection took to open, a round trip, and for minAcceptWait. A searcher on an
+// idle machine closes within 1 ms.
+const (
+	minAcceptWait = 4 * time.Millisecond
+	maxAcceptWait = 20 * time.Millisecond
+)
+
 // maySend reports whether the chosen searcher may still get the request. The limit of a cold
 // searcher is not checked again if it counts the request already.
 func (d *Dispatcher) maySend(a *Attempt, t *target) bool {
@@ -67,16 +80,18 @@
 }
 
 // send sends the request on the connection with the time that is left. It ends the
-// attempt as Unsent if the deadline has passed or the caller has left.
+// attempt as Unsent if the deadline has passed, the caller has left or the attempt was stopped.
 func (d *Dispatcher) send(a *Attempt, conn *connection) {
-	if a.timeLeft() <= 0 || !a.wanted() {
-		d.mu.Lock()
+	expired := a.timeLeft() <= 0 || !a.wanted()
+	d.mu.Lock()
+	if expired || a.detached {
 		tasks := d.release(a.target, conn)
 		d.mu.Unlock()
 		runAll(tasks)
 		d.end(a, Event{Attempt: a, Outcome: Unsent}, nil)
 		return
 	}
+	d.mu.Unlock()
 	conn.Send(&searcher.Exchange{
 		RequestID: a.RequestID,
 		Method:    a.Method,
@@ -94,10 +109,15 @@
 	return a.Wanted == nil || !a.d.config.StalledBetween(a.startedAt, a.d.config.Clock.Boottime()) || a.Wanted()
 }
 
-// encode returns the bytes of the request with the time that is left, nil if none is.
+// encode returns the bytes of the request with the time that is left. It returns nil if no time is
+// left, or if the attempt was stopped, which has then reported that nothing was sent.
 func (a *Attempt) encode() []byte {
 	left := a.timeLeft()
-	if left <= 0 {
+	a.d.mu.Lock()
+	a.encoded = left > 0 && !a.detached
+	encoded := a.encoded
+	a.d.mu.Unlock()
+	if !encoded {
 		return nil
 	}
 	return a.Request.Encode(a.searcherID, left)
@@ -121,6 +141,7 @@
 	}
 	switch e.Outcome {
 	case Answered:
+		t.dialPause.ObserveReply()
 		t.service.replySizes.Observe(int64(len(reply.Body)))
 		t.observeAnswer(a, e, now)
 	case Failed, Refused:
@@ -166,7 +187,7 @@
 		e.Reply.Release()
 		return
 	}
-	a.finished = true
+	a.finished, a.outcome = true, e.Outcome
 	a.target.removeRunning(a)
 	if e.Outcome == Answered && len(a.service.queue) == 0 {
 		a.service.admission.ObserveEmptyQueue()
@@ -212,6 +233,10 @@
 func (d *Dispatcher) connectionEnded(t *target, c *connection) {
 	d.mu.Lock()
 	t.removeConnection(c)
+	if c.Rejected() {
+		d.metrics.rejected()
+		t.dialPause.ObserveRejected(d.config.Clock.Boottime())
+	}
 	tasks := t.service.launchQueued(d)
 	d.mu.Unlock()
 	// The tasks must not block: the connection may deliver its last reply only after this
@@ -258,7 +283,7 @@
 func (d *Dispatcher) endQueued(a *Attempt) {
 	d.mu.Lock()
 	detached := a.detached || a.finished
-	a.finished = true
+	a.finished, a.outcome = true, Unsent
 	if a.Kind.UsesRetryBudget() && !detached {
 		a.service.budget.Refund()
 	}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -85,6 +85,9 @@
 	}
 }
 
+// rejected counts a connection that was opened and then rejected by the searcher.
+func (m *metrics) rejected() { m.dials.WithLabelValues("rejected").Inc() }
+
 func (m *metrics) dialed(err error) {
 	outcome := "opened"
 	if err != nil {
--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -89,8 +89,21 @@
 	return r.notices
 }
 
+// maxUnreachableWait bounds the wait for a searcher that can't be reached from here: others may reach it.
+const maxUnreachableWait = 1 * time.Second
+
+// unreachableFor returns the time until this instance tries the searcher again, which it can't reach or
+// which rejects its connections, zero if it may send requests now.
+func (t *target) unreachableFor(now time.Duration) time.Duration {
+	wait := t.stats.BlockedFor(now)
+	if t.open == 0 {
+		wait = max(wait, t.dialPause.Left(now))
+	}
+	return min(wait, maxUnreachableWait)
+}
+
 // PauseLeft returns the time until the first searcher of a service takes requests again, zero if
-// not all of its searchers that may get requests are paused.
+// not all of its searchers that may get requests are paused or can't be reached.
 func (d *Dispatcher) PauseLeft(service string, regions []string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -100,12 +113,15 @@
 		if !d.available(t, regions) {
 			continue
 		}
-		notice := t.notices.Decide(now, 0)
-		if notice.Reason != eligibility.Paused {
+		wait := t.unreachableFor(now)
+		if notice := t.notices.Decide(now, 0); notice.Reason == eligibility.Paused {
+			wait = max(wait, notice.Until-now)
+		}
+		if wait == 0 {
 			return 0
 		}
-		if left == 0 || notice.Until-now < left {
-			left = notice.Until - now
+		if left == 0 || wait < left {
+			left = wait
 		}
 	}
 	return left
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -113,6 +113,8 @@
 		return ErrBusy
 	case !wait.tooLong(ahead, r.DueBy-now):
 		return nil
+	case wait.rejecting:
+		return ErrBusy
 	case wait.paused:
 		return ErrPaused
 	default:
@@ -139,7 +141,7 @@
 	if t.limit.Reached(len(t.running), t.Slots, d.config.InstanceCount()) {
 		return false
 	}
-	return len(t.idle) > 0 || t.open < d.connectionLimit(t.service)
+	return len(t.idle) > 0 || t.open < d.connectionLimit(t.service) && t.dialPause.Left(now) == 0
 }
 
 // eligible returns the searchers that may get the request, whether or not they have room.
--- a/dispatch/rate_limit.go
+++ b/dispatch/rate_limit.go
@@ -80,6 +80,8 @@
 	// all says that all of the searchers are at their limits or paused, paused that one of them
 	// is paused.
 	all, paused bool
+	// rejecting says that one of them rejects connections.
+	rejecting bool
 }
 
 // placeWait returns how long the rate limits and the pauses of the searchers prevent requests.
@@ -96,6 +98,13 @@
 			wait = max(wait, notice.Until-now)
 			w.paused = true
 		}
+		if dial := t.dialPause.Left(now); dial > 0 {
+			if t.open > 0 && wait == 0 {
+				w.all = false // its connections may become free before
+			}
+			wait = max(wait, dial)
+			w.rejecting = true
+		}
 		if wait == 0 {
 			w.all = false
 			continue
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -96,6 +96,8 @@
 	// is the number of all connections, idle, in use and being opened.
 	idle []*connection
 	open int
+	// dialPause keeps new connections away that the searcher would reject.
+	dialPause balance.DialPause
 	// running holds the attempts that are bound to the searcher and have not ended, the
 	// oldest first.
 	running []*Attempt
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -314,6 +314,7 @@
 		Avoid:         p.searchersToAvoid(),
 		Earlier:       p.earlier,
 		Kind:          kind,
+		RunOnce:       !c.route.Idempotent,
 		Wanted:        func() bool { return !c.leftInStall() },
 		Tag:           p.index,
 		OnEnd: func(e dispatch.Event) {
--- a/gateway/end_test.go
+++ b/gateway/end_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -66,3 +67,23 @@
 		})
 	}
 }
+
+// TestUnsentShardAtDeadlineIsNotRun guards against a query answered as possibly run because the ends of its
+// attempts, none of which was sent, come with the deadline.
+func TestUnsentShardAtDeadlineIsNotRun(t *testing.T) {
+	h := newHarness(t, "one")
+	for _, s := range h.searchers["one"] {
+		s.Stop() // nothing listens there any more
+	}
+	h.configure(1, routing.Route{Shards: []string{"one"}, Idempotent: true, MinShardShare: 1, TopK: 2})
+	c := h.newCall(t, "unsent")
+	q := c.newShardedQuery()
+	qt.Assert(t, c.startAttempt(q.parts[0], dispatch.First), qt.IsTrue)
+	for len(c.events) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.deadline = c.now()
+	answer := q.awaitAnswer()
+	qt.Assert(t, answer.refusal.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, answer.refusal.retryAfter > 0, qt.IsTrue)
+}
--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -83,16 +84,26 @@
 	// onClose is called once, when the connection is closed.
 	onClose func(*Conn)
 	limits  Limits
+	// socket gives access to the socket of raw, nil if it has none.
+	socket syscall.RawConn
 
 	mu sync.Mutex
 	// pending is the exchange in progress, nil if there is none. written says that its
 	// request is fully written, or short enough to be written in one piece.
 	pending *Exchange
 	written bool
+	// begun says that a byte of the request of pending may have been written. writer is the exchange
+	// whose request is being written, nil if there is none or its end no longer matters.
+	begun  bool
+	writer *Exchange
 	// writeErr is why the request could not be written, nil if it could.
 	writeErr error
 	// err is why the connection was closed, nil while it is open.
 	err error
+	// replied says that it has carried a whole reply, rejected that the searcher rejected it. opened is
+	// when it was opened.
+	replied, rejected bool
+	opened            time.Time
 	// reusableUntil is the time up to which the idle connection may be used.
 	reusableUntil time.Time
 }
@@ -122,7 +133,9 @@
 // before the Done of the exchange.
 func NewConn(raw net.Conn, limits Limits, onClose func(*Conn)) *Conn {
 	bounded := &boundedReader{reader: raw}
-	c := &Conn{raw: raw, reader: bufio.NewReaderSize(bounded, readBufferBytes), bounded: bounded, limits: limits, onClose: onClose, reusableUntil: time.Now().Add(maxIdle)}
+	c := &Conn{raw: raw, reader: bufio.NewReaderSize(bounded, readBufferBytes), bounded: bounded, limits: limits, onClose: onClose, opened: time.Now()}
+	c.reusableUntil = c.opened.Add(maxIdle)
+	c.socket = socketOf(raw)
 	go c.read()
 	return c
 }
@@ -135,7 +148,16 @@
 	return c.err == nil && c.pending == nil && now.Before(c.reusableUntil)
 }
 
-// Close closes the connection. An exchange in progress ends with ErrClosedLocally.
+// Rejected reports whether the searcher closed the connection right after it was opened, without
+// reading from it. It may have as many connections as it accepts.
+func (c *Conn) Rejected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rejected
+}
+
+// Close closes the connection. An exchange in progress ends with ErrClosedLocally, or with
+// ErrNotWritten if no byte of its request was written.
 func (c *Conn) Close() { c.fail(ErrClosedLocally) }
 
 // fail closes the connection and ends the exchange in progress with err. It does nothing if
@@ -146,12 +168,21 @@
 		c.mu.Unlock()
 		return
 	}
+	c.rejected = c.isRejection(err)
 	if c.writeErr != nil {
 		err = c.writeErr
 	}
 	c.err = err
 	e := c.pending
 	c.pending = nil
+	switch {
+	case e == nil:
+	case !c.begun:
+		err = errors.WithType(errors.Trace(err), ErrNotWritten)
+	case c.writer == e:
+		// The close ends the write, which knows whether a byte was written.
+		e = nil
+	}
 	c.mu.Unlock()
 	_ = c.raw.Close() // the error is ignored, since the connection is not used again
 	c.onClose(c)
@@ -172,7 +203,7 @@
 		e.Done(nil, ErrNotWritten)
 		return
 	}
-	c.pending = e
+	c.pending, c.begun = e, false
 	// A short request is sent in one piece, so no reply to it can arrive before all of it
 	// was sent. It counts as written here, because the reply may be read before write
 	// returns.
@@ -193,49 +224,41 @@
 // write encodes and writes the request. If that fails and no reply arrives, it closes the connection. The
 // exchange then ends with ErrNotWritten if no byte was written.
 func (c *Conn) write(e *Exchange) {
+	if err := c.checkBeforeWrite(); err != nil {
+		c.fail(errors.Annotate(err, "before the request was written"))
+		return
+	}
 	// If setting the deadline fails, the write fails as well.
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	request := e.Encode()
-	if request == nil {
+	if request == nil || !c.beginWrite(e) {
 		c.fail(ErrNotWritten)
 		return
 	}
 	n, err := c.raw.Write(request)
-	if err != nil {
-		if n == 0 {
-			err = errors.WithType(errors.Trace(err), ErrNotWritten)
-		}
-		c.failUnlessReplied(e, err)
-		return
+	if err != nil && n == 0 {
+		err = errors.WithType(errors.Trace(err), ErrNotWritten)
 	}
-	c.mu.Lock()
-	if c.pending == e {
-		c.written = true
-	}
-	c.mu.Unlock()
-}
-
-// failUnlessReplied ends the connection after a failed write with that error, unless the reply
-// arrives. A searcher may have replied and closed the connection before it read the whole request.
-// The reader ends by itself then, with the reply or with the end of the connection; the time that
-// it gets bounds only the wait for a searcher that has not closed.
-func (c *Conn) failUnlessReplied(e *Exchange, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.err != nil || c.pending != e {
+	if closed := c.endWrite(e, err); closed != nil {
+		e.Done(nil, closed)
 		return
 	}
-	c.written, c.writeErr = false, err
-	_ = c.raw.SetReadDeadline(time.Now().Add(earlyReplyWait)) // fails only if the connection is closed
+	if err != nil && n == 0 {
+		c.fail(err) // no reply can come
+	}
 }
 
 // earlyReplyWait is the longest wait for a reply after a failed write.
 const earlyReplyWait = 1 * time.Second
 
-// current returns the exchange in progress, nil if there is none.
+// current returns the exchange in progress, nil if there is none or its request is not being
+// written yet, so that no reply to it can have come.
 func (c *Conn) current() *Exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.begun {
+		return nil
+	}
 	return c.pending
 }
 
@@ -289,6 +312,7 @@
 func (c *Conn) finish(e *Exchange, mustClose bool) bool {
 	c.mu.Lock()
 	mustClose = mustClose || !c.written
+	c.replied = true
 	if c.err != nil {
 		c.mu.Unlock()
 		return false
@@ -296,6 +320,9 @@
 	if c.pending == e {
 		c.pending = nil
 	}
+	if c.writer == e {
+		c.writer = nil
+	}
 	c.mu.Unlock()
 	if mustClose {
 		c.fail(ErrClosedLocally)
