End a stopping process before its grace ends, whatever hangs

Requests are answered by 0.89 and written by 0.91 of the grace, servers are shut down at the same time, the waits are bounded, and a guard ends the process at 0.935, also during its start.

--- /dev/null
+++ b/cmd/wharf-gateway/exitguard.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// exitUntil is the share of the stop grace after which the process ends whatever it waits for. The
+	// rest is for a process that gets little processor time.
+	exitUntil = 0.935
+	// exitLogWait is the longest wait for the log line of an end by force: the log may be what hangs.
+	exitLogWait = 5 * time.Millisecond
+)
+
+// exitGuard passes signals on. From the first one that asks for a planned stop on, it ends the process
+// shortly before the stop grace ends, also if the process has not started yet or hangs.
+type exitGuard struct {
+	grace time.Duration
+	log   *slog.Logger
+	once  sync.Once
+}
+
+// run passes signals on until from is closed. It must not run in the goroutine that handles them.
+func (g *exitGuard) run(from <-chan os.Signal, to chan<- os.Signal) {
+	for sig := range from {
+		if sig != syscall.SIGHUP {
+			g.once.Do(func() { time.AfterFunc(time.Duration(exitUntil*float64(g.grace)), g.exit) })
+		}
+		select {
+		case to <- sig:
+		default: // as many signals wait already
+		}
+	}
+}
+
+// exit ends the process at once.
+func (g *exitGuard) exit() {
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		g.log.Error("planned stop hangs, the process ends", "grace_ms", g.grace.Milliseconds())
+	}()
+	select {
+	case <-logged:
+	case <-time.After(exitLogWait):
+	}
+	os.Exit(exitFailed)
+}
--- a/cmd/wharf-gateway/main.go
+++ b/cmd/wharf-gateway/main.go
@@ -51,7 +51,10 @@
 	}
 	memory.LimitRuntime(settings.MemoryBytes)
 	log := newLog(o.LogLevel).With("instance", settings.Name)
-	if err := serve(context.Background(), settings, log, signals); err != nil {
+	handled := make(chan os.Signal, cap(signals))
+	guard := &exitGuard{grace: settings.Bounds.StopGrace, log: log}
+	go guard.run(signals, handled)
+	if err := serve(context.Background(), settings, log, handled); err != nil {
 		log.Error("stopped", "error", err.Error())
 		return exitFailed
 	}
--- a/cmd/wharf-gateway/process_test.go
+++ b/cmd/wharf-gateway/process_test.go
@@ -34,19 +34,27 @@
 	node    site.Node
 	command *exec.Cmd
 	log     string
-	ended   chan error
+	// stdout takes the place of the log file if it is not nil.
+	stdout *os.File
+	ended  chan error
 }
 
 // startProcess starts an instance as a process, with the store at an address. Its settings may be
 // changed before.
 func startProcess(t *testing.T, store string, changes ...func(*site.Node)) *gatewayProcess {
+	t.Helper()
+	return startProcessWithLog(t, nil, store, changes...)
+}
+
+// startProcessWithLog is startProcess, with a file for the log, or nil.
+func startProcessWithLog(t *testing.T, stdout *os.File, store string, changes ...func(*site.Node)) *gatewayProcess {
 	t.Helper()
 	n := lastInstanceNumber.Add(1)
 	ip := instanceIP(n)
 	ports, err := site.FreePorts(ip, 4)
 	qt.Assert(t, err, qt.IsNil)
 	address := func(i int) string { return fmt.Sprintf("%s:%d", ip, ports[i]) }
-	p := &gatewayProcess{t: t, ended: make(chan error, 1), node: site.Node{
+	p := &gatewayProcess{t: t, stdout: stdout, ended: make(chan error, 1), node: site.Node{
 		Name: fmt.Sprintf("p%d", n), IP: ip, Domain: "a", Callers: address(0), Ready: address(1), Directory: address(2), Exchange: address(3),
 		InternalPort: firstInternalPort, Store: store,
 	}}
@@ -63,6 +71,9 @@
 	p.command = exec.Command(os.Args[0])
 	p.command.Env = append(os.Environ(), runGatewayVariable+"=1", "WISTERIAWHARF_NODE_FILE="+file)
 	p.command.Stdout, p.command.Stderr = log, log
+	if p.stdout != nil {
+		p.command.Stdout = p.stdout
+	}
 	qt.Assert(t, p.command.Start(), qt.IsNil)
 	go func() { p.ended <- p.command.Wait() }()
 	t.Cleanup(func() {
--- a/cmd/wharf-gateway/stop.go
+++ b/cmd/wharf-gateway/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -17,9 +18,10 @@
 	// still use a cached directory answer.
 	acceptUntil = 0.6
 	// answerUntil is by when all requests are answered.
-	answerUntil = 0.93
-	// writeUntil is by when these answers are written.
-	writeUntil = 0.97
+	answerUntil = 0.89
+	// writeUntil is by when these answers are written. What is left until exitUntil is for the end of the
+	// servers, which a process that gets little processor time needs.
+	writeUntil = 0.91
 	// minStop is what a stop has at least, for the requests that are open, if it is not known when
 	// SIGTERM came.
 	minStop = 0.2
@@ -54,7 +56,8 @@
 	s.log.Info("planned stop", "open", s.gateway.InFlight())
 	s.stopping.Store(true)
 	s.gateway.BeginStop(schedule.answerBy)
-	s.exchange.SendHeartbeats()
+	// Neither must hold up the stop. Heartbeats wait for the locks of the mirrors.
+	go s.exchange.SendHeartbeats()
 	go s.deregister()
 	phases, err := servers.stop(s.clock, s.gateway, schedule)
 	answered, refused := s.gateway.StopCounts()
@@ -121,7 +124,7 @@
 	} else {
 		_ = v.callerListener.Close() // it accepts no more connections, even if Close fails
 	}
-	<-v.acceptDone // the server has closed the listener
+	v.awaitAcceptDone(schedule.answerBy - clock.Boottime())
 	phases.listenerClosed = clock.Boottime()
 	waitUntil(clock, schedule.answerBy, func() bool { return !v.connections.hasNewOrActive() })
 	gate.RefuseNew()
@@ -138,10 +141,7 @@
 		open = gate.LogOpen()
 	}
 	_, phases.cut = v.connections.count()
-	shutdown(v.callerServer)
-	for _, server := range v.otherServers {
-		shutdown(server)
-	}
+	shutdownAll(append(v.otherServers, v.callerServer))
 	phases.ended = clock.Boottime()
 	if !answered {
 		return phases, errors.Errorf("%d requests were still open", open)
@@ -161,6 +161,26 @@
 	return true
 }
 
+// awaitAcceptDone waits until the server for callers has accepted the connections that were completed when the
+// listener ended, and has closed it. Callers may complete connections faster than a process with little
+// processor time accepts them, so the listener is closed after the timeout.
+func (v *servers) awaitAcceptDone(timeout time.Duration) {
+	select {
+	case <-v.acceptDone:
+	case <-time.After(timeout):
+		_ = v.callerListener.Close() // fails only if it is closed
+	}
+}
+
+// shutdownAll closes servers at the same time, so that they share the time that is left.
+func shutdownAll(servers []*http.Server) {
+	var group sync.WaitGroup
+	for _, server := range servers {
+		group.Go(func() { shutdown(server) })
+	}
+	group.Wait()
+}
+
 // shutdown closes a server and its idle connections. Requests that are open after
 // shutdownTimeout are cut.
 func shutdown(server *http.Server) {
