Keep the limits of connections, and explain placements

Searchers reset connections over their limit while instances were killed, restarted and cut off. The part of an instance followed its present view of the others: it took too much after its start and after a cut, kept connections that were in use when its part became smaller, and dropped from the count those that a searcher could not see end. The part now falls at once and rises late, silent instances count, and an instance that stands by keeps no connections.

wharfctl placement asks an instance where a request would go now, and why. The functions that exclude a searcher now return their reason, and the choice and the explanation both use them.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -184,11 +184,11 @@
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Stats.Blocked(now) || (c.Stats.blockDuration > 0 && c.Outstanding > 0) {
+		if !c.MayGet(now) {
 			continue
 		}
 		// A small random factor keeps the instances from all choosing the same searcher.
-		cost := c.cost(now, serviceLatency) * (1 + 0.05*rand.Float64())
+		cost := c.Cost(now, serviceLatency) * (1 + 0.05*rand.Float64())
 		if cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -196,9 +196,15 @@
 	return best
 }
 
-// cost returns the cost of sending a request to the candidate. It is the expected time
+// MayGet reports whether the candidate may get a request: it is not blocked, and no trial request after a
+// block is outstanding.
+func (c *Candidate) MayGet(now time.Duration) bool {
+	return !c.Stats.Blocked(now) && (c.Stats.blockDuration == 0 || c.Outstanding == 0)
+}
+
+// Cost returns the cost of sending a request to the candidate. It is the expected time
 // until a reply in nanoseconds, increased by the penalties and by the failure rate.
-func (c *Candidate) cost(now, serviceLatency time.Duration) float64 {
+func (c *Candidate) Cost(now, serviceLatency time.Duration) float64 {
 	latency := c.Stats.latency
 	if !c.Stats.measured {
 		latency = serviceLatency
--- a/cmd/wharf-gateway/servers.go
+++ b/cmd/wharf-gateway/servers.go
@@ -64,6 +64,7 @@
 		s.settings.ExchangeAddress:  s.exchange.Register,
 		internalPortAddress(s.settings, metricsPortOffset): func(e *echo.Echo) {
 			e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})))
+			s.registerPlacement(e)
 		},
 	} {
 		e := echo.New()
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -55,15 +55,19 @@
 	// stalls notices when the process stands still. stalledSeconds counts for how long.
 	stalls         *arrival.StallDetector
 	stalledSeconds prometheus.Counter
-	// budgetSharers is by how many the budgets of the services, and the connections that the
-	// searchers accept, are divided to get the part of this instance.
+	// budgetSharers is by how many the budgets of the services are divided to get the part of this
+	// instance.
 	budgetSharers atomic.Int64
+	// connectionShare is the part of this instance of the connections that the searchers accept.
+	connectionShare atomic.Pointer[fleet.ConnectionShare]
 	// position holds the bits of the place of this instance among those that share the
 	// budgets, a float64.
 	position atomic.Uint64
 	// wasReady is the result of ready when the periodic tasks last ran. It is for functions
 	// that are called while a mirror is locked, which ready would wait for.
 	wasReady atomic.Bool
+	// instancesKnown says, in the same way, that the entries of the other instances are known.
+	instancesKnown atomic.Bool
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 }
@@ -87,6 +91,7 @@
 	s.registry.MustRegister(collectors.NewGoCollector(), s.stalledSeconds)
 	s.instances = fleet.NewInstances(s.self)
 	s.budgetSharers.Store(startupMinSharers)
+	s.connectionShare.Store(&fleet.ConnectionShare{Instances: unknownSharers})
 	var err error
 	s.store, err = platform.NewStoreClient(settings.StoreAddress, s.registry)
 	if err != nil {
@@ -95,8 +100,9 @@
 	s.store.Memory = s.memory
 	s.dispatch = dispatch.New(dispatch.Config{
 		Instance: settings.Name, FailureDomain: settings.FailureDomain, RegionOf: settings.RegionOf, Bounds: settings.Bounds, Clock: s.clock,
-		InstanceCount: func() int { return int(s.budgetSharers.Load()) },
-		Position:      func() float64 { return math.Float64frombits(s.position.Load()) }, Log: log, Registry: s.registry,
+		InstanceCount:   func() int { return int(s.budgetSharers.Load()) },
+		ConnectionShare: func() fleet.ConnectionShare { return *s.connectionShare.Load() },
+		Position:        func() float64 { return math.Float64frombits(s.position.Load()) }, Log: log, Registry: s.registry,
 		StalledBetween: s.stalls.StalledBetween, Memory: s.memory,
 	})
 	s.gateway = gateway.New(gateway.Config{Dispatcher: s.dispatch, Clock: s.clock, Log: log, Registry: s.registry, StalledBetween: s.stalls.StalledBetween, Memory: s.memory})
@@ -133,6 +139,9 @@
 const (
 	startupMinSharers = 12
 	startupPeriod     = 1200 * time.Millisecond
+	// unknownSharers is by how many the connections are divided while the entries of the other instances
+	// are not known. It leaves one connection to each searcher.
+	unknownSharers = 1 << 20
 )
 
 // ready reports whether callers may be sent to this instance.
@@ -201,6 +210,7 @@
 		}
 		now := s.clock.Boottime()
 		s.wasReady.Store(s.ready())
+		s.instancesKnown.Store(s.mirrors[platform.KindInstances].Revision() > 0)
 		s.instances.SetLoad(s.processorTime.load(now))
 		s.observeStall(now)
 		s.updateBudgetSharers()
@@ -241,8 +251,8 @@
 	}
 }
 
-// updateBudgetSharers updates budgetSharers and position. During startupPeriod it sets at least
-// startupMinSharers. Connections above the new part are closed.
+// updateBudgetSharers updates budgetSharers, connectionShare and position. During startupPeriod it divides
+// by at least startupMinSharers. Connections above the new part are closed.
 func (s *service) updateBudgetSharers() {
 	now := s.awake()
 	n := s.instances.SharedBy(now, s.wasReady.Load())
@@ -250,7 +260,16 @@
 		n = max(n, startupMinSharers)
 	}
 	s.position.Store(math.Float64bits(s.instances.Position(now)))
-	if before := s.budgetSharers.Swap(int64(n)); int64(n) > before {
+	s.budgetSharers.Store(int64(n))
+	if !s.instancesKnown.Load() {
+		return
+	}
+	share := s.instances.ConnectionShare(now)
+	if now-s.startedAt < startupPeriod {
+		share.Instances = max(share.Instances, startupMinSharers)
+	}
+	if before := s.connectionShare.Swap(&share); share.Instances > before.Instances || share.Standby && !before.Standby {
+		s.log.Info("part of the connections to searchers is smaller", "divided_by", share.Instances, "before", before.Instances, "standby", share.Standby)
 		s.dispatch.CloseExcessConnections()
 	}
 }
--- a/cmd/wharfctl/main.go
+++ b/cmd/wharfctl/main.go
@@ -99,6 +99,7 @@
 	add(process, "awaited", "Show processes that have not acknowledged the removal of a lost broker", &awaitedCommand{app: a})
 	add(process, "ended", "State that a process has ended, so that nothing waits for it", &orderCommand{app: a, kind: control.OrderProcess, out: true})
 	add(a.parser, "explain", "Show what instances know of a request", &explainCommand{app: a})
+	add(a.parser, "placement", "Ask an instance where a request would go now, and why", &placementCommand{app: a})
 	add(a.parser, "dev-ca", "Create certificates for tests and demonstrations", &devCACommand{app: a})
 	add(a.parser, "completion", "Print the completion script for bash", &completionCommand{app: a})
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -101,6 +101,10 @@
 		Bounds: platform.Bounds{RetryRatio: 0.2, RetryExtra: 4}, Registry: prometheus.NewRegistry(),
 	})
 	d.SetConfig(routing.NewConfig(1, nil, []*routing.Service{{Name: "s", MaxConnections: 10}}, routing.Limits{}))
+	standby := false
+	d.config.ConnectionShare = func() fleet.ConnectionShare {
+		return fleet.ConnectionShare{Instances: instances, Standby: standby}
+	}
 	reply := make(chan struct{})
 	d.PutSearcher(fleet.Searcher{ID: "i", Service: "s", Address: startServer(t, func() { <-reply }), Slots: requests})
 	ended := make(chan Event, requests)
@@ -128,6 +132,39 @@
 	after, idle := open()
 	qt.Assert(t, after, qt.Equals, 3)
 	qt.Assert(t, idle, qt.Equals, 3)
+	d.SetConfig(routing.NewConfig(2, nil, []*routing.Service{{Name: "s", MaxConnections: 7}}, routing.Limits{}))
+	after, _ = open()
+	qt.Assert(t, after, qt.Equals, 2)
+	standby = true
+	d.CloseExcessConnections()
+	after, _ = open()
+	qt.Assert(t, after, qt.Equals, 0)
+	qt.Assert(t, sendOne(t, d, First), qt.IsTrue)
+	qt.Assert(t, idleTarget(t, d), qt.Equals, 0)
+}
+
+// TestBusyConnectionsAboveThePartAreClosed guards against connections that are in use while the part of an
+// instance becomes smaller, and are kept afterwards.
+func TestBusyConnectionsAboveThePartAreClosed(t *testing.T) {
+	server := startHeldServer(t)
+	instances := 1
+	d := newDispatcher(func() int { return instances })
+	d.PutSearcher(fleet.Searcher{ID: "i", Service: "s", Address: server.address, Slots: 9})
+	const requests = 6
+	ended := make(chan Event, requests)
+	for range requests {
+		start(t, d, ended)
+		<-server.arrived
+	}
+	d.mu.Lock()
+	instances = 3 // a third of nine connections
+	d.mu.Unlock()
+	d.CloseExcessConnections()
+	for range requests {
+		server.reply <- struct{}{}
+		qt.Assert(t, (<-ended).Outcome, qt.Equals, Answered)
+	}
+	qt.Assert(t, idleTarget(t, d), qt.Equals, 3)
 }
 
 // TestOlderConfigIsIgnored guards against limits of services that go back to an older configuration.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -59,9 +59,11 @@
 	RegionOf map[string]string
 	Bounds   platform.Bounds
 	Clock    clock.Clock
-	// InstanceCount returns the number of instances that share the connections and the
-	// budgets, this one included.
+	// InstanceCount returns the number of instances that share the budgets, this one included.
 	InstanceCount func() int
+	// ConnectionShare returns the part of this instance of the connections that a searcher accepts.
+	// If it is nil, all instances have equal parts.
+	ConnectionShare func() fleet.ConnectionShare
 	// Position returns the place of this instance in the order of those instances, from 0 to
 	// below 1. It is 0 if Position is nil.
 	Position func() float64
@@ -99,6 +101,11 @@
 	if config.Position == nil {
 		config.Position = func() float64 { return 0 }
 	}
+	if config.ConnectionShare == nil {
+		config.ConnectionShare = func() fleet.ConnectionShare {
+			return fleet.ConnectionShare{Instances: config.InstanceCount()}
+		}
+	}
 	if config.StalledBetween == nil {
 		config.StalledBetween = func(_, _ time.Duration) bool { return false }
 	}
@@ -116,15 +123,25 @@
 // SetConfig applies the settings of all services of a configuration, unless a later version is
 // in force. Services that it doesn't name keep their settings.
 func (d *Dispatcher) SetConfig(c *routing.Config) {
+	if d.setConfig(c) {
+		d.CloseExcessConnections()
+	}
+}
+
+// setConfig applies the settings, and reports whether a service accepts fewer connections than before.
+func (d *Dispatcher) setConfig(c *routing.Config) (fewer bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if c.Version < d.configVersion {
-		return
+		return false
 	}
 	d.configVersion = c.Version
 	for _, s := range c.Services {
-		d.service(s.Name).settings = *s
+		known := d.service(s.Name)
+		fewer = fewer || s.MaxConnections < known.settings.MaxConnections
+		known.settings = *s
 	}
+	return fewer
 }
 
 // SetDomainOut takes a failure domain out of service if out is true, else back in.
@@ -218,12 +235,18 @@
 }
 
 // CloseExcessConnections closes idle connections to searchers to which this instance has more
-// than its part of the connections. It is to be called when the part has become smaller.
+// than its part of the connections, all of them if it stands by. It is to be called when the part
+// has become smaller. Connections in use are closed when their requests end.
 func (d *Dispatcher) CloseExcessConnections() {
+	standby := d.config.ConnectionShare().Standby
 	d.mu.Lock()
 	var excess []*connection
 	for _, t := range d.searchers {
-		if n := min(t.open-d.connectionLimit(t.service), len(t.idle)); n > 0 {
+		n := min(t.open-d.connectionLimit(t.service), len(t.idle))
+		if standby {
+			n = len(t.idle)
+		}
+		if n > 0 {
 			excess = append(excess, t.idle[:n]...)
 			t.idle = append([]*connection(nil), t.idle[n:]...)
 		}
@@ -263,21 +286,44 @@
 // usable reports whether a searcher may get one more request for the given regions; none means
 // any region. It checks the limit of a cold searcher, but not whether the searcher has room.
 func (d *Dispatcher) usable(t *target, regions []string, now time.Duration) bool {
-	if !d.available(t, regions) {
-		return false
+	return d.unusable(t, regions, now) == ""
+}
+
+// unusable returns why a searcher is not usable, empty if it is.
+func (d *Dispatcher) unusable(t *target, regions []string, now time.Duration) string {
+	if reason := d.unavailable(t, regions); reason != "" {
+		return reason
 	}
-	if now < t.coldUntil && t.service.settings.MaxColdRequestsPerSecond > 0 {
-		return t.coldLimiter.Allows(d.coldLimit(t.service), now)
+	if now < t.coldUntil && t.service.settings.MaxColdRequestsPerSecond > 0 && !t.coldLimiter.Allows(d.coldLimit(t.service), now) {
+		return excludedCold
 	}
-	return true
+	return ""
 }
 
 // available reports whether a searcher may get requests for the given regions at all.
 func (d *Dispatcher) available(t *target, regions []string) bool {
-	if t.removed || t.Draining || t.notices.IsLeaving() || t.addressReused || d.outDomains[t.FailureDomain] || (t.missing && !t.service.mostMissing()) {
-		return false
+	return d.unavailable(t, regions) == ""
+}
+
+// unavailable returns why a searcher is not available, empty if it is.
+func (d *Dispatcher) unavailable(t *target, regions []string) string {
+	switch {
+	case t.removed:
+		return excludedRemoved
+	case t.Draining:
+		return excludedDraining
+	case t.notices.IsLeaving():
+		return excludedLeaving
+	case t.addressReused:
+		return excludedReused
+	case d.outDomains[t.FailureDomain]:
+		return excludedDomainOut
+	case t.missing && !t.service.mostMissing():
+		return excludedMissing
+	case len(regions) > 0 && !slices.Contains(regions, d.config.RegionOf[t.FailureDomain]):
+		return excludedRegion
 	}
-	return len(regions) == 0 || slices.Contains(regions, d.config.RegionOf[t.FailureDomain])
+	return ""
 }
 
 // coldLimit returns the limit on requests to a cold searcher of the service.
@@ -295,5 +341,5 @@
 // connectionLimit returns how many connections this instance may have to one searcher of
 // the service, at least one.
 func (d *Dispatcher) connectionLimit(s *service) int {
-	return max(int(usableConnectionShare*float64(s.settings.MaxConnections)/float64(d.config.InstanceCount())), 1)
+	return max(int(usableConnectionShare*float64(s.settings.MaxConnections)/float64(d.config.ConnectionShare().Instances)), 1)
 }
--- a/dispatch/lifecycle.go
+++ b/dispatch/lifecycle.go
@@ -215,10 +215,11 @@
 	a.OnEnd(e)
 }
 
-// release returns a connection to the idle ones if it can still be used, and closes it
-// otherwise. The caller holds the lock, and runs the returned functions without it.
+// release returns a connection to the idle ones if it can still be used and is within the part of
+// this instance, and closes it otherwise. The caller holds the lock, and runs the returned functions without it.
 func (d *Dispatcher) release(t *target, conn *connection) []func() {
-	if conn.Usable(time.Now()) && !t.removed && !t.Draining && !t.notices.IsLeaving() && !t.outsideSubset {
+	unwanted := t.removed || t.Draining || t.notices.IsLeaving() || t.outsideSubset || d.config.ConnectionShare().Standby
+	if !unwanted && t.open <= d.connectionLimit(t.service) && conn.Usable(time.Now()) {
 		t.idle = append(t.idle, conn)
 		return t.service.launchQueued(d)
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -135,13 +135,49 @@
 // hasRoom reports whether a searcher may get one more request from this instance now,
 // within its limits of requests and of connections, and outside of a pause.
 func (d *Dispatcher) hasRoom(t *target, now time.Duration) bool {
-	if !d.withinRateLimit(t, now) || !t.notices.Decide(now, len(t.running)).Allowed() {
-		return false
+	return d.roomExclusion(t, now) == ""
+}
+
+// roomExclusion returns why a searcher has no room, empty if it has.
+func (d *Dispatcher) roomExclusion(t *target, now time.Duration) string {
+	switch {
+	case !d.withinRateLimit(t, now):
+		return excludedRateLimit
+	case !t.notices.Decide(now, len(t.running)).Allowed():
+		return excludedPause
+	case t.limit.Reached(len(t.running), t.Slots, d.config.InstanceCount()):
+		return excludedConcurrency
+	case len(t.idle) > 0:
+		return ""
+	case t.open >= d.connectionLimit(t.service):
+		return excludedConnections
+	case t.dialPause.Left(now) > 0:
+		return excludedRejecting
+	}
+	return ""
+}
+
+// unreachable returns why a searcher may not get requests of the regions, whatever searchers a request avoids, empty
+// if it may.
+func (d *Dispatcher) unreachable(t *target, regions []string, now time.Duration) string {
+	if reason := d.unusable(t, regions, now); reason != "" {
+		return reason
 	}
-	if t.limit.Reached(len(t.running), t.Slots, d.config.InstanceCount()) {
-		return false
+	if t.stats.Blocked(now) {
+		return excludedUnreachable
+	}
+	return ""
+}
+
+// exclusion returns why a searcher is not eligible for a request, empty if it is.
+func (d *Dispatcher) exclusion(t *target, r Request, now time.Duration) string {
+	if reason := d.unreachable(t, r.Regions, now); reason != "" {
+		return reason
+	}
+	if slices.Contains(r.Avoid, t.ID) {
+		return excludedAvoided
 	}
-	return len(t.idle) > 0 || t.open < d.connectionLimit(t.service) && t.dialPause.Left(now) == 0
+	return ""
 }
 
 // eligible returns the searchers that may get the request, whether or not they have room.
@@ -149,7 +185,7 @@
 func (d *Dispatcher) eligible(s *service, r Request, now time.Duration) []*target {
 	var usable []*target
 	for _, t := range s.targets {
-		if d.usable(t, r.Regions, now) && !t.stats.Blocked(now) {
+		if d.unreachable(t, r.Regions, now) == "" {
 			usable = append(usable, t)
 		}
 	}
@@ -161,7 +197,7 @@
 // that are outside of the subset that this instance keeps connections to.
 func (d *Dispatcher) markOutsideSubset(s *service, usable []*target) {
 	connections := int(usableConnectionShare * float64(s.settings.MaxConnections))
-	size := balance.SubsetSize(len(usable), connections, d.config.InstanceCount())
+	size := balance.SubsetSize(len(usable), connections, d.config.ConnectionShare().Instances)
 	members := make([]balance.SubsetCandidate, len(usable))
 	for i, t := range usable {
 		members[i] = balance.SubsetCandidate{ID: t.ID, SameDomain: t.FailureDomain == d.config.FailureDomain}
--- a/fleet/instances.go
+++ b/fleet/instances.go
@@ -47,6 +47,8 @@
 	// removedAt holds, by name, when an instance was removed that may still use its share
 	// of the budgets and connections.
 	removedAt map[string]time.Duration
+	// connectionParts is the state of ConnectionShare.
+	connectionParts connectionParts
 	// recentLoads holds the load of each failure domain.
 	recentLoads map[string]*recentLoad
 }
--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -96,6 +96,8 @@
 	// whose request is being written, nil if there is none or its end no longer matters.
 	begun  bool
 	writer *Exchange
+	// writtenAt is when that write began.
+	writtenAt time.Time
 	// writeErr is why the request could not be written, nil if it could.
 	writeErr error
 	// err is why the connection was closed, nil while it is open.
@@ -130,7 +132,8 @@
 
 // NewConn returns a connection over raw and starts reading from it. onClose is called once,
 // when the connection is closed by either side. If that ends an exchange, onClose is called
-// before the Done of the exchange.
+// before the Done of the exchange, unless the searcher's host can't be reached: then it is called when
+// the searcher knows of the end.
 func NewConn(raw net.Conn, limits Limits, onClose func(*Conn)) *Conn {
 	bounded := &boundedReader{reader: raw}
 	c := &Conn{raw: raw, reader: bufio.NewReaderSize(bounded, readBufferBytes), bounded: bounded, limits: limits, onClose: onClose, opened: time.Now()}
@@ -174,6 +177,7 @@
 	}
 	c.err = err
 	e := c.pending
+	unheard := errors.Is(err, ErrClosedLocally) && c.unheard()
 	c.pending = nil
 	switch {
 	case e == nil:
@@ -184,8 +188,7 @@
 		e = nil
 	}
 	c.mu.Unlock()
-	_ = c.raw.Close() // the error is ignored, since the connection is not used again
-	c.onClose(c)
+	c.closeRaw(unheard)
 	if e != nil {
 		e.Done(nil, err)
 	}
--- a/searcher/write.go
+++ b/searcher/write.go
@@ -35,7 +35,7 @@
 	if c.err != nil || c.pending != e {
 		return false
 	}
-	c.begun, c.writer = true, e
+	c.begun, c.writer, c.writtenAt = true, e, time.Now()
 	return true
 }
 
