Let requests wait while the part of the connections is small, end the guard with the stop

A whole run of the gateway's tests showed two faults. An instance that did not know the others yet queued as few requests as it had connections and refused a burst: the queue now follows the part of the budgets, as before. The guard of a stop ended processes whose stop was complete, because the race detector sleeps for a second at the end: the guard ends with the stop, and tests switch that sleep off. Requests are answered by 0.88 and written by 0.9 of the grace, and the guard acts at 0.945.

TestPausedProcessKeepsSearchers and TestStopPausedProcess failed before and pass now, with TestStopEndsBeforeGrace, TestStopWithBlockedLog and TestStopDuringStart, with the race detector.

--- a/cmd/wharf-gateway/exitguard.go
+++ b/cmd/wharf-gateway/exitguard.go
@@ -11,7 +11,7 @@
 const (
 	// exitUntil is the share of the stop grace after which the process ends whatever it waits for. The
 	// rest is for a process that gets little processor time.
-	exitUntil = 0.935
+	exitUntil = 0.945
 	// exitLogWait is the longest wait for the log line of an end by force: the log may be what hangs.
 	exitLogWait = 5 * time.Millisecond
 )
@@ -21,14 +21,17 @@
 type exitGuard struct {
 	grace time.Duration
 	log   *slog.Logger
-	once  sync.Once
+
+	mu    sync.Mutex
+	timer *time.Timer // nil before the signal
+	ended bool
 }
 
 // run passes signals on until from is closed. It must not run in the goroutine that handles them.
 func (g *exitGuard) run(from <-chan os.Signal, to chan<- os.Signal) {
 	for sig := range from {
 		if sig != syscall.SIGHUP {
-			g.once.Do(func() { time.AfterFunc(time.Duration(exitUntil*float64(g.grace)), g.exit) })
+			g.arm()
 		}
 		select {
 		case to <- sig:
@@ -37,6 +40,25 @@
 	}
 }
 
+// arm starts the time, unless it runs.
+func (g *exitGuard) arm() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.timer == nil && !g.ended {
+		g.timer = time.AfterFunc(time.Duration(exitUntil*float64(g.grace)), g.exit)
+	}
+}
+
+// end ends the guard, when the stop is complete and only the exit code is left to be returned.
+func (g *exitGuard) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended = true
+	if g.timer != nil {
+		g.timer.Stop()
+	}
+}
+
 // exit ends the process at once.
 func (g *exitGuard) exit() {
 	logged := make(chan struct{})
--- a/cmd/wharf-gateway/main.go
+++ b/cmd/wharf-gateway/main.go
@@ -54,6 +54,7 @@
 	handled := make(chan os.Signal, cap(signals))
 	guard := &exitGuard{grace: settings.Bounds.StopGrace, log: log}
 	go guard.run(signals, handled)
+	defer guard.end()
 	if err := serve(context.Background(), settings, log, handled); err != nil {
 		log.Error("stopped", "error", err.Error())
 		return exitFailed
--- a/cmd/wharf-gateway/process_test.go
+++ b/cmd/wharf-gateway/process_test.go
@@ -69,7 +69,8 @@
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = log.Close() }()
 	p.command = exec.Command(os.Args[0])
-	p.command.Env = append(os.Environ(), runGatewayVariable+"=1", "WISTERIAWHARF_NODE_FILE="+file)
+	// The race detector would sleep for a second when the process ends.
+	p.command.Env = append(os.Environ(), runGatewayVariable+"=1", "WISTERIAWHARF_NODE_FILE="+file, "GORACE=atexit_sleep_ms=0")
 	p.command.Stdout, p.command.Stderr = log, log
 	if p.stdout != nil {
 		p.command.Stdout = p.stdout
--- a/cmd/wharf-gateway/stop.go
+++ b/cmd/wharf-gateway/stop.go
@@ -18,10 +18,10 @@
 	// still use a cached directory answer.
 	acceptUntil = 0.6
 	// answerUntil is by when all requests are answered.
-	answerUntil = 0.89
+	answerUntil = 0.88
 	// writeUntil is by when these answers are written. What is left until exitUntil is for the end of the
 	// servers, which a process that gets little processor time needs.
-	writeUntil = 0.91
+	writeUntil = 0.9
 	// minStop is what a stop has at least, for the requests that are open, if it is not known when
 	// SIGTERM came.
 	minStop = 0.2
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -341,5 +341,10 @@
 // connectionLimit returns how many connections this instance may have to one searcher of
 // the service, at least one.
 func (d *Dispatcher) connectionLimit(s *service) int {
-	return max(int(usableConnectionShare*float64(s.settings.MaxConnections)/float64(d.config.ConnectionShare().Instances)), 1)
+	return s.connectionsFor(d.config.ConnectionShare().Instances)
+}
+
+// connectionsFor returns the part of the connections to one searcher that each of some instances has, at least one.
+func (s *service) connectionsFor(instances int) int {
+	return max(int(usableConnectionShare*float64(s.settings.MaxConnections)/float64(instances)), 1)
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -29,7 +29,7 @@
 	case r.Kind.Optional():
 		err = ErrBusy
 	default:
-		err = s.enqueue(a, d.connectionLimit(s))
+		err = s.enqueue(a, s.connectionsFor(d.config.InstanceCount()))
 	}
 	if err != nil && r.Kind.UsesRetryBudget() {
 		s.budget.Refund()
@@ -58,8 +58,8 @@
 }
 
 // enqueue adds an attempt to the queue. It returns ErrBusy if the queue is full.
-// connectionLimit is the number of connections that this instance may have to one searcher;
-// the length of the queue is limited in proportion to it.
+// connectionLimit is the number of connections to one searcher that this instance has in the long run;
+// the length of the queue is limited in proportion to it. Requests may wait while its part is smaller.
 func (s *service) enqueue(a *Attempt, connectionLimit int) error {
 	if len(s.queue) >= maxQueuedPerConnection*connectionLimit*max(len(s.targets), 1) {
 		return ErrBusy
