--- a/balance/balance.go
+++ b/balance/balance.go
@@ -131,6 +131,9 @@
 // reached.
 func (s *Stats) Blocked(now time.Duration) bool { return now < s.blockedUntil }
 
+// BlockedFor returns the time until the searcher may get requests again, zero if it may now.
+func (s *Stats) BlockedFor(now time.Duration) time.Duration { return max(s.blockedUntil-now, 0) }
+
 // Healthy reports whether the failure rate of the searcher is at most
 // maxHealthyFailureRate.
 func (s *Stats) Healthy(now time.Duration) bool { return s.failureRate(now) <= maxHealthyFailureRate }
@@ -186,11 +189,11 @@
 	best, bestCost := -1, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.allowed(now) {
+		if !c.MayGet(now) {
 			continue
 		}
 		// A small random factor keeps the instances from all choosing the same searcher.
-		cost := c.cost(now, serviceLatency) * (1 + 0.05*rand.Float64())
+		cost := c.Cost(now, serviceLatency) * (1 + 0.05*rand.Float64())
 		if cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -198,23 +201,15 @@
 	return best
 }
 
-// Cost returns the cost of sending a request to the candidate, without the random factor
-// of Choose. It is infinite if the candidate may not get a request.
-func (c *Candidate) Cost(now, serviceLatency time.Duration) float64 {
-	if !c.allowed(now) {
-		return math.Inf(1)
-	}
-	return c.cost(now, serviceLatency)
-}
-
-// allowed reports whether the candidate may get a request, or a trial request.
-func (c *Candidate) allowed(now time.Duration) bool {
+// MayGet reports whether the candidate may get a request: it is not blocked, and no trial request after a
+// block is outstanding.
+func (c *Candidate) MayGet(now time.Duration) bool {
 	return !c.Stats.Blocked(now) && (c.Stats.blockDuration == 0 || c.Outstanding == 0)
 }
 
-// cost returns the cost of sending a request to the candidate. It is the expected time
-// until a reply in nanoseconds, increased by the penalties and by the failure rate.
-func (c *Candidate) cost(now, serviceLatency time.Duration) float64 {
+// Cost returns the cost of sending a request to the candidate, without the random factor of Choose. It is
+// the expected time until a reply in nanoseconds, increased by the penalties and by the failure rate.
+func (c *Candidate) Cost(now, serviceLatency time.Duration) float64 {
 	latency := c.Stats.latency
 	if !c.Stats.measured {
 		latency = serviceLatency
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -18,16 +19,26 @@
 // expected cost decides if the service's requests or searchers differ enough, else the latency.
 // targets are the searchers with room.
 func (d *Dispatcher) choose(s *service, r *Request, targets []*target, now time.Duration) int {
-	latency, _ := s.latency.Quantile(0.5)
+	if !d.compare(s, r, targets, now) {
+		d.metrics.placedByLatency.Inc()
+		latency, _ := s.latency.Quantile(0.5)
+		return balance.Choose(now, d.candidates, latency)
+	}
+	d.metrics.placedByCost.Inc()
+	return cost.Choose(d.options, rand.Float64())
+}
+
+// compare describes searchers for the choice, in d.candidates, and reports whether the expected cost decides.
+// If it does, d.options holds what it decides by.
+func (d *Dispatcher) compare(s *service, r *Request, targets []*target, now time.Duration) bool {
 	d.candidates = d.candidates[:0]
 	for _, t := range targets {
 		d.candidates = append(d.candidates, t.candidate(now, d.config.FailureDomain))
 	}
 	if !s.choosesByCost(now) {
-		d.metrics.placedByLatency.Inc()
-		return balance.Choose(now, d.candidates, latency)
+		return false
 	}
-	d.metrics.placedByCost.Inc()
+	latency, _ := s.latency.Quantile(0.5)
 	estimate := s.costs.Estimate(now, r.CostKind)
 	d.options = d.options[:0]
 	for i, t := range targets {
@@ -37,12 +48,13 @@
 		if len(t.running) > 0 {
 			c.OldestExpected = time.Duration(slowness * float64(t.running[0].work.Cost))
 		}
-		d.options = append(d.options, cost.Option{
-			Cost:     c.Cost(now, latency) * cost.Lateness(c.Expected, r.DueBy-now),
-			Capacity: float64(max(t.Slots, 1)) / slowness,
-		})
+		option := cost.Option{Cost: math.Inf(1), Capacity: float64(max(t.Slots, 1)) / slowness}
+		if c.MayGet(now) {
+			option.Cost = c.Cost(now, latency) * cost.Lateness(c.Expected, r.DueBy-now)
+		}
+		d.options = append(d.options, option)
 	}
-	return cost.Choose(d.options, rand.Float64())
+	return true
 }
 
 // choosesByCost reports whether the expected cost decides where requests of the service go: if they or its
--- a/gateway/reply_forms_test.go
+++ b/gateway/reply_forms_test.go
@@ -68,7 +68,8 @@
 		{"bytes after the body", "GET", "HTTP/1.1 200 OK\r\n" + head + "Content-Length: 4\r\n\r\nbodymore", 200},
 		{"close", "POST", "HTTP/1.1 200 OK\r\n" + head + "Connection: close\r\nContent-Length: 4\r\n\r\nbody", 200},
 		{"trailers", "GET", "HTTP/1.1 200 OK\r\n" + head + "Trailer: A\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: b\r\n\r\n", 200},
-		{"unknown status", "GET", "HTTP/1.1 799 Odd\r\n" + head + "Content-Length: 4\r\n\r\nbody", 799},
+		{"unknown final status", "GET", "HTTP/1.1 599 Odd\r\n" + head + "Content-Length: 4\r\n\r\nbody", 599},
+		{"no final status", "GET", "HTTP/1.1 799 Odd\r\n" + head + "Content-Length: 4\r\n\r\nbody", 502},
 		{"failure", "GET", "HTTP/1.1 500 Failed\r\n" + head + "Content-Length: 4\r\n\r\nbody", 500},
 		{"headers of the connection", "GET", "HTTP/1.1 200 OK\r\n" + head + "Connection: A, keep-alive\r\nA: b\r\nUpgrade: x\r\nContent-Length: 4\r\n\r\nbody", 200},
 	} {
