--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"testing"
 	"time"
 
@@ -189,57 +188,53 @@
 	})
 }
 
-// TestVerdicts guards against verdicts that are wrong more often than the few replies of 12 s explain:
-// good versions that are not completed, also if the whole service has a fault for 2 s before the
-// promotion, and bad ones that are completed or get more than the bounds allow. A version that is bad
-// under load only shows that after its promotion in part, where it gets all requests.
+// TestVerdicts guards against wrong verdicts: good versions that are not completed, also if the whole
+// service has a fault for 2 s before the promotion, and bad ones that are completed, get more than the
+// bounds allow or get requests later than the limit after their 50th bad reply.
 func TestVerdicts(t *testing.T) {
-	const seeds = 40
-	runs := 0
-	wrong := make(map[string]int)
-	for _, instances := range []int{1, 6, 73, 300} {
-		for _, perSecond := range []float64{20, 50, 100} {
-			for seed := range uint64(seeds) {
-				runs++
-				x := trial{instances: instances, perSecond: perSecond, routes: 1 + int(seed%3)}
-				fault := []time.Duration{2 * time.Second, 6 * time.Second, time.Hour}[seed%3]
-				x.bad = func(random *rand.Rand, _ bool, _ int, at time.Duration, _ float64) bool {
-					return usual(random, at, 0.02, fault)
-				}
-				if out := x.run(seed); out.status.State != Completed {
-					wrong["good"]++
-				}
-				portion := 0.5 + 0.5*float64(seed)/seeds
-				for kind, change := range map[string]func(){
-					"start": func() { x.makeBad(portion, 0, -1, 0) },
-					"later": func() { x.makeBad(portion, time.Duration(seed%6)*time.Second, -1, 0) },
-					"load":  func() { x.makeBad(portion, 0, -1, 0.2) },
-					"route": func() { x.makeBad(portion, 0, 0, 0) },
-				} {
-					change()
-					out := x.run(seed)
-					if out.status.State != RolledBack {
-						wrong[kind]++
-					}
-					if out.exceeds() {
-						wrong[kind+" exceeds"]++
-					}
-					if out.lastAfter > rollbackLimit {
-						t.Errorf("%s: a bad version got a request %v after its 50th bad reply", kind, out.lastAfter)
+	portion := func(seed uint64) float64 { return 0.5 + 0.5*float64(seed)/verdictSeeds }
+	for kind, change := range map[string]func(x *trial, seed uint64){
+		"good": func(x *trial, seed uint64) {
+			fault := []time.Duration{2 * time.Second, 6 * time.Second, time.Hour}[seed%3]
+			x.bad = func(random *rand.Rand, _ bool, _ int, at time.Duration, _ float64) bool {
+				return usual(random, at, 0.02, fault)
+			}
+		},
+		"bad-from-start": func(x *trial, seed uint64) { x.makeBad(portion(seed), 0, -1, 0) },
+		"bad-later":      func(x *trial, seed uint64) { x.makeBad(portion(seed), time.Duration(seed%6)*time.Second, -1, 0) },
+		"bad-under-load": func(x *trial, seed uint64) { x.makeBad(portion(seed), 0, -1, 0.2) },
+		"bad-on-a-route": func(x *trial, seed uint64) { x.makeBad(portion(seed), 0, 0, 0) },
+	} {
+		t.Run(kind, func(t *testing.T) {
+			for _, instances := range []int{1, 6, 73, 300} {
+				for _, perSecond := range []float64{20, 50, 100} {
+					for seed := range uint64(verdictSeeds) {
+						x := trial{instances: instances, perSecond: perSecond, routes: 1 + int(seed%3)}
+						change(&x, seed)
+						checkVerdict(t, kind == "good", x.run(seed), fmt.Sprintf("%d instances, %g requests/s, seed %d", instances, perSecond, seed))
 					}
 				}
 			}
-		}
+		})
 	}
-	t.Logf("wrong in %d runs of each: %v", runs, wrong)
-	for kind, n := range wrong {
-		limit := 0.03
-		if strings.HasPrefix(kind, "load") {
-			limit = 0.05
-		}
-		if float64(n) > limit*float64(runs) {
-			t.Errorf("%s: wrong in %d of %d", kind, n, runs)
-		}
+}
+
+// verdictSeeds is the number of roll-outs of TestVerdicts for each kind, number of instances and rate.
+const verdictSeeds = 40
+
+// checkVerdict reports an outcome that is wrong for a good or a bad version.
+func checkVerdict(t *testing.T, good bool, out outcome, name string) {
+	t.Helper()
+	switch {
+	case good && out.status.State != Completed:
+		t.Errorf("%s: a good version is not completed: %+v", name, out.status)
+	case good:
+	case out.status.State != RolledBack:
+		t.Errorf("%s: a bad version is not rolled back: %+v", name, out.status)
+	case out.exceeds():
+		t.Errorf("%s: a bad version got %d requests", name, out.sent)
+	case out.lastAfter > rollbackLimit:
+		t.Errorf("%s: a bad version got a request %v after its 50th bad reply", name, out.lastAfter)
 	}
 }
 
