Clarify names, comments and long functions of roll-outs, quotas and costs

Some comments needed a second reading, told how a constant had been tuned or left out a unit or a reason, and some names were vague. They now state the fact and the reason. badNews is badNotice, unheard is unacknowledged, enough and tooLittle are sufficientShare and failingShare, and two limits of 0.5 have names. quotaexchange's tick, the roll-outs' tick, dispatch's classify and the gateway's Explain are split. Behaviour is unchanged.

--- a/cmd/wharf-gateway/exitguard.go
+++ b/cmd/wharf-gateway/exitguard.go
@@ -9,15 +9,15 @@
 )
 
 const (
-	// exitUntil is the share of the stop grace after which the process ends whatever it waits for. The
-	// rest is for a process that gets little processor time.
+	// exitUntil is the share of the stop grace period after which the process ends, whatever it waits for.
+	// The remaining time covers a process that gets little processor time.
 	exitUntil = 0.945
 	// exitLogWait is the longest wait for the log line of an end by force: the log may be what hangs.
 	exitLogWait = 5 * time.Millisecond
 )
 
-// exitGuard passes signals on. From the first one that asks for a planned stop on, it ends the process
-// shortly before the stop grace ends, also if the process has not started yet or hangs.
+// exitGuard passes signals on. The first one that asks for a planned stop starts a timer, which ends the
+// process shortly before the end of the stop grace period, also if it has not finished its start or hangs.
 type exitGuard struct {
 	grace time.Duration
 	log   *slog.Logger
@@ -40,7 +40,7 @@
 	}
 }
 
-// arm starts the time, unless it runs.
+// arm starts the timer, unless it runs or the guard has ended.
 func (g *exitGuard) arm() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/cmd/wharf-gateway/rollout_decisions.go
+++ b/cmd/wharf-gateway/rollout_decisions.go
@@ -72,14 +72,14 @@
 }
 
 // markBad records that a version is bad, so that it gets no request from here on, and schedules the
-// news for others. The caller holds the lock.
+// notice for other instances. The caller holds the lock.
 func (r *rollouts) markBad(k rollout.Key, reason, source string) {
 	if !r.book.MarkBad(k, reason, r.s.clock.Boottime()) {
 		return
 	}
 	r.s.log.Warn("new version is bad", "service", k.Service, "target", k.Target, "reason", reason, "source", source)
 	r.metrics.decisions.WithLabelValues("bad").Inc()
-	r.bad[k] = &badNews{reason: reason, left: badRepeats}
+	r.bad[k] = &badNotice{reason: reason, left: badRepeats}
 	r.publish(k.Service)
 }
 
@@ -94,16 +94,16 @@
 	}
 }
 
-// sendBad sends the news of bad versions. Leaders send it to the leaders of other failure domains
+// sendBad sends the notices of bad versions. Leaders send them to the leaders of other failure domains
 // and to all instances of their own.
 func (r *rollouts) sendBad(to []netip.Addr, leader bool) {
 	var orders []orderMessage
 	r.mu.Lock()
-	for key, news := range r.bad {
+	for key, notice := range r.bad {
 		m := newOrderMessage(key)
-		m.Bad = news.reason
+		m.Bad = notice.reason
 		orders = append(orders, m)
-		if news.left--; news.left <= 0 {
+		if notice.left--; notice.left <= 0 {
 			delete(r.bad, key)
 		}
 	}
@@ -113,8 +113,8 @@
 	}
 }
 
-// write writes a status unless a write of the object is under way, at once or after the leaders that
-// go before this one in the order for the object. The caller holds the lock.
+// write writes a status unless a write of the object is in progress. Unless atOnce is true, it first leaves
+// each leader that ranks before this one for the object the time deferredWrite. The caller holds the lock.
 func (r *rollouts) write(ctx context.Context, now time.Duration, name string, status rollout.Status, atOnce bool) {
 	since, ok := r.pending[name]
 	if !ok {
--- a/cmd/wharf-gateway/rollouts.go
+++ b/cmd/wharf-gateway/rollouts.go
@@ -18,10 +18,10 @@
 	// rolloutRefresh is the time after which an instance reports also without a change, so that
 	// the leader answers and a lost message does not last.
 	rolloutRefresh = 1 * time.Second
-	// deferredWrite is how much later than the one before it each further leader writes the
-	// same decision: usually the first write has arrived by then.
+	// deferredWrite is the delay between the writes of the same decision by two leaders. Usually the
+	// result of the first write is known by then, so that the second one is not needed.
 	deferredWrite = 300 * time.Millisecond
-	// badRepeats is how often the news of a bad version is sent, since messages may be lost.
+	// badRepeats is how often a notice of a bad version is sent, since messages may be lost.
 	badRepeats = 4
 )
 
@@ -47,8 +47,8 @@
 	// objects that are being written.
 	pending map[string]time.Duration
 	writing map[string]bool
-	// bad holds the news of bad versions that are to be sent.
-	bad map[rollout.Key]*badNews
+	// bad holds the notices of bad versions that are to be sent.
+	bad map[rollout.Key]*badNotice
 	// reported holds the last reports that were sent, reportedAt when any was sent.
 	reported   map[rollout.Key]string
 	reportedAt time.Duration
@@ -57,11 +57,13 @@
 	standbyAt time.Duration
 }
 
+// orderSums holds the reports on an order and the evidence for a verdict.
 type orderSums struct {
 	sums     *rollout.Sums
 	evidence rollout.Evidence
 }
 
+// peerLeader is the leader of another failure domain, last heard at a time.
 type peerLeader struct {
 	name, domain string
 	at           time.Duration
@@ -69,14 +71,17 @@
 	writes bool
 }
 
+// invalidOrder is an order that is rolled back because it can't be carried out.
 type invalidOrder struct {
 	order  rollout.Order
 	reason string
 }
 
-type badNews struct {
+// badNotice tells other instances that a version is bad, and why.
+type badNotice struct {
 	reason string
-	left   int
+	// left is how many more times the notice is to be sent.
+	left int
 }
 
 func newRollouts(s *service) *rollouts {
@@ -84,7 +89,7 @@
 		s: s, bounds: rollout.Bounds{Share: s.settings.Bounds.CanaryShare, Slack: s.settings.Bounds.CanarySlack}, metrics: newRolloutMetrics(s.registry),
 		book: rollout.NewBook(), sums: make(map[rollout.Key]*orderSums), invalid: make(map[string]invalidOrder), waiting: make(map[string]bool),
 		peers: make(map[netip.Addr]peerLeader), pending: make(map[string]time.Duration), writing: make(map[string]bool),
-		bad: make(map[rollout.Key]*badNews), reported: make(map[rollout.Key]string),
+		bad: make(map[rollout.Key]*badNotice), reported: make(map[rollout.Key]string),
 	}
 }
 
@@ -109,16 +114,7 @@
 	if leader && !r.s.outage.Failing() && r.s.mirrors[platform.KindRollouts].Revision() > 0 {
 		r.s.dispatch.SetRolloutContact(now)
 	}
-	r.mu.Lock()
-	current := r.book.Current(now)
-	for key := range r.sums {
-		if !slices.ContainsFunc(current, func(c rollout.Current) bool { return c.Order.Key() == key }) {
-			delete(r.sums, key)
-			delete(r.reported, key)
-		}
-	}
-	idle := len(current) == 0 && len(r.invalid) == 0 && len(r.bad) == 0
-	r.mu.Unlock()
+	current, idle := r.currentOrders(now)
 	if idle {
 		return
 	}
@@ -137,8 +133,23 @@
 	r.report(now, current, ownAddresses, otherAddresses)
 	if leader {
 		r.sendSums(now, current, sumsTo)
-		// Without the store the verdict still counts, and is sent to the others.
+		// A verdict is also needed while the store can't be reached, since it is sent to the others.
 		r.decide(ctx, now, current)
 	}
 	r.sendBad(append(otherAddresses, r.addressesOf(r.s.instances.InDomain())...), leader)
 }
+
+// currentOrders returns the orders to work on, and drops what is held for others. idle says that there is
+// nothing to report, to decide or to send.
+func (r *rollouts) currentOrders(now time.Duration) (current []rollout.Current, idle bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current = r.book.Current(now)
+	for key := range r.sums {
+		if !slices.ContainsFunc(current, func(c rollout.Current) bool { return c.Order.Key() == key }) {
+			delete(r.sums, key)
+			delete(r.reported, key)
+		}
+	}
+	return current, len(current) == 0 && len(r.invalid) == 0 && len(r.bad) == 0
+}
--- a/cost/model.go
+++ b/cost/model.go
@@ -14,8 +14,8 @@
 const (
 	// maxKinds is the number of kinds of requests that a model keeps. The routes count as kinds too.
 	maxKinds = 512
-	// halfLife is the time in which an observation loses half its weight. An instance sees a searcher of a
-	// large service about once in two seconds, so that less would leave few observations.
+	// halfLife is the time in which an observation loses half its weight. An instance gets a reply of each
+	// searcher of a large service only about every two seconds, so a shorter one leaves too few observations.
 	halfLife = 20 * time.Second
 	// maxWeight bounds the weight of past observations of a kind, so that its cost follows a
 	// change within some tens of requests however many there are.
--- a/cost/searcher.go
+++ b/cost/searcher.go
@@ -3,21 +3,23 @@
 import "time"
 
 const (
-	// maxSpeedWeight bounds the weight of past observations of a searcher's slowness. In the simulation 24
-	// gave a lower p99 than 10 in seven of nine loads. A searcher that turns slow is noticed sooner by
-	// changeFactor.
+	// maxSpeedWeight bounds the weight of past observations of a searcher's slowness. A bound of 10 gives a
+	// higher p99 in seven of nine simulated loads. Sudden changes are noticed sooner by changeFactor.
 	maxSpeedWeight = 24
 	// minSpeedWeight is the weight from which a slowness counts as known.
 	minSpeedWeight = 9
 	// jitter is the usual error of a latency, from the network and from this process. Requests of which it
 	// is a large part count less for the slowness.
 	jitter = 2 * time.Millisecond
-	// changeCount requests in succession that took changeFactor times as long as expected, or as short, are a
-	// sign that the speed of the searcher has changed. What was observed before then keeps changeKeeps of its
-	// weight with each. A single one may have waited behind an expensive request of another instance.
-	changeFactor = 4
-	changeCount  = 2
-	changeKeeps  = 0.5
+	// If changeCount requests in succession take more than changeFactor times the expected time, or less than
+	// 1/changeFactor of it, the speed of the searcher has probably changed. From then on, each such request
+	// reduces the weight of earlier observations to changeKeeps of it, if the confidence in its expected cost
+	// is at least minChangeConfidence. A single request may have waited behind an expensive one of another
+	// instance.
+	changeFactor        = 4
+	changeCount         = 2
+	changeKeeps         = 0.5
+	minChangeConfidence = 0.5
 	// slownessPrior is the weight of the service's usual speed in a searcher's slowness, in observations.
 	// It keeps few observations from counting for much, and makes a searcher that is not used for long
 	// be tried again.
@@ -199,7 +201,7 @@
 		return
 	}
 	ratio, before := float64(took)/float64(expected), s.Slowness(now)
-	if s.unexpected.add(ratio / before); confidence >= 0.5 && s.unexpected.changed() {
+	if s.unexpected.add(ratio / before); confidence >= minChangeConfidence && s.unexpected.changed() {
 		s.slowness.scale(changeKeeps)
 	}
 	s.slowness.addWeighted(now, ratio, confidence*float64(expected)/float64(expected+jitter), maxSpeedWeight)
@@ -211,8 +213,8 @@
 }
 
 const (
-	// minRatio is the least and the initial ratio. In the simulation ratios below it, which light loads
-	// teach, gave a p99 up to 3.4 % higher, and 3 sends more to other domains.
+	// minRatio is the least and the initial ratio. Lower ratios, which are learned under light load, raise the
+	// p99 by up to 3.4 % in simulations. A least ratio of 3 sends more requests to other failure domains.
 	minRatio = 2
 	// maxRatio bounds the ratio.
 	maxRatio = 8
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -65,8 +65,8 @@
 }
 
 // certainlyLate reports whether a first request, for which no searcher has room, is certain to be
-// answered too late. The requests of the queue with a lower or the same rank go before it if queued is
-// false. Nothing is certain unless the expected cost decides.
+// answered too late. queued says that it is in the queue already. Otherwise the queued requests with
+// a lower or the same rank go before it. Nothing is certain unless the expected cost decides.
 func (s *service) certainlyLate(r *Request, eligible []*target, queued bool, now time.Duration) bool {
 	if r.Kind != First || !s.choosesByCost(now) {
 		return false
--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -94,19 +94,7 @@
 		s.versions = &versions{}
 	}
 	v := s.versions
-	var census []rollout.Census
-	for _, t := range s.targets {
-		if t.Draining || t.notices.IsLeaving() {
-			continue
-		}
-		i := slices.IndexFunc(census, func(c rollout.Census) bool { return c.Version == t.Version })
-		if i < 0 {
-			census = append(census, rollout.Census{Version: t.Version, Earliest: t.StartUnixMs})
-			i = len(census) - 1
-		}
-		census[i].Searchers++
-		census[i].Earliest = min(census[i].Earliest, t.StartUnixMs)
-	}
+	census := s.census()
 	before := v.version
 	v.version = v.established.Update(d.config.Clock.Boottime(), census, v.view.Completed, func(version string) bool {
 		return slices.Contains(v.view.Barred, version)
@@ -129,6 +117,24 @@
 	}
 }
 
+// census counts the usable searchers of each version.
+func (s *service) census() []rollout.Census {
+	var census []rollout.Census
+	for _, t := range s.targets {
+		if t.Draining || t.notices.IsLeaving() {
+			continue
+		}
+		i := slices.IndexFunc(census, func(c rollout.Census) bool { return c.Version == t.Version })
+		if i < 0 {
+			census = append(census, rollout.Census{Version: t.Version, Earliest: t.StartUnixMs})
+			i = len(census) - 1
+		}
+		census[i].Searchers++
+		census[i].Earliest = min(census[i].Earliest, t.StartUnixMs)
+	}
+	return census
+}
+
 // inContact reports whether the orders known here are recent enough to follow them.
 func (d *Dispatcher) inContact(now time.Duration) bool {
 	return d.rolloutContact > 0 && now-d.rolloutContact <= rollout.MaxContactAge
@@ -336,8 +342,8 @@
 	return slowFactor
 }
 
-// countsForService reports whether the latency of the attempt tells of the service as a whole: that
-// of a version on trial does not.
+// countsForService reports whether the latency of the attempt counts for the service as a whole. That of
+// the target of a running roll-out does not.
 func (a *Attempt) countsForService() bool {
 	return a.order == nil || !a.toOrdered || a.service.versions.view.Phase == rollout.Promote || !a.service.versions.view.Active
 }
--- a/fairness/fairness.go
+++ b/fairness/fairness.go
@@ -18,11 +18,11 @@
 	maxAccounts = 1024
 	// updateInterval is the time between two computations of the shares.
 	updateInterval = 100 * time.Millisecond
-	// enough is the served share of the requests from which on capacity is not short.
-	enough = 0.95
-	// tooLittle is the served share below which the searchers fail rather than lack capacity. All ranks are drawn
-	// alike then, since balance.Shedder admits only those below a tenth in the end.
-	tooLittle = 0.1
+	// sufficientShare is the served share of the requests from which on capacity is not short.
+	sufficientShare = 0.95
+	// failingShare is the served share below which the searchers fail rather than lack capacity. The accounts are
+	// not told apart then, since balance.Shedder admits only ranks below a tenth in the end.
+	failingShare = 0.1
 	// minServedShare is the least share of its requests that an account gets served, as a share of what
 	// all accounts get. The requirement is a quarter.
 	minServedShare = 0.3
@@ -120,7 +120,7 @@
 // update computes the level up to which the accounts are served so that what was served is shared max-min fairly.
 func (t *Tracker) update() {
 	servedShare := t.served / t.total
-	if servedShare >= enough || servedShare < tooLittle {
+	if servedShare >= sufficientShare || servedShare < failingShare {
 		t.level, t.floor, t.preferred = math.Inf(1), 0, 1
 		return
 	}
--- a/fleet/connections.go
+++ b/fleet/connections.go
@@ -28,7 +28,7 @@
 // value is ready for use.
 type connectionParts struct {
 	// startedAt is when the share was first asked for, servingSince since when this instance serves, zero if
-	// it does not. Both are off by 1 ns, so that zero means never.
+	// it does not. Both are stored 1 ns later, so that zero means never.
 	startedAt    time.Duration
 	servingSince time.Duration
 	// recent holds the divisors of the last raiseDelay that no later one exceeds, in order of their times.
@@ -97,7 +97,7 @@
 }
 
 // connectionHolders returns the number of instances that may hold connections: all that have an entry, since one that
-// is cut off may use its connections again at once when it is back, and those whose entries were removed of late. The
+// is cut off may use its connections again at once when it is back, and those whose entries were removed within sharerTimeout. The
 // caller holds the lock.
 func (s *Instances) connectionHolders(now time.Duration) int {
 	n := len(s.known)
--- a/freshness/copy.go
+++ b/freshness/copy.go
@@ -7,7 +7,7 @@
 
 // Copy is what is known of the configuration in force at an instance: its version, and the latest
 // time at which no newer configuration existed. That time is always when a question was sent, never
-// when its answer came: an answer may lie in a queue, and the process may be paused, for any time.
+// when its answer came: an answer may wait in a queue for any time, and the process may be paused.
 // The zero value holds no configuration.
 type Copy struct {
 	version int64
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -22,17 +22,10 @@
 		return answer
 	}
 	answer.Route = route.Name
-	var account *routing.Account
-	if config.Accounts != nil && q.Account != "" {
-		account = config.Accounts.Named(q.Account)
-	}
-	switch {
-	case account != nil:
+	account, refused := explainedAccount(config, route, q.Account)
+	answer.Refused = refused
+	if account != nil {
 		answer.Account = &placement.Account{Name: account.Name, QuotaPerSecond: account.Quota.PerSecond, QuotaBurst: account.Quota.Burst}
-	case q.Account != "":
-		answer.Refused = "no account of this name"
-	case config.Accounts != nil && !route.Public:
-		answer.Refused = "missing API key"
 	}
 	if limit := config.Limits.MaxBodyBytes; limit > 0 && int64(q.Size) > int64(limit) {
 		answer.Refused = "body is too large"
@@ -67,5 +60,23 @@
 	return answer
 }
 
-// explainedDraw is the random number of a request that is explained: the middle of those that are drawn.
+// explainedAccount returns the client account with a name, nil if there is none, and why a request of it would
+// be refused on a route, empty if it would not be.
+func explainedAccount(config *routing.Config, route *routing.Route, name string) (account *routing.Account, refused string) {
+	if config.Accounts != nil && name != "" {
+		account = config.Accounts.Named(name)
+	}
+	switch {
+	case account != nil:
+		return account, ""
+	case name != "":
+		return nil, "no account of this name"
+	case config.Accounts != nil && !route.Public:
+		return nil, "missing API key"
+	}
+	return nil, ""
+}
+
+// explainedDraw stands for the random number from which the rank of a request is drawn. It is their mean, so
+// that explanations of the same request can be compared.
 const explainedDraw = 0.5
--- a/quota/coordinator.go
+++ b/quota/coordinator.go
@@ -40,7 +40,7 @@
 	part float64
 	// credit has the buckets whose lent credit is counted.
 	credit uint16
-	// until is when it ends. countedTo is up to when it is counted in bucket.filled.
+	// until is the end of the delegation. Up to countedTo it is included in bucket.filled.
 	until     time.Duration
 	countedTo time.Duration
 }
@@ -95,9 +95,9 @@
 	return c
 }
 
-// Delegate records the reply of an instance to a question that was sent at askedAt. instances is by
-// how many the quotas are divided, the greater of what both know.
-// credit has the buckets whose credit is lent.
+// Delegate records the reply of an instance to a question that was sent at askedAt. mask and credit have one
+// bit for each bucket that is delegated, or whose credit is lent. The quotas are divided by instances, which
+// is the greater of the numbers that the two instances know.
 func (c *Coordinator) Delegate(from string, mask, credit uint16, instances int, askedAt, now time.Duration) {
 	until := askedAt + Lease - leaseMargin
 	if until <= now || askedAt > now {
@@ -196,8 +196,10 @@
 
 const (
 	// establishedShare is the share from which on a coordinator may use the credit, lostShare the one
-	// below which it counts as new again. roundingError is a share that is no change.
+	// below which it counts as new again. majorityShare is the share that minorityTimeout refers to.
+	// Smaller differences than roundingError are no change of a share.
 	establishedShare = 0.5
+	majorityShare    = 0.5
 	lostShare        = 0.01
 	roundingError    = 1e-9
 	// maxCeilings is the number of ceilings that a bucket keeps.
@@ -213,7 +215,7 @@
 	if share < before-roundingError {
 		k.lower(share)
 	}
-	if share >= 0.5 || before < lostShare {
+	if share >= majorityShare || before < lostShare {
 		k.majority = now
 	}
 	switch {
--- a/quota/delegation.go
+++ b/quota/delegation.go
@@ -16,8 +16,8 @@
 	// AskInterval is the time between two questions of a coordinator for delegations. Two of three
 	// questions may be lost before a lease ends.
 	AskInterval = 400 * time.Millisecond
-	// leaseMargin is how much earlier the coordinator's lease ends. It is above the time for which a
-	// coordinator does not look at the ends of leases.
+	// leaseMargin is how much earlier a lease ends at the coordinator than at the instance that
+	// delegates. It is above refreshInterval, for which a coordinator may overlook the end of a lease.
 	leaseMargin = 50 * time.Millisecond
 	// coordinatorTimeout is how long a candidate may ask for nothing before it is passed over.
 	coordinatorTimeout = 900 * time.Millisecond
@@ -175,9 +175,9 @@
 	return ok && now-c.at <= coordinatorTimeout
 }
 
-// Asked records that a candidate, by its name and the time of its start, asks for delegations, and returns the buckets that are delegated to
-// it, one bit each, and those of them whose credit is lent to it. claims says that the candidate has
-// delegations of this instance. If may is false, nothing is delegated.
+// Asked records that the candidate with a name and a start asks for delegations. It returns the buckets
+// that are delegated to the candidate, one bit each, and those of them whose credit is lent to it. claims
+// says that the candidate has delegations of this instance. If may is false, nothing is delegated.
 func (d *Delegator) Asked(by string, start int64, claims, may bool, now time.Duration) (mask, credit uint16) {
 	if !slices.Contains(d.candidates, by) {
 		return 0, 0
--- a/quotaexchange/exchange.go
+++ b/quotaexchange/exchange.go
@@ -119,7 +119,7 @@
 func (e *Exchange) tick() time.Duration {
 	now := e.config.Clock.Boottime()
 	limited := e.config.Limited()
-	e.config.Counted(now, 0) // notes when this began
+	e.config.Counted(now, 0) // must be called in each interval, see Config
 	e.mu.Lock()
 	if !limited && !(e.solicited && now-e.solicitedAt <= solicitedTimeout) {
 		e.mu.Unlock()
@@ -129,6 +129,17 @@
 		return quota.AskInterval
 	}
 	e.mu.Unlock()
+	candidate := e.updatePeers(now)
+	e.metrics.accounts.Set(float64(e.Accounts()))
+	if !candidate || !limited {
+		return quota.AskInterval
+	}
+	return e.solicit(now)
+}
+
+// updatePeers updates what is known of the other instances, and removes idle accounts when that is due. It
+// reports whether this instance may be a coordinator.
+func (e *Exchange) updatePeers(now time.Duration) (candidate bool) {
 	peers, sharers := e.config.Peers(now)
 	members := make([]quota.Member, 0, len(peers))
 	addresses := make(map[string]netip.Addr, len(peers))
@@ -137,10 +148,10 @@
 		addresses[p.Name] = p.Address
 	}
 	candidates := quota.Candidates(members)
-	candidate := slices.Contains(candidates, e.config.Self)
-	stopping := e.config.Stopping()
+	candidate = slices.Contains(candidates, e.config.Self)
 
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.addresses, e.sharers, e.candidate = addresses, sharers, candidate
 	e.delegator.SetCandidates(candidates)
 	e.logChanges(now)
@@ -149,12 +160,16 @@
 		e.coordinator.Sweep(now)
 		e.sweptAt = now
 	}
-	e.mu.Unlock()
-	e.metrics.accounts.Set(float64(e.Accounts()))
+	return candidate
+}
 
-	if !candidate || !limited {
-		return quota.AskInterval
-	}
+// solicit asks all instances for delegations, or tells them that this one will coordinate no longer if it is
+// stopping. It returns the time until it has to be called again.
+func (e *Exchange) solicit(now time.Duration) time.Duration {
+	stopping := e.config.Stopping()
+	e.mu.Lock()
+	addresses := e.addresses
+	e.mu.Unlock()
 	m := message{Type: typeSolicit, From: e.config.Self, Start: e.config.StartUnixMs, AskedAt: int64(now)}
 	if stopping {
 		m = message{Type: typeLeave, From: e.config.Self}
--- a/rollout/book.go
+++ b/rollout/book.go
@@ -90,6 +90,7 @@
 	before.observePromotion(now)
 }
 
+// observePromotion notes when the phase Promote was first seen, and forgets it in other phases.
 func (e *entry) observePromotion(now time.Duration) {
 	if e.order.Status.State == Running && e.order.Status.Phase == Promote {
 		if e.promotedAt == 0 {
@@ -100,7 +101,7 @@
 	e.promotedAt = 0
 }
 
-// updateWaiting lets the time of an order that waited for another one begin when it comes into force.
+// updateWaiting restarts the time of each order that waited for another one and is now in force.
 func (b *Book) updateWaiting(now time.Duration) {
 	for name, e := range b.entries {
 		if e.state() != None {
@@ -141,8 +142,8 @@
 	return false
 }
 
-// AdoptStart sets the begin of an order to that which an instance saw that was there, unless this
-// one was.
+// AdoptStart sets the start of an order, as seen by an instance that witnessed it, unless this instance
+// witnessed it too.
 func (b *Book) AdoptStart(k Key, start time.Duration) {
 	for _, e := range b.entries {
 		if e.order.Key() == k && !e.witnessed {
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -29,10 +29,11 @@
 	// minPromoted is how long the phase Promote lasts at least: instances that have sent no
 	// counts learn of it through the mirrors, and the first replies under full load are seen.
 	minPromoted = 1000 * time.Millisecond
-	// decisionDelay is about how old the sums are, with the time until a decision is in force.
+	// decisionDelay is the usual time from a request until a decision based on it takes effect: the age
+	// of the sums and the distribution of the decision.
 	decisionDelay = 800 * time.Millisecond
 	// completionTime is the least time from the promotion to the end of the duration: minPromoted,
-	// giveUpBefore, and that for messages and writes.
+	// giveUpBefore, and 900 ms for messages and writes.
 	completionTime = 2600 * time.Millisecond
 	// unknownServiceAfter is the age of an order from which its service counts as unknown: its
 	// configuration may be written after the order.
@@ -161,8 +162,8 @@
 	return float64(total.Sent)+rate*decisionDelay.Seconds() >= limit
 }
 
-// rampFits reports whether the ramp can last for a quarter of its time at least: a shorter one
-// shows nothing and costs writes.
+// rampFits reports whether the ramp can last for at least a quarter of its planned time. A shorter one
+// yields too few replies to justify the writes of its status.
 func (b Bounds) rampFits(s Situation, portion float64) bool {
 	total := s.Sums.Total()
 	perPortion := float64(total.Requests) / portion
--- a/rollout/established.go
+++ b/rollout/established.go
@@ -10,8 +10,8 @@
 	Earliest  int64
 }
 
-// peakRetention is for how long the number of established searchers before a decline counts. A
-// service that is replaced without an order is replaced within this time.
+// peakRetention is how long the largest number of established searchers is remembered. If a service is
+// replaced without an order, its searchers have to decline to half of that number within this time.
 const peakRetention = 60 * time.Second
 
 // settleTime is how long after the first searcher of a service the version is chosen anew with each
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -31,10 +31,10 @@
 	recentWindows = 12
 	// stallShare is the portion of a window for which all searchers may pause. While the
 	// established version gets no requests, such a pause can't be told from a fault of the new
-	// one, so that one pause is expected.
+	// one, so the replies of one pause are added to the expected bad ones.
 	stallShare = 0.4
-	// priorReplies is the weight of the rate of bad replies over all the time in that of one
-	// window, in replies.
+	// priorReplies is the weight, in replies, of the rate of bad replies since the order in the
+	// estimated rate of one window.
 	priorReplies = 5
 )
 
--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -177,7 +177,7 @@
 	}
 	c.err = err
 	e := c.pending
-	unheard := errors.Is(err, ErrClosedLocally) && c.unheard()
+	unacknowledged := errors.Is(err, ErrClosedLocally) && c.unacknowledged()
 	c.pending = nil
 	switch {
 	case e == nil:
@@ -188,7 +188,7 @@
 		e = nil
 	}
 	c.mu.Unlock()
-	c.closeRaw(unheard)
+	c.closeRaw(unacknowledged)
 	if e != nil {
 		e.Done(nil, err)
 	}
--- a/searcher/unheard.go
+++ b/searcher/unacknowledged.go
@@ -16,12 +16,12 @@
 	maxCloseWait      = 60 * time.Second
 )
 
-// closeRaw closes the connection to the searcher and calls onClose. If the searcher's host has not
-// acknowledged the request, it can't be reached, so that it would keep a connection that counts as closed here:
-// then closeRaw returns at once, and onClose is called when the host has acknowledged the end. The connection counts
-// until then.
-func (c *Conn) closeRaw(unheard bool) {
-	if unheard && c.halfClose() {
+// closeRaw closes the connection to the searcher and calls onClose. If unacknowledged
+// is true, the searcher's host has not acknowledged the request and probably can't be reached. It would then keep a
+// connection that no longer counts here. In this case closeRaw returns at once, and onClose is called when the host
+// has acknowledged the end, or after maxCloseWait. The connection counts until then.
+func (c *Conn) closeRaw(unacknowledged bool) {
+	if unacknowledged && c.halfClose() {
 		go func() {
 			for wait := time.Duration(0); wait < maxCloseWait && c.endUnacknowledged(); wait += closePollInterval {
 				time.Sleep(closePollInterval)
@@ -44,9 +44,9 @@
 	return ok && tcp.CloseWrite() == nil && tcp.CloseRead() == nil
 }
 
-// unheard reports whether the searcher's host has not acknowledged the request of the exchange in progress although
+// unacknowledged reports whether the searcher's host has not acknowledged the request of the exchange in progress although
 // it should have. The caller holds the lock.
-func (c *Conn) unheard() bool {
+func (c *Conn) unacknowledged() bool {
 	if c.pending == nil || !c.begun || c.writer != nil || time.Since(c.writtenAt) < unacknowledgedFor {
 		return false
 	}
