Clarify comments of messages, leases and questions

The fields of messages between instances state their units, and the comments of leases, windows and questions say what they hold. Delegator.denied is answered, since it also holds candidates that claim a delegation. Behaviour is unchanged.

--- a/cmd/wharf-gateway/rollout_messages.go
+++ b/cmd/wharf-gateway/rollout_messages.go
@@ -28,10 +28,12 @@
 type rolloutMessage struct {
 	Kind   string `json:"k"`
 	Sender string `json:"n"`
-	// Start tells the starts of the sender apart, whose counts begin anew.
+	// Start is when the sender started, as a Unix time in milliseconds. Its counts begin at zero with each
+	// start.
 	Start  int64  `json:"s,omitempty"`
 	Domain string `json:"d,omitempty"`
-	// AskedAt is the time on the sender's boot clock in microseconds, which the answer repeats.
+	// AskedAt is the time on the sender's boot clock, in microseconds, at which counts were sent. The
+	// answer repeats it.
 	AskedAt int64 `json:"q,omitempty"`
 	// Writes says that the leader that sends sums reaches the store.
 	Writes bool `json:"w,omitempty"`
@@ -163,8 +165,8 @@
 	}
 }
 
-// receiveContact takes the orders that are known here as up to date at the time of the question, if
-// the leader that answers it knows no later ones.
+// receiveContact records that the orders known here were up to date when the question was sent, unless the
+// leader that answers knows later ones.
 func (r *rollouts) receiveContact(m rolloutMessage, now time.Duration) {
 	asked := time.Duration(m.AskedAt) * time.Microsecond
 	if asked > now || r.position().Before(mirror.Position{Epoch: m.Epoch, Revision: m.Revision}) {
--- a/freshness/asker.go
+++ b/freshness/asker.go
@@ -19,7 +19,7 @@
 	// WatchAge is the age from which on an instance that serves callers calls the store itself, as
 	// those that do it on its behalf do not answer. It leaves a second for the call.
 	WatchAge = 2100 * time.Millisecond
-	// narrow and wide are how many instances are asked at once.
+	// narrow and wide are the numbers of instances that are asked at once, usually and if an answer is urgent.
 	narrow = 1
 	wide   = 3
 	// rememberedQuestions is how many questions an Asker takes replies to.
@@ -27,8 +27,8 @@
 )
 
 // MaxAge returns the age above which a configuration may be out of date, given the time within which
-// a key that was taken away must no longer be accepted. The rest of that time covers the request that
-// is admitted at the last moment, a watch that hears of changes late, and its first answer elsewhere.
+// a key that was taken away must no longer be accepted. The rest of that time covers a request that
+// is admitted at the last moment, a watch that returns late, and the transfer to the other instances.
 func MaxAge(revocationLimit time.Duration) time.Duration { return revocationLimit * 6 / 10 }
 
 // Asker decides when an instance asks others how old its configuration is, and whom. The zero value
@@ -38,7 +38,7 @@
 	asked     int
 	// answered says that there is a reply to the last question.
 	answered bool
-	// next is the candidate after the first one with which the next wide question goes on.
+	// next counts the candidates other than the first one that were asked, to ask them in turn.
 	next      int
 	refreshed time.Duration
 }
--- a/quota/delegation.go
+++ b/quota/delegation.go
@@ -84,11 +84,11 @@
 	leases  [Buckets]lease
 	// window is the time in which a part of the credit is lent once.
 	window time.Duration
-	// started is when the process started. denied has the candidates that have said since that they
-	// have no delegation of an earlier process, and claimed says that one has said the contrary.
-	started time.Duration
-	denied  map[string]bool
-	claimed bool
+	// started is when this process started. answered holds the candidates that have said since whether
+	// they have a delegation of an earlier process, and claimed says that one of them has.
+	started  time.Duration
+	answered map[string]bool
+	claimed  bool
 }
 
 // heardCandidate says when a candidate last asked for delegations, or said that it leaves.
@@ -97,12 +97,13 @@
 	leaves bool
 }
 
-// lease says until when a part of a bucket is left to a coordinator.
+// lease is the delegation of a part of a bucket to a coordinator, by its name and start, until a time.
 type lease struct {
 	to    string
 	start int64
 	until time.Duration
-	// lentAt is when the credit was last lent, to the instance lentTo if that is not empty.
+	// lentAt is when the credit was last lent, to the process lentStart of the instance lentTo. lentTo is
+	// empty if it never was.
 	lentTo    string
 	lentStart int64
 	lentAt    time.Duration
@@ -114,7 +115,7 @@
 
 // NewDelegator returns a Delegator without candidates. The window is that of the bounds.
 func NewDelegator(window, started time.Duration) *Delegator {
-	return &Delegator{window: window, started: started, denied: make(map[string]bool), heard: make(map[string]heardCandidate)}
+	return &Delegator{window: window, started: started, answered: make(map[string]bool), heard: make(map[string]heardCandidate)}
 }
 
 // SetCandidates sets the candidates as returned by Candidates.
@@ -213,11 +214,11 @@
 		return true
 	}
 	d.noteClaim(by, claims)
-	d.denied[by] = true
+	d.answered[by] = true
 	if d.claimed || now-d.started < firstDelegation {
 		return false
 	}
-	return !slices.ContainsFunc(d.candidates, func(name string) bool { return !d.denied[name] })
+	return !slices.ContainsFunc(d.candidates, func(name string) bool { return !d.answered[name] })
 }
 
 // noteClaim notes whether an instance says that it has delegations of this one. Those of this process do
--- a/quotaexchange/message.go
+++ b/quotaexchange/message.go
@@ -29,8 +29,8 @@
 	AskedAt int64 `json:"k,omitempty"`
 	// Claims says that the sender has delegations of the receiver, maybe of an earlier process.
 	Claims bool `json:"h,omitempty"`
-	// Mask has a bit for each bucket that is delegated, Credit for each whose credit is lent. Instances is by how many the sender divides
-	// the quotas.
+	// Mask has a bit for each bucket that is delegated, Credit for each whose credit is lent. Instances is
+	// the number by which the sender divides the quotas.
 	Mask      uint16 `json:"m,omitempty"`
 	Credit    uint16 `json:"c,omitempty"`
 	Instances int    `json:"i,omitempty"`
--- a/rollout/share.go
+++ b/rollout/share.go
@@ -27,8 +27,8 @@
 // Use counts the first attempts of one instance at a service since it first saw the order.
 type Use struct {
 	Requests, Sent int64
-	// rampRequests and rampSent are the counts at the begin of the ramp. inRamp says that it
-	// has begun.
+	// rampRequests and rampSent are the counts at the start of the ramp. inRamp says that it
+	// has started.
 	inRamp                 bool
 	rampRequests, rampSent int64
 }
--- a/rollout/sums.go
+++ b/rollout/sums.go
@@ -11,9 +11,9 @@
 	Unconfirmed, RunningOld int
 }
 
-// silentAfter is the time after which a silent source no longer counts as unconfirmed: it has died, or
-// it is cut off for a time that nobody knows. In the phase Promote reports come every quarter of a
-// second, so that five are lost by then.
+// silentAfter is the age of its last report from which on a source no longer counts as unconfirmed, since it
+// has ended or may stay isolated for any time. In the phase Promote a source reports every 250 ms, so at
+// least five reports in succession are missing by then.
 const silentAfter = 1500 * time.Millisecond
 
 // source is the last report of one source.
@@ -67,6 +67,7 @@
 	return total
 }
 
+// addOpen adds what a source has not finished, unless it is silent.
 func (r *Report) addOpen(s source, now time.Duration) {
 	if now-s.at <= silentAfter {
 		r.Unconfirmed += s.Unconfirmed
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -80,6 +80,7 @@
 
 // routeEvidence is the evidence on one route.
 type routeEvidence struct {
+	// last holds the counts at the end of the last window.
 	last Counts
 	// matched is the sum of all windows with replies of both versions, unmatched that of the
 	// windows in which hardly a request went to the established version.
@@ -158,6 +159,7 @@
 	return window{replies: float64(since.NewReplies), bad: float64(since.NewBad), expected: rate * float64(since.NewReplies)}
 }
 
+// judge adds the judgement of the replies on a route, or on all of them, which where names.
 func (v *Verdict) judge(where string, r *routeEvidence) {
 	stall := window{}
 	for _, w := range r.alone {
--- a/searcher/unacknowledged.go
+++ b/searcher/unacknowledged.go
@@ -7,8 +7,7 @@
 )
 
 const (
-	// unacknowledgedFor is the age of a request from which on the searcher's host should have acknowledged
-	// it. Hosts delay acknowledgements by up to 40 ms.
+	// unacknowledgedFor is the age of a request at which the searcher's host should have acknowledged it. Hosts delay acknowledgements by up to 40 ms.
 	unacknowledgedFor = 100 * time.Millisecond
 	// closePollInterval is how often the end of a connection to a host that can't be reached is checked,
 	// maxCloseWait how long: searchers end idle connections within a minute.
