--- a/quota/delegation.go
+++ b/quota/delegation.go
@@ -16,8 +16,8 @@
 	// AskInterval is the time between two questions of a coordinator for delegations. Two of three
 	// questions may be lost before a lease ends.
 	AskInterval = 400 * time.Millisecond
-	// leaseMargin is how much earlier the coordinator's lease ends. It is above the time for which a
-	// coordinator does not look at the ends of leases.
+	// leaseMargin is how much earlier a lease ends at the coordinator than at the instance that
+	// delegates. It is above refreshInterval, for which a coordinator may overlook the end of a lease.
 	leaseMargin = 50 * time.Millisecond
 	// coordinatorTimeout is how long a candidate may ask for nothing before it is passed over.
 	coordinatorTimeout = 900 * time.Millisecond
@@ -84,11 +84,11 @@
 	leases  [Buckets]lease
 	// window is the time in which a part of the credit is lent once.
 	window time.Duration
-	// started is when the process started. denied has the candidates that have said since that they
-	// have no delegation of an earlier process, and claimed says that one has said the contrary.
-	started time.Duration
-	denied  map[string]bool
-	claimed bool
+	// started is when this process started. answered holds the candidates that have said since whether
+	// they have a delegation of an earlier process, and claimed says that one of them has.
+	started  time.Duration
+	answered map[string]bool
+	claimed  bool
 }
 
 // heardCandidate says when a candidate last asked for delegations, or said that it leaves.
@@ -97,12 +97,13 @@
 	leaves bool
 }
 
-// lease says until when a part of a bucket is left to a coordinator.
+// lease is the delegation of a part of a bucket to a coordinator, by its name and start, until a time.
 type lease struct {
 	to    string
 	start int64
 	until time.Duration
-	// lentAt is when the credit was last lent, to the instance lentTo if that is not empty.
+	// lentAt is when the credit was last lent, to the process lentStart of the instance lentTo. lentTo is
+	// empty if it never was.
 	lentTo    string
 	lentStart int64
 	lentAt    time.Duration
@@ -114,7 +115,7 @@
 
 // NewDelegator returns a Delegator without candidates. The window is that of the bounds.
 func NewDelegator(window, started time.Duration) *Delegator {
-	return &Delegator{window: window, started: started, denied: make(map[string]bool), heard: make(map[string]heardCandidate)}
+	return &Delegator{window: window, started: started, answered: make(map[string]bool), heard: make(map[string]heardCandidate)}
 }
 
 // SetCandidates sets the candidates as returned by Candidates.
@@ -175,9 +176,9 @@
 	return ok && now-c.at <= coordinatorTimeout
 }
 
-// Asked records that a candidate, by its name and the time of its start, asks for delegations, and returns the buckets that are delegated to
-// it, one bit each, and those of them whose credit is lent to it. claims says that the candidate has
-// delegations of this instance. If may is false, nothing is delegated.
+// Asked records that the candidate with a name and a start asks for delegations. It returns the buckets
+// that are delegated to the candidate, one bit each, and those of them whose credit is lent to it. claims
+// says that the candidate has delegations of this instance. If may is false, nothing is delegated.
 func (d *Delegator) Asked(by string, start int64, claims, may bool, now time.Duration) (mask, credit uint16) {
 	if !slices.Contains(d.candidates, by) {
 		return 0, 0
@@ -213,11 +214,11 @@
 		return true
 	}
 	d.noteClaim(by, claims)
-	d.denied[by] = true
+	d.answered[by] = true
 	if d.claimed || now-d.started < firstDelegation {
 		return false
 	}
-	return !slices.ContainsFunc(d.candidates, func(name string) bool { return !d.denied[name] })
+	return !slices.ContainsFunc(d.candidates, func(name string) bool { return !d.answered[name] })
 }
 
 // noteClaim notes whether an instance says that it has delegations of this one. Those of this process do
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -31,10 +31,10 @@
 	recentWindows = 12
 	// stallShare is the portion of a window for which all searchers may pause. While the
 	// established version gets no requests, such a pause can't be told from a fault of the new
-	// one, so that one pause is expected.
+	// one, so the replies of one pause are added to the expected bad ones.
 	stallShare = 0.4
-	// priorReplies is the weight of the rate of bad replies over all the time in that of one
-	// window, in replies.
+	// priorReplies is the weight, in replies, of the rate of bad replies since the order in the
+	// estimated rate of one window.
 	priorReplies = 5
 )
 
@@ -80,6 +80,7 @@
 
 // routeEvidence is the evidence on one route.
 type routeEvidence struct {
+	// last holds the counts at the end of the last window.
 	last Counts
 	// matched is the sum of all windows with replies of both versions, unmatched that of the
 	// windows in which hardly a request went to the established version.
@@ -158,6 +159,7 @@
 	return window{replies: float64(since.NewReplies), bad: float64(since.NewBad), expected: rate * float64(since.NewReplies)}
 }
 
+// judge adds the judgement of the replies on a route, or on all of them, which where names.
 func (v *Verdict) judge(where string, r *routeEvidence) {
 	stall := window{}
 	for _, w := range r.alone {
