Soak client accounts and roll-outs

The soak played deployments without client accounts and roll-outs only, so that their promises were not checked under faults that overlap.

Even seeds now play three client accounts, one of which floods and one of which loses its key at times, and one roll-out after the other. Odd seeds stay as they were. Seeds divisible by four leave the processes and the store undisturbed, so that roll-outs must come to their right end.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -26,7 +26,7 @@
 
 // call plays one caller until ctx ends.
 func (s *soak) call(ctx context.Context, n int) {
-	caller := site.NewCaller()
+	caller := s.newCaller(accountOf(n))
 	defer caller.Close()
 	var addresses []string
 	var asked time.Time
@@ -116,10 +116,10 @@
 
 // configure changes the configuration at times and checks that it is in force.
 func (s *soak) configure(ctx context.Context) {
-	caller := site.NewCaller()
+	caller := s.newCaller(plainAccount)
 	defer caller.Close()
-	for clock.Pause(ctx, 2*time.Second) == nil {
-		version := s.publish()
+	for i := 0; clock.Pause(ctx, 2*time.Second) == nil; i++ {
+		version := s.publishKeys(i)
 		published := time.Now()
 		if clock.Pause(ctx, configApply) != nil {
 			return
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -19,6 +19,9 @@
 		s.leave, s.crash, s.killProcess, s.pauseProcess, s.stopProcess, s.stopPaused,
 		s.restoreStore, s.limitSearcher, s.sayLeaving,
 	}
+	if s.features && s.report.seed%4 == 0 { // the processes and the store stay undisturbed
+		faults = []func(context.Context, time.Duration){s.searcherFault, s.leave, s.crash, s.limitSearcher, s.sayLeaving}
+	}
 	for {
 		pause := time.Duration(300+s.draw(1500)) * time.Millisecond
 		if clock.Pause(ctx, pause) != nil {
@@ -58,6 +61,8 @@
 // operator and the searchers wrote since is written again a little later.
 func (s *soak) restoreStore(ctx context.Context, length time.Duration) {
 	const outage, rewriteDelay = 300 * time.Millisecond, 500 * time.Millisecond
+	s.restoring.Lock()
+	defer s.restoring.Unlock()
 	oldCopy := s.store.Copy()
 	hold(ctx, length)
 	s.disturbed.extend(time.Now().Add(outage + rewriteDelay))
@@ -124,7 +129,17 @@
 func (s *soak) anySearcher() *site.Searcher {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.searchers[s.random.IntN(len(s.searchers))]
+	return s.searchers[s.drawSearcher()]
+}
+
+// drawSearcher returns the place of a searcher in the list, of a service that is not rolled out now.
+// s.mu is held.
+func (s *soak) drawSearcher() int {
+	for {
+		if i := s.random.IntN(len(s.searchers)); s.searchers[i].Service != s.rolling {
+			return i
+		}
+	}
 }
 
 func (s *soak) searcherFault(ctx context.Context, length time.Duration) {
@@ -144,7 +159,7 @@
 func (s *soak) takeSearcher() *site.Searcher {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i := s.random.IntN(len(s.searchers))
+	i := s.drawSearcher()
 	one := s.searchers[i]
 	s.searchers = append(s.searchers[:i], s.searchers[i+1:]...)
 	return one
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -34,7 +34,7 @@
 			seeds = append(seeds, rand.Uint64N(1<<32)+1)
 		}
 	}
-	fmt.Println("seed requests good partial refused failed cut faults violations in_stops")
+	fmt.Println("seed requests good partial refused failed cut faults violations in_stops unauthorized flood rollouts")
 	failed := false
 	for _, seed := range seeds {
 		r, err := run(plan{binary: o.Binary, out: o.Out, seed: seed, duration: o.Duration, stopsOnly: o.Stops, instances: o.Instances})
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -43,7 +43,7 @@
 func processIP(i int) string { return fmt.Sprintf("127.88.%d.%d", os.Getpid()%250, i+1) }
 
 // newProcess prepares a gateway. All gateways of a deployment serve at the same ports.
-func newProcess(binary, dir string, i int, domain string, ports []int, grace int, link *relay.TCP, seeds []string) (*process, error) {
+func newProcess(binary, dir string, i int, domain string, ports []int, grace int, link *relay.TCP, seeds []string, features bool) (*process, error) {
 	ip := processIP(i)
 	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 	p := &process{
@@ -54,6 +54,10 @@
 			InternalPort: 18740, Store: link.Address(), Seeds: seeds, StopGrace: grace,
 		},
 	}
+	if features {
+		p.node.CanaryShare, p.node.CanarySlack, p.node.RollbackMs = canaryShare, canarySlack, rollbackLimit.Seconds()*1000
+		p.node.RevokeMs = int(revokeLimit.Milliseconds())
+	}
 	p.file = filepath.Join(dir, p.node.Name+".yaml")
 	p.log = filepath.Join(dir, p.node.Name+".log")
 	return p, errors.Trace(os.WriteFile(p.file, []byte(p.node.File()), 0o644))
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -24,7 +24,11 @@
 	unanswered int
 	faults     int
 	inStops    int
-	violations []string
+	// unauthorized counts answers 401, flood is how many requests of the flooding account ran in a
+	// quotaWindow at most, orders are the roll-outs.
+	unauthorized, flood int
+	orders              string
+	violations          []string
 }
 
 func (r *report) answer(id string, status, missing int) {
@@ -87,7 +91,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	total := r.good + r.partial + r.refused + r.failed + r.unanswered
-	return fmt.Sprint(r.seed, " ", total, " ", r.good, " ", r.partial, " ", r.refused, " ", r.failed, " ", r.unanswered, " ", r.faults, " ", len(r.violations), " ", r.inStops)
+	return fmt.Sprint(r.seed, " ", total, " ", r.good, " ", r.partial, " ", r.refused, " ", r.failed, " ", r.unanswered, " ", r.faults, " ", len(r.violations), " ", r.inStops, " ", r.unauthorized, " ", r.flood, " ", r.orders)
 }
 
 // checkRuns compares what ran with what the callers were told.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -36,18 +36,33 @@
 
 // soak is one run.
 type soak struct {
-	size    deployment
-	random  *rand.Rand
-	store   *site.Store
-	server  *http.Server
-	ledger  *site.Ledger
-	gateway []*process
-	report  *report
+	size deployment
+	// features says that the deployment has client accounts and roll-outs.
+	features bool
+	random   *rand.Rand
+	store    *site.Store
+	server   *http.Server
+	ledger   *site.Ledger
+	gateway  []*process
+	report   *report
 
 	mu        sync.Mutex
 	searchers []*site.Searcher
 	started   int
 	version   int
+	// versions holds the versions of services that were rolled out. rolling is the service of the
+	// roll-out in progress: its searchers get no faults.
+	versions map[string]string
+	rolling  string
+	// keyRemoved says that the configuration lacks the key of removableAccount, absences when it did.
+	// Only configure changes them.
+	keyRemoved bool
+	absences   []absence
+	// orders are the roll-outs so far.
+	orders []*order
+	// restoring is held while the store may return to an older copy. Orders and removals of keys are
+	// not made meanwhile, so that the copy does not undo them.
+	restoring sync.Mutex
 
 	// disturbed is until when a fault that touches the store, a link or a process is
 	// in force.
@@ -79,7 +94,7 @@
 		return nil, errors.Trace(err)
 	}
 	s := &soak{
-		size:   usualDeployment(),
+		size: usualDeployment(), features: p.instances == 0 && hasFeatures(p.seed), versions: make(map[string]string),
 		random: rand.New(rand.NewPCG(p.seed, 0)), store: site.NewStore(), ledger: &site.Ledger{},
 		report: &report{seed: p.seed, answers: make(map[string]int), addresses: make(map[string]string), written: make(map[string]time.Time)},
 	}
@@ -103,11 +118,18 @@
 	s.checkRuns()
 	s.checkTimeLeft()
 	s.checkPauses()
+	if s.features {
+		s.checkAccounts()
+		s.checkOrders()
+	}
 	return s.report, nil
 }
 
 // usual starts the callers and faults of a run at the usual size.
 func (s *soak) usual(ctx context.Context, group *sync.WaitGroup, stopsOnly bool) {
+	if s.features {
+		group.Go(func() { s.rollOut(ctx) })
+	}
 	for i := range callers {
 		group.Go(func() { s.call(ctx, i) })
 	}
@@ -148,7 +170,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		p, err := newProcess(binary, dir, i, domain, ports, s.size.grace, link, seeds)
+		p, err := newProcess(binary, dir, i, domain, ports, s.size.grace, link, seeds, s.features)
 		if err != nil {
 			return err
 		}
@@ -193,15 +215,27 @@
 func (s *soak) addSearcher(service, domain string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	one, err := s.startSearcher(service, domain, s.versions[service])
+	if err != nil {
+		return err
+	}
+	s.searchers = append(s.searchers, one)
+	return nil
+}
+
+// startSearcher starts a searcher of a version, empty for that of the start. s.mu is held.
+func (s *soak) startSearcher(service, domain, version string) (*site.Searcher, error) {
 	s.started++
 	size := s.size.searcher(service)
 	one, err := site.StartSearcher(fmt.Sprintf("%s-%s-%d", service, domain, s.started), service, domain, size.work, size.slots, s.ledger)
 	if err != nil {
-		return errors.Trace(err)
+		return nil, errors.Trace(err)
+	}
+	if version != "" {
+		one.Version, one.StartUnixMs = version, time.Now().UnixMilli()
 	}
-	s.searchers = append(s.searchers, one)
 	s.store.Put("servers", one.ID, one.Entry("ready"))
-	return nil
+	return one, nil
 }
 
 // publish writes the next configuration. Its version shows in a route of its own.
@@ -209,12 +243,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.store.Put("config", "main", site.Configuration(s.version, s.size.services(), []site.Route{
+	body := site.Configuration(s.version, s.size.services(), []site.Route{
 		{Prefix: "/search/", Shards: s.size.shards, Idempotent: true, TargetMs: 200},
 		{Prefix: "/book/", Service: bookings, TargetMs: 300},
 		{Prefix: "/order/", Service: orders, Idempotent: true, TargetMs: 500},
 		{Prefix: probePath(s.version), Service: bookings, Idempotent: true, TargetMs: 300},
-	}))
+	})
+	if s.features {
+		keys := []string{removableAccount.key}
+		if s.keyRemoved {
+			keys = []string{}
+		}
+		body["tenants"] = tenants(keys)
+	}
+	s.store.Put("config", "main", body)
 	return s.version
 }
 
--- a/internal/soak/stay.go
+++ b/internal/soak/stay.go
@@ -26,6 +26,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		if len(kept) < keptConnections {
 			if c, err := site.Connect(p.node.Callers); err == nil {
+				c.Header = s.headers(plainAccount)
 				kept = append(kept, c)
 			}
 		}
--- a/standin/site/caller.go
+++ b/standin/site/caller.go
@@ -11,7 +11,11 @@
 )
 
 // Caller is a stand-in of a caller with its own connections.
-type Caller struct{ client *http.Client }
+type Caller struct {
+	// Header holds headers that are sent with each request.
+	Header http.Header
+	client *http.Client
+}
 
 // NewCaller returns a caller without connections.
 func NewCaller() *Caller {
@@ -57,6 +61,9 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	if c.Header != nil {
+		request.Header = c.Header.Clone()
+	}
 	request.Host = Host
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
--- a/standin/site/connection.go
+++ b/standin/site/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,8 @@
 // Connection is a connection of a caller, who keeps it and sends one request at a time. Unlike
 // an http.Client it never sends a request again on its own.
 type Connection struct {
+	// Header holds headers that are sent with each request.
+	Header http.Header
 	conn   net.Conn
 	reader *bufio.Reader
 }
@@ -35,8 +38,10 @@
 	if c.conn.SetDeadline(time.Now().Add(deadline+time.Second)) != nil {
 		return 0, false
 	}
-	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-		method, path, Host, id, deadline.Milliseconds())
+	var headers bytes.Buffer
+	_ = c.Header.Write(&headers) // a buffer takes all
+	_, err := fmt.Fprintf(c.conn, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: 0\r\n%s\r\n",
+		method, path, Host, id, deadline.Milliseconds(), &headers)
 	if err != nil {
 		return 0, false
 	}
