Shorten the checks of accounts and roll-outs in the soak

The searchers of a new version now state a later start than the others, so that an instance that starts does not take it for the established one. The checks are the same.

--- a/internal/soak/accounts.go
+++ b/internal/soak/accounts.go
@@ -6,8 +6,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/wisteriawharf/wisteriawharf/standin/site"
 )
 
 const (
@@ -15,62 +13,50 @@
 	// is not to be refused.
 	revokeLimit = 5 * time.Second
 	knownAfter  = 10 * time.Second
-	// floodRate and floodBurst are the quota of the account that floods, ampleRate is one that
-	// callers don't reach.
-	floodRate, floodBurst, ampleRate = 10, 10, 2000
-	// maxFlood is how many requests of the account that floods may run in a quotaWindow, with the
-	// overage of 0.1 and the slack of 20 in the settings file.
+	// floodRate is the quota of the account that floods, and its burst. In a quotaWindow maxFlood of
+	// its requests may run, with the overage of 0.1 and the slack of 20 in the settings file.
+	floodRate   = 10
 	quotaWindow = 5 * time.Second
-	maxFlood    = (floodRate*float64(quotaWindow/time.Second)+floodBurst)*1.1 + 20
+	maxFlood    = (floodRate*float64(quotaWindow/time.Second)+floodRate)*1.1 + 20
 )
 
 // account is a client account with the key that its callers use.
-type account struct{ name, key string }
+type account struct {
+	name, key string
+	rate      int
+}
 
 var (
-	plainAccount     = account{"plain", "key-plain-5f0c"}
-	removableAccount = account{"removable", "key-removable-91d2"}
-	floodingAccount  = account{"flooding", "key-flooding-c3a7"}
+	plainAccount     = account{"plain", "key-plain-5f0c", 2000}
+	removableAccount = account{"removable", "key-removable-91d2", 2000}
+	floodingAccount  = account{"flooding", "key-flooding-c3a7", floodRate}
 )
 
 // absence is a time in which the newest configuration lacks the key of removableAccount. until is
 // zero while it still does.
 type absence struct{ from, until time.Time }
 
-// hasFeatures reports whether a seed plays a deployment with client accounts and roll-outs.
-func hasFeatures(seed uint64) bool { return seed%2 == 0 }
-
-// accountOf returns the account of a caller.
-func accountOf(n int) account {
-	switch {
-	case n >= callers-2 && n < callers:
+// accountOf returns the account of a request, by its ID, which begins with the number of its caller.
+func accountOf(id string) account {
+	switch fmt.Sprintf("%.4s", id) {
+	case "0009", "0008":
 		return floodingAccount
-	case n == callers-3:
+	case "0007":
 		return removableAccount
-	default:
-		return plainAccount
 	}
+	return plainAccount
 }
 
-// accountOfRequest returns the account of a request, by its ID.
-func accountOfRequest(id string) account {
-	var n int
-	if _, err := fmt.Sscanf(id, "%04x", &n); err != nil {
-		return plainAccount // of a caller that stays, or a probe
-	}
-	return accountOf(n)
-}
-
-// tenants returns the client accounts of a configuration, with keys of removableAccount.
-func tenants(keys []string) []any {
-	one := func(name string, keys []string, rate, burst int) any {
-		return map[string]any{"name": name, "api_keys": keys, "rate_per_s": rate, "burst": burst}
-	}
-	return []any{
-		one(plainAccount.name, []string{plainAccount.key}, ampleRate, ampleRate),
-		one(removableAccount.name, keys, ampleRate, ampleRate),
-		one(floodingAccount.name, []string{floodingAccount.key}, floodRate, floodBurst),
+// tenants returns the client accounts of the next configuration.
+func (s *soak) tenants() (list []any) {
+	for _, a := range []account{plainAccount, removableAccount, floodingAccount} {
+		keys := []string{a.key}
+		if s.keyRemoved && a == removableAccount {
+			keys = []string{}
+		}
+		list = append(list, map[string]any{"name": a.name, "api_keys": keys, "rate_per_s": a.rate, "burst": a.rate})
 	}
+	return list
 }
 
 // headers returns what callers of an account send, nil if the deployment has no accounts. They
@@ -82,12 +68,6 @@
 	return http.Header{"Authorization": {"Bearer " + a.key}, "Tenant": {"forged"}}
 }
 
-func (s *soak) newCaller(a account) *site.Caller {
-	c := site.NewCaller()
-	c.Header = s.headers(a)
-	return c
-}
-
 // publishKeys writes the i-th configuration of a run. Two of four lack the key of removableAccount,
 // so that its absence outlasts revokeLimit.
 func (s *soak) publishKeys(i int) int {
@@ -95,42 +75,33 @@
 		return s.publish()
 	}
 	defer s.restoring.Unlock()
-	before, last := s.keyRemoved, len(s.absences)-1
-	s.keyRemoved = i%4 < 2
-	if before && !s.keyRemoved {
-		s.absences[last].until = time.Now()
+	if s.keyRemoved && i%4 >= 2 {
+		s.absences[len(s.absences)-1].until = time.Now()
 	}
+	begins := !s.keyRemoved && i%4 < 2
+	s.keyRemoved = i%4 < 2
 	version := s.publish()
-	if !before && s.keyRemoved {
+	if begins {
 		s.absences = append(s.absences, absence{from: time.Now()})
 	}
 	return version
 }
 
-// absent reports whether the newest configuration lacked the key of a request at any time of a span.
-func (s *soak) absent(id string, from, to time.Time) bool {
-	return accountOfRequest(id) == removableAccount && slices.ContainsFunc(s.absences, func(a absence) bool {
-		return a.from.Before(to) && (a.until.IsZero() || a.until.After(from))
-	})
-}
-
 // checkAccounts checks what ran and what was refused against the accounts. It is to be called when
 // no more requests are sent.
 func (s *soak) checkAccounts() {
-	flood := make(map[string]bool)
+	if !s.features {
+		return
+	}
+	flooded := make(map[string]bool)
 	var floodRuns []time.Time
 	for _, r := range s.ledger.Runs() {
-		a := accountOfRequest(r.RequestID)
-		if got := r.Header.Values("Tenant"); !slices.Equal(got, []string{a.name}) {
-			s.report.violate("TENANT: %s of account %s ran with the accounts %q", r.RequestID, a.name, got)
-		}
-		for name, values := range r.Header {
-			if strings.Contains(strings.Join(values, " "), a.key) {
-				s.report.violate("KEY: %s ran with the key in the header %s", r.RequestID, name)
-			}
+		a := accountOf(r.RequestID)
+		if got := r.Header.Values("Tenant"); !slices.Equal(got, []string{a.name}) || strings.Contains(fmt.Sprint(r.Header), a.key) {
+			s.report.violate("ACCOUNT: %s of %s ran with the key, or as a request of %q: %v", r.RequestID, a.name, got, r.Header)
 		}
-		if a == floodingAccount && !flood[r.RequestID] { // the parts and retries of a request count once
-			flood[r.RequestID] = true
+		if a == floodingAccount && !flooded[r.RequestID] { // the parts and retries of a request count once
+			flooded[r.RequestID] = true
 			floodRuns = append(floodRuns, r.At)
 		}
 		sent := s.report.written[r.RequestID]
@@ -155,7 +126,10 @@
 			continue
 		}
 		s.report.unauthorized++
-		if sent := s.report.written[id]; !s.absent(id, sent.Add(-knownAfter), sent.Add(patience)) {
+		sent := s.report.written[id]
+		if accountOf(id) != removableAccount || !slices.ContainsFunc(s.absences, func(a absence) bool {
+			return a.from.Before(sent.Add(patience)) && (a.until.IsZero() || a.until.After(sent.Add(-knownAfter)))
+		}) {
 			s.report.violate("UNAUTHORIZED: %s to %s got 401, written at %s", id, s.report.addresses[id], sent.UTC().Format(time.RFC3339Nano))
 		}
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -26,7 +26,8 @@
 
 // call plays one caller until ctx ends.
 func (s *soak) call(ctx context.Context, n int) {
-	caller := s.newCaller(accountOf(n))
+	caller := site.NewCaller()
+	caller.Header = s.headers(accountOf(fmt.Sprintf("%04x", n)))
 	defer caller.Close()
 	var addresses []string
 	var asked time.Time
@@ -116,7 +117,8 @@
 
 // configure changes the configuration at times and checks that it is in force.
 func (s *soak) configure(ctx context.Context) {
-	caller := s.newCaller(plainAccount)
+	caller := site.NewCaller()
+	caller.Header = s.headers(plainAccount)
 	defer caller.Close()
 	for i := 0; clock.Pause(ctx, 2*time.Second) == nil; i++ {
 		version := s.publishKeys(i)
--- a/internal/soak/rollouts.go
+++ b/internal/soak/rollouts.go
@@ -23,31 +23,22 @@
 	drainDelay  = 2 * time.Second
 	// slowWork makes a request, which takes 8 ms, eight times slower.
 	slowWork = 56 * time.Millisecond
+	// lateOnset is when versions become bad that are good at first.
+	lateOnset = 4 * time.Second
 
 	completed, rolledBack = "completed", "rolled_back"
 )
 
-// badVersion is how the searchers of a version misbehave from onset after the order on. In this
-// many runs there are surely 50 bad replies.
-type badVersion struct {
-	faults site.SearcherFaults
-	onset  time.Duration
-	runs   int
-}
-
-var badVersions = []badVersion{
-	{faults: site.SearcherFaults{Fail: 1}, runs: 50},
-	{faults: site.SearcherFaults{Fail: 0.4}, runs: 200}, // fewer than 50 failures in 1 of 100,000 cases
-	{faults: site.SearcherFaults{Work: slowWork}, runs: 50},
-	{faults: site.SearcherFaults{Fail: 1}, onset: 4 * time.Second, runs: 50},
-	{faults: site.SearcherFaults{Work: slowWork}, onset: 4 * time.Second, runs: 50},
-}
+// badVersions are how the searchers of bad versions misbehave, from at once or from lateOnset after the
+// order on.
+var badVersions = []site.SearcherFaults{{Fail: 1}, {Fail: 0.4}, {Work: slowWork}}
 
 // order is one roll-out. bad is nil if the version is good, badSince when it became bad.
 type order struct {
 	service, version string
 	searchers        []*site.Searcher
-	bad              *badVersion
+	bad              *site.SearcherFaults
+	onset            time.Duration
 	at, badSince     time.Time
 	state            string
 }
@@ -57,7 +48,7 @@
 	for i := 2; ctx.Err() == nil; i++ {
 		o := &order{service: bookings, version: fmt.Sprintf("v%d", i)}
 		if k := s.draw(2 * len(badVersions)); k < len(badVersions) {
-			o.bad = &badVersions[k]
+			o.bad, o.onset = &badVersions[k], time.Duration(s.draw(2))*lateOnset
 		} else if s.draw(2) == 0 {
 			o.service = s.size.shards[0]
 		}
@@ -66,7 +57,10 @@
 			return
 		}
 		if clock.Pause(ctx, prepareTime) == nil {
-			s.placeOrder(o)
+			s.restoring.Lock()
+			o.at = time.Now()
+			s.store.Put("rollouts", o.service, map[string]any{"backend": o.service, "target_version": o.version, "duration_s": rolloutTime.Seconds()})
+			s.restoring.Unlock()
 			s.follow(ctx, o)
 		}
 		s.finish(ctx, o)
@@ -94,13 +88,6 @@
 	return nil
 }
 
-func (s *soak) placeOrder(o *order) {
-	s.restoring.Lock()
-	defer s.restoring.Unlock()
-	o.at = time.Now()
-	s.store.Put("rollouts", o.service, map[string]any{"backend": o.service, "target_version": o.version, "duration_s": rolloutTime.Seconds()})
-}
-
 // follow makes a bad version bad and waits for the end of the roll-out and of its time limit. The
 // state must then be the right one, if neither a process nor the store was disturbed.
 func (s *soak) follow(ctx context.Context, o *order) {
@@ -111,9 +98,9 @@
 	var overdue bool
 	for clock.Pause(ctx, 20*time.Millisecond) == nil && o.state != completed && o.state != rolledBack {
 		age := time.Since(o.at)
-		if o.bad != nil && o.badSince.IsZero() && age >= o.bad.onset {
+		if o.bad != nil && o.badSince.IsZero() && age >= o.onset {
 			for _, one := range o.searchers {
-				one.SetFaults(o.bad.faults)
+				one.SetFaults(*o.bad)
 			}
 			o.badSince = time.Now()
 		}
@@ -127,51 +114,48 @@
 		}
 		ended := o.state == completed || o.state == rolledBack
 		if late := age > rolloutTime; (ended || late) && !overdue && o.state != right && s.calm(o.at) {
-			s.report.violate("ROLLOUT: %s is %q %s after the order: %s", o, o.state, age, s.store.Status("rollouts", o.service))
+			s.report.violate("ROLLOUT: %s %s after the order: %s", o, age, s.store.Status("rollouts", o.service))
 			overdue = true
 		}
 	}
 }
 
-// finish ends the old searchers at once if the roll-out is completed. Else it ends the new ones, which
-// drain before.
+// finish makes the new searchers those of the service if the roll-out is completed, and ends the old
+// ones at once. Else it ends the new ones, which drain before.
 func (s *soak) finish(ctx context.Context, o *order) {
-	if o.state == completed {
-		s.retire(o)
-		return
-	}
-	hold(ctx, drainDelay)
-	for _, one := range o.searchers {
-		s.store.Put("servers", one.ID, one.Entry("draining"))
-	}
-	hold(ctx, drain)
-	for _, one := range o.searchers {
-		s.store.Remove("servers", one.ID)
-		one.Stop()
+	if o.state != completed {
+		hold(ctx, drainDelay)
+		for _, one := range o.searchers {
+			s.store.Put("servers", one.ID, one.Entry("draining"))
+		}
+		hold(ctx, drain)
 	}
-}
-
-// retire makes the new searchers those of the service, without faults, and ends the old ones.
-func (s *soak) retire(o *order) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.searchers = slices.DeleteFunc(s.searchers, func(one *site.Searcher) bool {
-		if one.Service == o.service {
-			one.Stop()
-			s.store.Remove("servers", one.ID)
+	ended := o.searchers
+	if o.state == completed {
+		ended, s.versions[o.service] = nil, o.version
+		for _, one := range o.searchers {
+			one.SetFaults(site.SearcherFaults{})
 		}
-		return one.Service == o.service
-	})
-	for _, one := range o.searchers {
-		one.SetFaults(site.SearcherFaults{})
+		s.searchers = slices.DeleteFunc(s.searchers, func(one *site.Searcher) bool {
+			if one.Service == o.service {
+				ended = append(ended, one)
+			}
+			return one.Service == o.service
+		})
+		s.searchers = append(s.searchers, o.searchers...)
+	}
+	for _, one := range ended {
+		one.Stop()
+		s.store.Remove("servers", one.ID)
 	}
-	s.searchers, s.versions[o.service] = append(s.searchers, o.searchers...), o.version
 }
 
 // checkOrders checks what ran on bad versions. It is to be called when no more requests are sent.
 func (s *soak) checkOrders() {
 	for _, o := range s.orders {
-		s.report.orders += fmt.Sprintf("[%s: %s]", o, o.state)
+		s.report.orders += o.String()
 		if o.badSince.IsZero() {
 			continue
 		}
@@ -194,8 +178,12 @@
 			s.report.violate("CANARY: %s got %d of %d requests, %g may", o, share, all, most)
 		}
 		slices.SortFunc(bad, time.Time.Compare)
-		if n := o.bad.runs; len(bad) >= n && o.state != completed {
-			replied := bad[n-1].Add(s.size.searcher(o.service).work + o.bad.faults.Work)
+		n := 50
+		if o.bad.Fail < 1 && o.bad.Work == 0 {
+			n = 200 // fewer than 50 of them fail in about 1 of 100,000 cases
+		}
+		if len(bad) >= n && o.state != completed {
+			replied := bad[n-1].Add(s.size.searcher(o.service).work + o.bad.Work)
 			if late := bad[len(bad)-1].Sub(replied); late > rollbackLimit {
 				s.report.violate("ROLLBACK: %s ran a request %s after its 50th bad reply", o, late)
 			}
@@ -203,11 +191,11 @@
 	}
 }
 
-// String returns the order for messages.
+// String returns the order with its state, for messages.
 func (o *order) String() string {
 	kind := "good"
 	if o.bad != nil {
-		kind = fmt.Sprintf("bad (fails %g, takes %s more, from %s on)", o.bad.faults.Fail, o.bad.faults.Work, o.bad.onset)
+		kind = fmt.Sprintf("fails %g, takes %s more, from %s on", o.bad.Fail, o.bad.Work, o.onset)
 	}
-	return fmt.Sprintf("%s of %s, ordered at %s, %s", o.version, o.service, o.at.UTC().Format(time.RFC3339Nano), kind)
+	return fmt.Sprintf("[%s %s at %s, %s: %s]", o.service, o.version, o.at.UTC().Format(time.RFC3339), kind, o.state)
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -50,16 +50,15 @@
 	searchers []*site.Searcher
 	started   int
 	version   int
-	// versions holds the versions of services that were rolled out. rolling is the service of the
-	// roll-out in progress: its searchers get no faults.
+	// versions are those of services that were rolled out. The searchers of rolling, which is rolled out
+	// now, get no faults.
 	versions map[string]string
 	rolling  string
 	// keyRemoved says that the configuration lacks the key of removableAccount, absences when it did.
 	// Only configure changes them.
 	keyRemoved bool
 	absences   []absence
-	// orders are the roll-outs so far.
-	orders []*order
+	orders     []*order
 	// restoring is held while the store may return to an older copy. Orders and removals of keys are
 	// not made meanwhile, so that the copy does not undo them.
 	restoring sync.Mutex
@@ -94,7 +93,7 @@
 		return nil, errors.Trace(err)
 	}
 	s := &soak{
-		size: usualDeployment(), features: p.instances == 0 && hasFeatures(p.seed), versions: make(map[string]string),
+		size: usualDeployment(), features: p.instances == 0 && p.seed%2 == 0, versions: make(map[string]string),
 		random: rand.New(rand.NewPCG(p.seed, 0)), store: site.NewStore(), ledger: &site.Ledger{},
 		report: &report{seed: p.seed, answers: make(map[string]int), addresses: make(map[string]string), written: make(map[string]time.Time)},
 	}
@@ -118,10 +117,8 @@
 	s.checkRuns()
 	s.checkTimeLeft()
 	s.checkPauses()
-	if s.features {
-		s.checkAccounts()
-		s.checkOrders()
-	}
+	s.checkAccounts()
+	s.checkOrders()
 	return s.report, nil
 }
 
@@ -216,11 +213,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	one, err := s.startSearcher(service, domain, s.versions[service])
-	if err != nil {
-		return err
+	if err == nil {
+		s.searchers = append(s.searchers, one)
 	}
-	s.searchers = append(s.searchers, one)
-	return nil
+	return err
 }
 
 // startSearcher starts a searcher of a version, empty for that of the start. s.mu is held.
@@ -232,9 +228,11 @@
 		return nil, errors.Trace(err)
 	}
 	if version != "" {
-		one.Version, one.StartUnixMs = version, time.Now().UnixMilli()
+		one.Version = version
 	}
-	s.store.Put("servers", one.ID, one.Entry("ready"))
+	entry := one.Entry("ready")
+	entry["born"] = s.started // so that the searchers of a new version are the younger ones
+	s.store.Put("servers", one.ID, entry)
 	return one, nil
 }
 
@@ -250,11 +248,7 @@
 		{Prefix: probePath(s.version), Service: bookings, Idempotent: true, TargetMs: 300},
 	})
 	if s.features {
-		keys := []string{removableAccount.key}
-		if s.keyRemoved {
-			keys = []string{}
-		}
-		body["tenants"] = tenants(keys)
+		body["tenants"] = s.tenants()
 	}
 	s.store.Put("config", "main", body)
 	return s.version
