--- a/internal/soak/accounts.go
+++ b/internal/soak/accounts.go
@@ -106,7 +106,7 @@
 		}
 		sent := s.report.written[r.RequestID]
 		for _, x := range s.absences {
-			if late := sent.Sub(x.from); a == removableAccount && late > revokeLimit && (x.until.IsZero() || sent.Before(x.until)) {
+			if late := sent.Sub(x.from); a == removableAccount && late > revokeLimit && (x.until.IsZero() || r.At.Before(x.until)) {
 				s.report.violate("REVOKED: %s to %s was sent %s after its key was removed, and ran", r.RequestID, s.report.addresses[r.RequestID], late)
 			}
 		}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -228,11 +228,9 @@
 		return nil, errors.Trace(err)
 	}
 	if version != "" {
-		one.Version = version
+		one.Version, one.StartUnixMs = version, time.Now().UnixMilli()
 	}
-	entry := one.Entry("ready")
-	entry["born"] = s.started // so that the searchers of a new version are the younger ones
-	s.store.Put("servers", one.ID, entry)
+	s.store.Put("servers", one.ID, one.Entry("ready"))
 	return one, nil
 }
 
