Check completed bad versions against the roll-back bound in the soak

A bad version that was completed was not held to the bound of the roll-back. Its requests now count until it is completed, when the stand-in mends it.

--- a/internal/soak/rollouts.go
+++ b/internal/soak/rollouts.go
@@ -33,13 +33,16 @@
 // order on.
 var badVersions = []site.SearcherFaults{{Fail: 1}, {Fail: 0.4}, {Work: slowWork}}
 
-// order is one roll-out. bad is nil if the version is good, badSince when it became bad.
+// order is one roll-out. bad is nil if the version is good; else it was bad from badSince until
+// badUntil, zero if to the end.
 type order struct {
 	service, version string
 	searchers        []*site.Searcher
 	bad              *site.SearcherFaults
 	onset            time.Duration
-	at, badSince     time.Time
+	at               time.Time
+	badSince         time.Time
+	badUntil         time.Time
 	state            string
 }
 
@@ -134,7 +137,7 @@
 	defer s.mu.Unlock()
 	ended := o.searchers
 	if o.state == completed {
-		ended, s.versions[o.service] = nil, o.version
+		ended, s.versions[o.service], o.badUntil = nil, o.version, time.Now()
 		for _, one := range o.searchers {
 			one.SetFaults(site.SearcherFaults{})
 		}
@@ -170,7 +173,7 @@
 					share++
 				}
 			}
-			if isNew && r.At.After(o.badSince) {
+			if isNew && r.At.After(o.badSince) && (o.badUntil.IsZero() || r.At.Before(o.badUntil)) {
 				bad = append(bad, r.At)
 			}
 		}
@@ -182,7 +185,7 @@
 		if o.bad.Fail < 1 && o.bad.Work == 0 {
 			n = 200 // fewer than 50 of them fail in about 1 of 100,000 cases
 		}
-		if len(bad) >= n && o.state != completed {
+		if len(bad) >= n {
 			replied := bad[n-1].Add(s.size.searcher(o.service).work + o.bad.Work)
 			if late := bad[len(bad)-1].Sub(replied); late > rollbackLimit {
 				s.report.violate("ROLLBACK: %s ran a request %s after its 50th bad reply", o, late)
