Roll-outs: compare latencies also where an instance sees few requests

The median of the established version was known from a weight of 100 replies on. TestCountReply failed with the former limit.

--- a/dispatch/versions.go
+++ b/dispatch/versions.go
@@ -35,6 +35,9 @@
 	// slowFactorGivenUp is the factor for a request that was given up since another searcher
 	// answered it before.
 	slowFactorGivenUp = 2
+	// minComparedReplies is the number of recent replies from which on their median is the usual
+	// latency. An instance that serves a request a second knows that many.
+	minComparedReplies = 8
 )
 
 // versions holds which versions of a service get requests. It is nil where there are no roll-outs.
@@ -298,7 +301,7 @@
 	if median, known := a.order.median(rollout.RouteKey(a.Route)); known {
 		return median, true
 	}
-	return a.service.latency.Quantile(0.5)
+	return a.service.latency.QuantileFrom(0.5, minComparedReplies)
 }
 
 // countReply counts the end of an attempt under the order during which its searcher was chosen.
@@ -314,13 +317,16 @@
 	if !a.toOrdered && !bad {
 		o.addLatency(rollout.RouteKey(a.Route), now, latency)
 	}
+	if a.toOrdered && !bad && !known {
+		return // whether it was slow is not known, so it is no evidence for the version
+	}
 	bad = bad || known && float64(latency) > factor*float64(median)
 	o.update(a.Route, func(c *rollout.Counts) { c.AddReply(a.toOrdered, bad) })
 }
 
 func (o *orderCounts) median(route uint32) (time.Duration, bool) {
 	if h := o.latencies[route]; h != nil {
-		return h.Quantile(0.5)
+		return h.QuantileFrom(0.5, minComparedReplies)
 	}
 	return 0, false
 }
--- a/dispatch/versions_test.go
+++ b/dispatch/versions_test.go
@@ -132,7 +132,8 @@
 }
 
 // TestCountReply guards against a new version that is taken for bad since its searchers have just
-// started, or since a request was given up early, and a slow one that is taken for good.
+// started, or since a request was given up early, and a slow one that is taken for good, also where an
+// instance sees few requests.
 func TestCountReply(t *testing.T) {
 	f := newVersionsFixture(0.1)
 	f.order(rollout.Canary)
@@ -151,7 +152,8 @@
 	failed := func(a *Attempt) { a.observeReplyOfVersion(Event{Outcome: Failed}, f.clock.Boottime(), nil) }
 	refused := func(a *Attempt) { a.observeReplyOfVersion(Event{Outcome: Refused}, f.clock.Boottime(), nil) }
 	givenUp := func(a *Attempt) { a.observeGivenUp(f.clock.Boottime(), false) }
-	for range 100 {
+	qt.Check(t, reply("n1", 80*time.Millisecond, answered), qt.Equals, rollout.Counts{}, qt.Commentf("the usual latency is not known"))
+	for range 10 {
 		qt.Assert(t, reply("o1", 10*time.Millisecond, answered).OldReplies, qt.Equals, int64(1))
 	}
 	f.clock.Advance(youngFor)
--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -71,8 +71,11 @@
 
 // Quantile returns the latency below which the share p, from 0 to 1, of the samples lies.
 // It returns false if there are too few samples.
-func (h *Histogram) Quantile(p float64) (time.Duration, bool) {
-	if h.total < minSamples {
+func (h *Histogram) Quantile(p float64) (time.Duration, bool) { return h.QuantileFrom(p, minSamples) }
+
+// QuantileFrom is Quantile for a histogram whose total weight is at least the given number of samples.
+func (h *Histogram) QuantileFrom(p, samples float64) (time.Duration, bool) {
+	if h.total < samples {
 		return 0, false
 	}
 	remaining := h.total * (1 - p)
