--- a/cost/cost_test.go
+++ b/cost/cost_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-var dear, cheap = Kind{Route: "dear"}, Kind{Route: "cheap"}
+var expensive, cheap = Kind{Route: "expensive"}, Kind{Route: "cheap"}
 
 // serve has a searcher run requests of a kind, one after the other, and returns the time after them.
 func serve(m *Model, s *Searcher, now time.Duration, k Kind, n int, latency time.Duration) time.Duration {
@@ -28,8 +28,8 @@
 func TestSpeedIsSeparateFromCost(t *testing.T) {
 	var m Model
 	var a, b Searcher
-	now := serve(&m, &b, serve(&m, &a, 0, dear, 40, 100*time.Millisecond), cheap, 40, 5*time.Millisecond)
-	now = serve(&m, &b, serve(&m, &a, now, dear, 40, 100*time.Millisecond), cheap, 40, 5*time.Millisecond)
+	now := serve(&m, &b, serve(&m, &a, 0, expensive, 40, 100*time.Millisecond), cheap, 40, 5*time.Millisecond)
+	now = serve(&m, &b, serve(&m, &a, now, expensive, 40, 100*time.Millisecond), cheap, 40, 5*time.Millisecond)
 	qt.Check(t, m.Active(now), qt.IsTrue)
 	qt.Check(t, a.Slowness(now)/b.Slowness(now) < 1.5, qt.IsTrue, qt.Commentf("%.2f, %.2f", a.Slowness(now), b.Slowness(now)))
 	now = serve(&m, &a, now, cheap, 10, 40*time.Millisecond)
@@ -44,18 +44,18 @@
 func TestUnknownKindsStartFromTheirRoute(t *testing.T) {
 	var m Model
 	var s Searcher
-	qt.Check(t, m.Expected(0, dear), qt.Equals, time.Duration(0))
-	now := serve(&m, &s, serve(&m, &s, 0, dear, 60, 100*time.Millisecond), cheap, 60, 10*time.Millisecond)
-	ofRoute := m.Expected(now, Kind{Route: "dear", Account: "unknown"})
+	qt.Check(t, m.Expected(0, expensive), qt.Equals, time.Duration(0))
+	now := serve(&m, &s, serve(&m, &s, 0, expensive, 60, 100*time.Millisecond), cheap, 60, 10*time.Millisecond)
+	ofRoute := m.Expected(now, Kind{Route: "expensive", Account: "unknown"})
 	ofService := m.Expected(now, Kind{Route: "unknown"})
 	qt.Check(t, ofRoute > 60*time.Millisecond && ofService > 10*time.Millisecond && ofService < ofRoute, qt.IsTrue, qt.Commentf("%v, %v", ofRoute, ofService))
 	for i := range 3 * maxKinds {
 		now = serve(&m, &s, now, Kind{Route: "cheap", Account: fmt.Sprint(i)}, 1, 10*time.Millisecond)
-		m.Expected(now, dear)
+		m.Expected(now, expensive)
 	}
 	qt.Check(t, len(m.kinds), qt.Equals, maxKinds)
 	qt.Check(t, m.recent.Len(), qt.Equals, maxKinds)
-	qt.Check(t, m.Expected(now, dear) > 3*m.Expected(now, cheap), qt.IsTrue, qt.Commentf("a kind in use was dropped"))
+	qt.Check(t, m.Expected(now, expensive) > 3*m.Expected(now, cheap), qt.IsTrue, qt.Commentf("a kind in use was dropped"))
 }
 
 // TestEvenServiceIsLeftAlone guards against a choice that changes where neither kinds nor speeds differ, also
@@ -66,7 +66,7 @@
 	far.ObserveDial(3 * time.Millisecond)
 	now := time.Duration(0)
 	for range 200 {
-		now = serve(&m, &far, serve(&m, &near, now, dear, 1, 5*time.Millisecond), cheap, 1, 9*time.Millisecond)
+		now = serve(&m, &far, serve(&m, &near, now, expensive, 1, 5*time.Millisecond), cheap, 1, 9*time.Millisecond)
 		qt.Assert(t, m.Active(now), qt.IsFalse)
 	}
 	random := rand.New(rand.NewPCG(1, 2))
--- a/dispatch/choose_test.go
+++ b/dispatch/choose_test.go
@@ -13,10 +13,10 @@
 	"github.com/wisteriawharf/wisteriawharf/fleet"
 )
 
-var dear, cheap = cost.Kind{Route: "dear"}, cost.Kind{Route: "cheap"}
+var expensive, cheap = cost.Kind{Route: "expensive"}, cost.Kind{Route: "cheap"}
 
 // newCostDispatcher returns a dispatcher with searchers of one service. If differ is true, it has learned that
-// dear requests take 200 ms and cheap ones 10 ms.
+// expensive requests take 200 ms and cheap ones 10 ms.
 func newCostDispatcher(searchers int, differ bool) (*Dispatcher, []*target, time.Duration) {
 	d := newDispatcher(func() int { return 1 })
 	now := clock.System{}.Boottime()
@@ -27,7 +27,7 @@
 		targets = append(targets, d.searchers[id])
 		for n := range 20 {
 			at := now - 3*time.Second + time.Duration(n)*100*time.Millisecond
-			for kind, latency := range map[cost.Kind]time.Duration{dear: 200 * time.Millisecond, cheap: 10 * time.Millisecond} {
+			for kind, latency := range map[cost.Kind]time.Duration{expensive: 200 * time.Millisecond, cheap: 10 * time.Millisecond} {
 				if !differ {
 					latency = 10 * time.Millisecond
 				}
@@ -47,7 +47,7 @@
 // because the other searchers have more requests, which are cheap.
 func TestOutstandingWorkCountsByCost(t *testing.T) {
 	d, targets, now := newCostDispatcher(2, true)
-	run(d, targets[0], dear, now)
+	run(d, targets[0], expensive, now)
 	run(d, targets[1], cheap, now)
 	run(d, targets[1], cheap, now)
 	for range 20 {
@@ -66,8 +66,8 @@
 		for range 100 {
 			d.services["s"].latency.Add(now, 10*time.Millisecond)
 		}
-		a := &Attempt{Request: Request{CostKind: dear, LatencyTarget: time.Second}, d: d, service: d.services["s"], target: targets[0]}
-		a.work = d.services["s"].costs.Start(now, &targets[0].cost, dear, 2)
+		a := &Attempt{Request: Request{CostKind: expensive, LatencyTarget: time.Second}, d: d, service: d.services["s"], target: targets[0]}
+		a.work = d.services["s"].costs.Start(now, &targets[0].cost, expensive, 2)
 		targets[0].observeAnswer(a, Event{Latency: 200 * time.Millisecond}, now)
 		qt.Check(t, targets[0].observations.PendingCount(now) > 0, qt.Equals, !differ)
 		d, targets, _ = newCostDispatcher(1, differ)
@@ -90,15 +90,15 @@
 		differ bool
 		err    error
 	}{
-		{"behind expensive requests", dear, cheap, 50 * time.Millisecond, true, ErrTooLate},
-		{"expensive itself", cheap, dear, 80 * time.Millisecond, true, ErrTooLate},
-		{"in time", dear, cheap, 5 * time.Second, true, nil},
+		{"behind expensive requests", expensive, cheap, 50 * time.Millisecond, true, ErrTooLate},
+		{"expensive itself", cheap, expensive, 80 * time.Millisecond, true, ErrTooLate},
+		{"in time", expensive, cheap, 5 * time.Second, true, nil},
 		{"behind a cheap request", cheap, cheap, 50 * time.Millisecond, true, nil},
-		{"costs not known to differ", dear, cheap, 50 * time.Millisecond, false, nil},
+		{"costs not known to differ", expensive, cheap, 50 * time.Millisecond, false, nil},
 	} {
 		d, targets, now := newCostDispatcher(1, c.differ)
 		targets[0].limit.ObserveLatency(now, time.Second, time.Millisecond, 1) // one request at a time
-		run(d, targets[0], dear, now)
+		run(d, targets[0], expensive, now)
 		run(d, targets[0], c.second, now)
 		r := Request{Service: "s", CostKind: c.kind, DueBy: now + c.left, Deadline: now + time.Minute}
 		qt.Check(t, d.HasRoom(r), qt.Equals, c.err == nil, qt.Commentf(c.name))
--- a/fairness/fairness_test.go
+++ b/fairness/fairness_test.go
@@ -20,7 +20,7 @@
 	usualRate     = 20.0
 	capacityShare = 0.85
 	serviceTime   = 20 * time.Millisecond
-	patience      = 200 * time.Millisecond
+	waitLimit     = 200 * time.Millisecond
 	step          = time.Millisecond
 )
 
@@ -49,7 +49,7 @@
 	}
 	n.offered[account]++
 	if n.shedder.Admits(rank) {
-		n.queue = append(n.queue, request{account, balance.QueuedRequest{Rank: rank, DueBy: now + patience}})
+		n.queue = append(n.queue, request{account, balance.QueuedRequest{Rank: rank, DueBy: now + waitLimit}})
 	}
 }
 
--- a/internal/simulation/placement/placement_test.go
+++ b/internal/simulation/placement/placement_test.go
@@ -54,8 +54,8 @@
 		// better tells what the choice by cost must do better. It is nil where it need only be as good.
 		better func(before, after *Outcome) bool
 	}{
-		{"one kind twenty times dearer", Load{Instances: 16, PerSecond: evenly(5), Searchers: shard(4), Kinds: []Kind{{100 * ms, 0.05}, {5 * ms, 0.95}}, Sigma: 0.3, Target: 200 * ms}, nearer},
-		{"one kind twenty times dearer, busy", Load{Instances: 16, PerSecond: evenly(20), Searchers: shard(3), Kinds: []Kind{{200 * ms, 0.05}, {10 * ms, 0.95}}, Sigma: 0.3, Target: 400 * ms}, nil},
+		{"one kind twenty times more expensive", Load{Instances: 16, PerSecond: evenly(5), Searchers: shard(4), Kinds: []Kind{{100 * ms, 0.05}, {5 * ms, 0.95}}, Sigma: 0.3, Target: 200 * ms}, nearer},
+		{"one kind twenty times more expensive, busy", Load{Instances: 16, PerSecond: evenly(20), Searchers: shard(3), Kinds: []Kind{{200 * ms, 0.05}, {10 * ms, 0.95}}, Sigma: 0.3, Target: 400 * ms}, nil},
 		{"shards, two kinds", Load{Instances: 16, PerSecond: evenly(8), Searchers: shard(4), Kinds: twoKinds, Sigma: 0.3, Target: 60 * ms}, earlier},
 		{"shards, two kinds, busy", Load{Instances: 16, PerSecond: evenly(22), Searchers: shard(3), Kinds: twoKinds, Sigma: 0.3, Target: 60 * ms}, earlier},
 		{"shards, two cheap kinds", Load{Instances: 16, PerSecond: evenly(8), Searchers: shard(4), Kinds: cheapKinds, Sigma: 0.3, Target: 60 * ms}, nil},
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -15,7 +15,7 @@
 	testDuration  = 12 * time.Second
 	rollbackLimit = 5 * time.Second
 	// reportDelay is how old the sums of a leader are at most, statusDelay how long a decision
-	// takes to be written and to reach all instances, badDelay that of the news of a bad version.
+	// takes to be written and to reach all instances, badDelay that of the notice of a bad version.
 	reportDelay = 500 * time.Millisecond
 	statusDelay = 500 * time.Millisecond
 	badDelay    = 100 * time.Millisecond
