Soak: names of the platform's formats in the stand-in alone

The soak built accounts, orders of roll-outs and credentials itself. The stand-in of the platform does so now.

--- a/internal/soak/accounts.go
+++ b/internal/soak/accounts.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/wisteriawharf/wisteriawharf/standin/site"
 )
 
 const (
@@ -54,7 +56,7 @@
 		if s.keyRemoved && a == removableAccount {
 			keys = []string{}
 		}
-		list = append(list, map[string]any{"name": a.name, "api_keys": keys, "rate_per_s": a.rate, "burst": a.rate})
+		list = append(list, site.Account(a.name, keys, float64(a.rate)))
 	}
 	return list
 }
@@ -65,7 +67,7 @@
 	if !s.features {
 		return nil
 	}
-	return http.Header{"Authorization": {"Bearer " + a.key}, "Tenant": {"forged"}}
+	return site.Credentials(a.key, "forged")
 }
 
 // publishKeys writes the i-th configuration of a run. Two of four lack the key of removableAccount,
@@ -97,7 +99,7 @@
 	var floodRuns []time.Time
 	for _, r := range s.ledger.Runs() {
 		a := accountOf(r.RequestID)
-		if got := r.Header.Values("Tenant"); !slices.Equal(got, []string{a.name}) || strings.Contains(fmt.Sprint(r.Header), a.key) {
+		if got := site.StatedAccounts(r.Header); !slices.Equal(got, []string{a.name}) || strings.Contains(fmt.Sprint(r.Header), a.key) {
 			s.report.violate("ACCOUNT: %s of %s ran with the key, or as a request of %q: %v", r.RequestID, a.name, got, r.Header)
 		}
 		if a == floodingAccount && !flooded[r.RequestID] { // the parts and retries of a request count once
--- a/internal/soak/rollouts.go
+++ b/internal/soak/rollouts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -62,7 +61,7 @@
 		if clock.Pause(ctx, prepareTime) == nil {
 			s.restoring.Lock()
 			o.at = time.Now()
-			s.store.Put("rollouts", o.service, map[string]any{"backend": o.service, "target_version": o.version, "duration_s": rolloutTime.Seconds()})
+			s.store.Put(site.KindRollouts, o.service, site.RolloutOrder(o.service, o.version, rolloutTime))
 			s.restoring.Unlock()
 			s.follow(ctx, o)
 		}
@@ -107,17 +106,12 @@
 			}
 			o.badSince = time.Now()
 		}
-		var status struct {
-			State  string
-			Target string `json:"target_version"`
-		}
-		_ = json.Unmarshal(s.store.Status("rollouts", o.service), &status) // empty before the first write
-		if status.Target == o.version {
-			o.state = status.State
+		if state, target := site.RolloutState(s.store.Status(site.KindRollouts, o.service)); target == o.version {
+			o.state = state
 		}
 		ended := o.state == completed || o.state == rolledBack
 		if late := age > rolloutTime; (ended || late) && !overdue && o.state != right && s.calm(o.at) {
-			s.report.violate("ROLLOUT: %s %s after the order: %s", o, age, s.store.Status("rollouts", o.service))
+			s.report.violate("ROLLOUT: %s %s after the order: %s", o, age, s.store.Status(site.KindRollouts, o.service))
 			overdue = true
 		}
 	}
