--- a/cost/searcher.go
+++ b/cost/searcher.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// maxSpeedWeight bounds the weight of past observations of a searcher's slowness. A bound of 10 gives a
-	// higher p99 in seven of nine simulated loads. Sudden changes are noticed sooner by changeFactor.
+	// maxSpeedWeight bounds the weight of past observations of a searcher's slowness, in observations, so that
+	// it follows slow changes. Sudden ones are noticed sooner by changeFactor.
 	maxSpeedWeight = 24
 	// minSpeedWeight is the weight from which a slowness counts as known.
 	minSpeedWeight = 9
@@ -213,8 +213,8 @@
 }
 
 const (
-	// minRatio is the least and the initial ratio. Lower ratios, which are learned under light load, raise the
-	// p99 by up to 3.4 % in simulations. A least ratio of 3 sends more requests to other failure domains.
+	// minRatio is the least and the initial ratio. A lower one, as learned under light load, would underrate
+	// the wait when load rises; a higher one sends more requests to other failure domains.
 	minRatio = 2
 	// maxRatio bounds the ratio.
 	maxRatio = 8
