--- a/review/stand-in-2/caller.go
+++ b/review/stand-in-2/caller.go
@@ -18,6 +18,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// closes says that the gateway closes the connection after the answer.
+	closes bool
 	// err is set if the answer is not complete.
 	err error
 }
@@ -61,7 +63,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return reply{status: response.StatusCode, header: response.Header, body: body, err: err}
+	return reply{status: response.StatusCode, header: response.Header, body: body, err: err, closes: response.Close}
 }
 
 // ask sends a request on a new connection and returns the answer.
--- a/review/stand-in-2/early_reset.go
+++ b/review/stand-in-2/early_reset.go
@@ -13,7 +13,7 @@
 // earlyReset sends long requests to a searcher that answers before it has read them, without a length, and breaks off:
 // its connection is reset in the middle of the answer.
 func earlyReset(r *run) error {
-	const requests, longBody, maxBody = 30, 6 << 20, 8 << 20
+	const requests, longBody, maxBody = 30, 250_000, 262_144
 	whole := bytes.Repeat([]byte("0123456789abcdef"), 400)
 	s, err := startStore()
 	if err != nil {
--- a/review/stand-in-2/searcher.go
+++ b/review/stand-in-2/searcher.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -22,7 +25,8 @@
 
 // startSearcher starts a searcher on a loopback address.
 func startSearcher(id, service, zone string, slots int, serve func(c net.Conn, q *http.Request) bool) (*searcher, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	config := net.ListenConfig{Control: asOnEthernet}
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -34,6 +38,28 @@
 	return s, nil
 }
 
+// ethernetSegment is the size of a TCP segment on an Ethernet, receiveBuffer that of the buffer of a searcher's connection.
+const (
+	ethernetSegment = 1460
+	receiveBuffer   = 8 << 10
+)
+
+// asOnEthernet makes the connections of a listener carry segments of the size on an Ethernet and gives them small windows. With
+// the segments of 64 KB that loopback connections have otherwise, the kernel holds megabytes of a request for the sender.
+func asOnEthernet(_, _ string, c syscall.RawConn) error {
+	var optionErr error
+	err := c.Control(func(fd uintptr) {
+		optionErr = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer),
+		)
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
+
 func (s *searcher) accept() {
 	for {
 		c, err := s.listener.Accept()
