Review: a lower start time hides that a searcher drains (case 9)

Cause: entries of a searcher whose stated start is before the known one are ignored whatever their revision.

--- a/review/stand-in-2/searcher.go
+++ b/review/stand-in-2/searcher.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -21,21 +22,39 @@
 	// serve answers a request on its connection, and reports whether the connection is kept. The body of the
 	// request is not read yet.
 	serve func(c net.Conn, q *http.Request) bool
+
+	mu sync.Mutex
+	// open holds the connections of the lifetime, also those that have ended.
+	open []net.Conn
 }
 
 // startSearcher starts a searcher on a loopback address.
 func startSearcher(id, service, zone string, slots int, serve func(c net.Conn, q *http.Request) bool) (*searcher, error) {
+	s := &searcher{id: id, service: service, zone: zone, address: "127.0.0.1:0", slots: slots, serve: serve}
+	return s, s.start()
+}
+
+// start starts a lifetime of the searcher, at its address if it had one before.
+func (s *searcher) start() error {
 	config := net.ListenConfig{Control: asOnEthernet}
-	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	l, err := config.Listen(context.Background(), "tcp", s.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	s := &searcher{
-		id: id, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(),
-		slots: slots, listener: l, serve: serve,
+	s.listener, s.address, s.born = l, l.Addr().String(), time.Now().UnixMilli()
+	go s.accept(l)
+	return nil
+}
+
+// crash ends the lifetime of the searcher and all its connections.
+func (s *searcher) crash() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.open {
+		_ = c.Close() // it may be closed already
 	}
-	go s.accept()
-	return s, nil
+	s.open = nil
 }
 
 // ethernetSegment is the size of a TCP segment on an Ethernet, receiveBuffer that of the buffer of a searcher's connection.
@@ -60,12 +79,15 @@
 	return optionErr
 }
 
-func (s *searcher) accept() {
+func (s *searcher) accept(l net.Listener) {
 	for {
-		c, err := s.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
+		s.mu.Lock()
+		s.open = append(s.open, c)
+		s.mu.Unlock()
 		go s.serveConn(c)
 	}
 }
