Review: a tenant's name with a space keeps a revoked key valid (case 10)

Cause: one name that the decoder refuses makes the whole manifest invalid; the former one stays in force, and its age is confirmed as if the newer one were applied. Change: case 10 with its stand-in.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# A manifest takes a key away and adds a tenant whose name has a space.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 plays it without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+if [[ ! -x target/wharf-gateway || ! -x target/review-2/stand-in ]]; then
+	echo "build with the build line of deploy/system.toml and review/build-2.sh first" >&2
+	exit 2
+fi
+exec target/review-2/stand-in tenant-name review/10/record.txt
