Review: an answer of a watch that comes late brings a removed searcher back (case 7)

Cause: the mirror compares an event with the object that it holds, and with nothing if the object was removed meanwhile. Change: case 7 with a gate before the store.

--- a/review/stand-in-2/gateway.go
+++ b/review/stand-in-2/gateway.go
@@ -10,7 +10,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -162,16 +161,6 @@
 	return nil
 }
 
-// signal sends a signal to the process.
-func (g *gateway) signal(s syscall.Signal) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.process != nil {
-		g.r.log("gateway %s gets signal %v", g.name, s)
-		_ = g.process.Process.Signal(s) // it may have ended
-	}
-}
-
 // kill ends the process and waits for that.
 func (g *gateway) kill() {
 	g.mu.Lock()
--- a/review/stand-in-2/store.go
+++ b/review/stand-in-2/store.go
@@ -20,6 +20,8 @@
 	objects  map[string]map[string]object
 	history  []event
 	changed  chan struct{}
+	// watched gets the watches that begin while somebody waits for one.
+	watched chan watchCall
 }
 
 type object struct {
@@ -38,6 +40,9 @@
 	Deleted  bool   `json:"deleted"`
 }
 
+// watchCall is a watch that has begun.
+type watchCall struct{ kind, address string }
+
 // startStore starts a store on a loopback address.
 func startStore() (*store, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -46,12 +51,43 @@
 	}
 	s := &store{
 		address: l.Addr().String(), revision: 1, objects: make(map[string]map[string]object),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), watched: make(chan watchCall),
 	}
 	go func() { _ = http.Serve(l, s) }() // ends with the process
 	return s, nil
 }
 
+// listen makes the store listen on another loopback address.
+func (s *store) listen() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() { _ = http.Serve(l, s) }() // ends with the process
+	return l.Addr().String(), nil
+}
+
+// awaitWatch waits until a watch of a kind begins at an address of the store.
+func (s *store) awaitWatch(kind, address string) {
+	for {
+		if w := <-s.watched; w.kind == kind && w.address == address {
+			return
+		}
+	}
+}
+
+// began tells awaitWatch of a watch.
+func (s *store) began(kind string, r *http.Request) {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		return
+	}
+	select {
+	case s.watched <- watchCall{kind: kind, address: local.String()}:
+	default: // nobody waits
+	}
+}
+
 // put writes an object, as the operator and the searchers do. It returns its revision.
 func (s *store) put(kind, name string, spec any) int64 {
 	text, err := json.Marshal(spec)
@@ -163,6 +199,7 @@
 		http.Error(w, "{}", http.StatusBadRequest)
 		return
 	}
+	s.began(kind, r)
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for over := false; ; {
