--- a/review/stand-in-2/failed_run.go
+++ b/review/stand-in-2/failed_run.go
@@ -12,19 +12,20 @@
 
 func init() { cases["failed-run"] = failedRun }
 
-// failShare is the share of the runs that fail, in percent.
+// failShare is the share of its runs that the failing searcher fails, in percent.
 const failShare = 40
 
-// failedRun sends requests that may run once to searchers that run them and fail part of them with their own 503. The
-// answer has no Not-Executed.
+// failedRun sends requests that may run once to three searchers. One of them runs them and fails part of them with its own
+// 503. The answer has no Not-Executed.
 func failedRun(r *run) error {
-	const requests = 40
+	const requests, failing = 120, "i-book-suva"
 	s, err := startStore()
 	if err != nil {
 		return err
 	}
 	var mu sync.Mutex
 	runs := make(map[string]int)
+	runsOfFailing := 0
 	for _, zone := range []string{"suva", "nadi", "lautoka"} {
 		var server *searcher
 		server, err = startSearcher("i-book-"+zone, "booking", zone, 4, func(c net.Conn, q *http.Request) bool {
@@ -34,11 +35,14 @@
 			}
 			mu.Lock()
 			runs[id]++
-			n := len(runs)
+			if server.id == failing {
+				runsOfFailing++
+			}
+			n := runsOfFailing
 			mu.Unlock()
 			time.Sleep(10 * time.Millisecond)
 			status, body := "200 OK", "booked by "+server.id
-			if r.trouble && n*failShare%100 < failShare {
+			if r.trouble && server.id == failing && n*failShare%100 < failShare {
 				status, body = "503 Service Unavailable", "booked, but the payment service did not answer"
 			}
 			r.log("searcher %s has run %s and answers %s without Not-Executed", server.id, id, status)
