Configuration: one value no longer makes the rest unread

Callers saw: a configuration took an API key away and added a client account whose name has a space; requests with the lost key were served for good, also under strict revocation.

Cause: the name was taken for one that a header can't hold, and one invalid entry made the whole configuration invalid. The former one stayed in force, and each answer of the store confirmed it, since the guard of strict revocation asked whether the store had answered, not whether the answer could be put in force.

Each route, service, account, key and limit is decoded by itself; what can't be decoded refuses its own requests with 503 and never passes them to another route or account. If the whole configuration can't be read, calls to the store confirm nothing until there is a readable one.

--- a/cmd/wharf-gateway/freshness.go
+++ b/cmd/wharf-gateway/freshness.go
@@ -77,7 +77,7 @@
 		switch {
 		case !s.configAgeMatters():
 			return usual()
-		case s.configOlderThan(agingAge):
+		case s.configOlderThan(agingAge) && !s.freshness.Rejected():
 			return agingWatchTimeout
 		}
 		return strictWatchTimeout
@@ -86,6 +86,9 @@
 		if s.isLeader() {
 			return true
 		}
+		if s.freshness.Rejected() {
+			return false // a call of this instance would not make the configuration younger
+		}
 		return s.configAgeMatters() && !s.stopping.Load() && s.configOlderThan(freshness.WatchAge) && s.servesOrAwaitsFreshness()
 	}
 }
--- a/cmd/wharf-gateway/mirrors.go
+++ b/cmd/wharf-gateway/mirrors.go
@@ -106,24 +106,6 @@
 // soon afterwards is kept as missing.
 func (s *service) recordStoreFailure() { s.searchers.RecordStoreFailure(s.clock.Boottime()) }
 
-// configChanged applies a new configuration. An invalid or deleted configuration leaves the
-// previous one in force.
-func (s *service) configChanged(e platform.Event) {
-	if e.Object.Name != platform.ConfigName || e.Deleted {
-		return
-	}
-	c, err := platform.DecodeConfig(e.Object.Spec)
-	if err != nil {
-		s.log.Error("invalid configuration ignored, the previous one stays in force", "error", err.Error())
-		return
-	}
-	s.dispatch.SetConfig(c)
-	if s.gateway.SetRoutingConfig(c) {
-		s.log.Info("configuration in force", "version", c.Version, "routes", c.RouteCount(), "revision", e.Object.Revision)
-	}
-	s.freshness.Hold(c.Version)
-}
-
 // searcherChanged adds, updates or removes a searcher. An entry that can't be decoded
 // counts as removed.
 func (s *service) searcherChanged(e platform.Event) {
--- a/cmd/wharf-gateway/revocation_test.go
+++ b/cmd/wharf-gateway/revocation_test.go
@@ -52,13 +52,18 @@
 
 // configure writes a configuration with an account for each key.
 func (s *keySite) configure(version int, keys ...string) {
+	s.store.Put("config", "main", keyConfiguration(version, keys...))
+}
+
+// keyConfiguration returns a configuration with an account for each key.
+func keyConfiguration(version int, keys ...string) map[string]any {
 	c := site.Configuration(version, []string{"one"}, []site.Route{{Prefix: "/safe/", Service: "one", Idempotent: true, TargetMs: 500}})
 	var accounts []any
 	for i, key := range keys {
 		accounts = append(accounts, map[string]any{"name": fmt.Sprint("account", i), "api_keys": []string{key}})
 	}
 	c["tenants"] = accounts
-	s.store.Put("config", "main", c)
+	return c
 }
 
 // start starts an instance that reaches the store at an address.
@@ -164,3 +169,58 @@
 	eventually(t, "a new key is not accepted", func() bool { return askWithKey(p, addedKey, "added") == http.StatusOK })
 	s.askFor(p, removedKey, time.Second, time.Now().Add(-revocationLimit))
 }
+
+// TestRevokedKeyBesideUnexpectedValues guards against a key that stays valid because the configuration that takes it
+// away has a value elsewhere that can't be used: in another account, route, service or limit.
+func TestRevokedKeyBesideUnexpectedValues(t *testing.T) {
+	t.Parallel()
+	s := newKeySite(t)
+	p := s.start(s.direct)
+	version := 1
+	for name, change := range map[string]func(c map[string]any){
+		"name with a space": func(c map[string]any) {
+			c["tenants"] = append(c["tenants"].([]any), map[string]any{"name": "obec portal", "api_keys": []string{"another-key"}})
+		},
+		"name that no header holds": func(c map[string]any) {
+			c["tenants"] = append(c["tenants"].([]any), map[string]any{"name": "two\nlines", "api_keys": []string{"another-key"}})
+		},
+		"rate that is a text": func(c map[string]any) {
+			c["tenants"] = append(c["tenants"].([]any), map[string]any{"name": "other", "api_keys": []string{"another-key"}, "rate_per_s": "42"})
+		},
+		"route with a text as timeout": func(c map[string]any) {
+			c["routes"] = append(c["routes"].([]any), map[string]any{"name": "x", "host": site.Host, "path_prefix": "/x/", "backend": "one", "timeout_ms": "1500"})
+		},
+		"service with a text as limit": func(c map[string]any) {
+			c["services"] = append(c["services"].([]any), map[string]any{"name": "other", "max_connections": "40"})
+		},
+		"limit that is a text": func(c map[string]any) { c["limits"].(map[string]any)["idle_timeout_ms"] = "5000" },
+	} {
+		version++
+		s.configure(version, keptKey, removedKey)
+		eventually(t, "the key is not valid", func() bool { return askWithKey(p, removedKey, "before") == http.StatusOK })
+		version++
+		c := keyConfiguration(version, keptKey)
+		change(c)
+		s.store.Put("config", "main", c)
+		note := qt.Commentf("%s", name)
+		eventually(t, "the key stays valid: "+name, func() bool { return askWithKey(p, removedKey, "after") == http.StatusUnauthorized })
+		qt.Check(t, askWithKey(p, keptKey, "kept"), qt.Equals, http.StatusOK, note)
+	}
+}
+
+// TestUnreadableConfigurationVouchesForNoKey guards against a key that stays valid because the configuration that takes
+// it away can't be read at all, and counts as in force since the store answers.
+func TestUnreadableConfigurationVouchesForNoKey(t *testing.T) {
+	t.Parallel()
+	s := newKeySite(t)
+	p := s.start(s.direct)
+	qt.Assert(t, askWithKey(p, removedKey, "before"), qt.Equals, http.StatusOK)
+	c := keyConfiguration(2, keptKey)
+	c["version"] = "two"
+	s.store.Put("config", "main", c)
+	statuses := s.askFor(p, removedKey, revocationLimit+time.Second, time.Now())
+	qt.Check(t, statuses[http.StatusServiceUnavailable] > 0, qt.IsTrue, qt.Commentf("%v", statuses))
+	s.configure(3, keptKey)
+	eventually(t, "the instance does not serve again", func() bool { return askWithKey(p, keptKey, "kept") == http.StatusOK })
+	qt.Check(t, askWithKey(p, removedKey, "removed"), qt.Equals, http.StatusUnauthorized)
+}
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -44,8 +44,10 @@
 	mirrors   map[string]*mirror.Mirror
 	dispatch  *dispatch.Dispatcher
 	gateway   *gateway.Gateway
-	exchange  *exchange.Exchange
-	datagrams *datagram.Socket
+	// configMetrics tells whether the newest configuration is in force in full.
+	configMetrics configMetrics
+	exchange      *exchange.Exchange
+	datagrams     *datagram.Socket
 	// rollouts moves services to other versions, nil if the settings allow no roll-outs.
 	rollouts *rollouts
 	// freshness tells how old the configuration may be.
@@ -97,6 +99,7 @@
 	}
 	s.startedAt = s.clock.Boottime()
 	s.registry.MustRegister(collectors.NewGoCollector(), s.stalledSeconds)
+	s.configMetrics = newConfigMetrics(s.registry)
 	s.instances = fleet.NewInstances(s.self)
 	s.budgetSharers.Store(startupMinSharers)
 	s.connectionShare.Store(&fleet.ConnectionShare{Instances: unknownSharers})
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -189,6 +189,24 @@
 	qt.Assert(t, sendOne(t, d, First), qt.IsFalse)
 }
 
+// TestUnreadableLimitsOfServiceAreNotLoosened guards against a cold searcher without a limit because the limits of its
+// service could not be decoded, and against known limits that get lost with them.
+func TestUnreadableLimitsOfServiceAreNotLoosened(t *testing.T) {
+	d := New(Config{
+		Clock: clock.System{}, InstanceCount: func() int { return 1 }, Log: slog.New(slog.DiscardHandler), Registry: prometheus.NewRegistry(),
+		Bounds: platform.Bounds{WarmupOverage: 1},
+	})
+	unreadable := []*routing.Service{{Name: "s", Invalid: true}}
+	d.SetConfig(routing.NewConfig(1, nil, unreadable, routing.Limits{}))
+	d.PutSearcher(fleet.Searcher{ID: "i", Service: "s", Address: startShortKeepAliveServer(t), Slots: 2, ColdFor: time.Minute})
+	qt.Assert(t, sendOne(t, d, First), qt.IsTrue)
+	qt.Assert(t, sendOne(t, d, First), qt.IsFalse)
+	d.SetConfig(routing.NewConfig(2, nil, []*routing.Service{{Name: "s", MaxConnections: 10, MaxColdRequestsPerSecond: 100}}, routing.Limits{}))
+	d.SetConfig(routing.NewConfig(3, nil, unreadable, routing.Limits{}))
+	qt.Assert(t, sendOne(t, d, First), qt.IsTrue)
+	qt.Assert(t, d.services["s"].settings.MaxConnections, qt.Equals, 10)
+}
+
 // TestRetryUsesAnotherConnection guards against a retry at the same searcher on the connection
 // of the earlier attempt, where a late repeat of the earlier reply would be taken for its own.
 // That holds also if the searcher accepts no further connection.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -148,6 +148,11 @@
 	d.configVersion = c.Version
 	for _, s := range c.Services {
 		known := d.service(s.Name)
+		if s.Invalid {
+			known.restrict()
+			continue
+		}
+		known.limitsKnown = true
 		fewer = fewer || s.MaxConnections < known.settings.MaxConnections
 		known.settings = *s
 	}
@@ -171,6 +176,18 @@
 	return s
 }
 
+// unknownColdLimit is the limit of cold searchers, in requests a second, of a service whose limits
+// could not be read.
+const unknownColdLimit = 1
+
+// restrict sets the lowest limits for a service whose limits could not be read, unless earlier ones
+// are known.
+func (s *service) restrict() {
+	if !s.limitsKnown {
+		s.settings.MaxConnections, s.settings.MaxColdRequestsPerSecond = 0, unknownColdLimit
+	}
+}
+
 // PutSearcher adds or updates a searcher. If another process now runs under the same ID,
 // what was known of the former one is dropped. If the searcher drains, its idle
 // connections are closed.
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -19,9 +19,11 @@
 // service holds the state of one service.
 type service struct {
 	settings routing.Service
-	targets  []*target
-	budget   retry.Budget
-	latency  hedge.Histogram
+	// limitsKnown says that a configuration has named the service's limits.
+	limitsKnown bool
+	targets     []*target
+	budget      retry.Budget
+	latency     hedge.Histogram
 	// versions holds which versions of its searchers get requests, nil where there are no
 	// roll-outs.
 	versions *versions
--- a/freshness/copy.go
+++ b/freshness/copy.go
@@ -19,11 +19,14 @@
 	// announcedAt. It is zero if there is none.
 	announced   int64
 	announcedAt time.Duration
+	// rejected says that the newest configuration could not be put in force.
+	rejected bool
 }
 
 // Hold records that a version is in force. Older versions than the one held are ignored. It must be
 // called once the version is in force, not before.
 func (c *Copy) Hold(version int64) {
+	c.rejected = false
 	c.version = max(c.version, version)
 	if c.announced != 0 && c.announced <= c.version {
 		c.advance(c.announcedAt)
@@ -31,12 +34,23 @@
 	}
 }
 
+// Reject records that the store holds a configuration that could not be put in force. Until another one
+// is, calls to the store do not confirm the one that is held.
+func (c *Copy) Reject() { c.rejected = true }
+
+// Rejected reports whether the newest configuration could not be put in force.
+func (c *Copy) Rejected() bool { return c.rejected }
+
 // Version returns the version in force, zero if there is none.
 func (c *Copy) Version() int64 { return c.version }
 
 // Confirm records that a call to the store that was sent at a time has returned, and that its result
-// is in force.
-func (c *Copy) Confirm(sent time.Duration) { c.advance(sent) }
+// is in force, unless the newest configuration was rejected.
+func (c *Copy) Confirm(sent time.Duration) {
+	if !c.rejected {
+		c.advance(sent)
+	}
+}
 
 func (c *Copy) advance(at time.Duration) {
 	if !c.known || at > c.current {
--- a/freshness/freshness_test.go
+++ b/freshness/freshness_test.go
@@ -24,12 +24,13 @@
 
 // TestCopyIsNeverTakenForNewerModel guards against an instance that takes its configuration for current at a
 // time at which a newer one was written already, for any delays, pauses, losses, repetitions and orders of
-// messages.
+// messages, and whichever versions can't be decoded.
 func TestCopyIsNeverTakenForNewerModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const instances = 3
 		now := time.Duration(rapid.IntRange(0, 1000).Draw(t, "boot")) * time.Millisecond
 		written := history{now}
+		unreadable := make(map[int64]bool)
 		copies := make([]freshness.Copy, instances)
 		type call struct {
 			from int
@@ -49,13 +50,18 @@
 			switch any("action", 7) {
 			case 0:
 				written = append(written, now)
+				unreadable[int64(len(written))] = rapid.Bool().Draw(t, "unreadable")
 			case 1:
 				calls = append(calls, call{i, now})
 			case 2: // a call returns with what the store held at some time since it was sent
 				if len(calls) > 0 {
 					c := calls[any("call", len(calls))]
 					heard := c.sent + time.Duration(rapid.Int64Range(0, int64(now-c.sent)).Draw(t, "heard"))
-					copies[c.from].Hold(written.at(heard))
+					if version := written.at(heard); unreadable[version] {
+						copies[c.from].Reject()
+					} else {
+						copies[c.from].Hold(version)
+					}
 					copies[c.from].Confirm(c.sent)
 				}
 			case 3:
@@ -101,6 +107,23 @@
 	qt.Assert(t, age, qt.Equals, 2*time.Second)
 }
 
+// TestRejectedConfigurationIsNotConfirmed guards against an instance that takes its configuration for current because
+// the store answers, although the store holds a newer one that could not be put in force.
+func TestRejectedConfigurationIsNotConfirmed(t *testing.T) {
+	var c freshness.Copy
+	c.Hold(1)
+	c.Confirm(time.Second)
+	c.Reject()
+	c.Confirm(9 * time.Second)
+	age, _ := c.Age(10 * time.Second)
+	qt.Assert(t, age, qt.Equals, 9*time.Second)
+	c.Hold(3)
+	qt.Assert(t, c.Rejected(), qt.IsFalse)
+	c.Confirm(9 * time.Second)
+	age, _ = c.Age(10 * time.Second)
+	qt.Assert(t, age, qt.Equals, time.Second)
+}
+
 // TestRepliesToOthersAreNotUsed guards against a reply that was not asked for, for instance before the machine
 // started again, so that its time says nothing.
 func TestRepliesToOthersAreNotUsed(t *testing.T) {
--- a/freshnessexchange/exchange.go
+++ b/freshnessexchange/exchange.go
@@ -85,6 +85,20 @@
 	x.copy.Hold(version)
 }
 
+// Reject records that the store holds a configuration that could not be put in force.
+func (x *Exchange) Reject() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.copy.Reject()
+}
+
+// Rejected reports whether the newest configuration could not be put in force.
+func (x *Exchange) Rejected() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.copy.Rejected()
+}
+
 // Confirm records that a call to the store that was sent at a time on the boot clock has returned, and
 // that its result is in force.
 func (x *Exchange) Confirm(sent time.Duration) {
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -35,8 +35,22 @@
 	reasonMissingKey     = "missing API key"
 	reasonUnknownKey     = "unknown API key"
 	reasonConfigOutdated = "configuration out of date"
+	reasonInvalidAccount = "not run: client account is not valid in the configuration"
 )
 
+// reasonInvalidRoute is the reason why a request is refused whose route could not be decoded.
+const reasonInvalidRoute = "not run: route is not valid in the configuration"
+
+// invalidEntryRetryAfter is how long a caller should wait before it repeats a request that needs an entry
+// of the configuration that could not be decoded. A corrected configuration is in force within this time.
+const invalidEntryRetryAfter = 3 * time.Second
+
+// invalidEntryRefusal returns the refusal of a request that needs an entry that could not be decoded. The
+// request may be allowed, so that it must not get a status that is final.
+func invalidEntryRefusal(reason string) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: invalidEntryRetryAfter}
+}
+
 // errConfigOutdated reports that the configuration may be out of date, so that API keys in it must not be
 // accepted.
 const errConfigOutdated = errors.ConstError("configuration may be out of date")
@@ -64,8 +78,11 @@
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "not run: " + errConfigOutdated.Error(), retryAfter: outdatedRetryAfter}
 	}
 	account := config.Accounts.Lookup(key)
-	if account == nil && !route.Public {
+	switch {
+	case account == nil && !route.Public:
 		return nil, &refusal{status: http.StatusUnauthorized, reason: reasonUnknownKey}
+	case account != nil && account.Invalid:
+		return nil, invalidEntryRefusal(reasonInvalidAccount)
 	}
 	return account, nil
 }
@@ -98,6 +115,9 @@
 		if route == nil {
 			return admission{}, &refusal{status: http.StatusNotFound, reason: "no route"}
 		}
+		if route.Invalid {
+			return admission{}, invalidEntryRefusal(reasonInvalidRoute)
+		}
 		deadline := deadlineOf(arrived, requestTimeout(route, callerRequest))
 		account, refused := authenticate(config, stale, route, r.Header)
 		if refused == nil {
@@ -140,7 +160,7 @@
 // countUnauthenticated counts a refusal because of an API key.
 func (g *Gateway) countUnauthenticated(r *refusal) {
 	reason := r.reason
-	if r.status == http.StatusServiceUnavailable {
+	if r.status == http.StatusServiceUnavailable && reason != reasonInvalidAccount {
 		reason = reasonConfigOutdated
 	}
 	g.metrics.unauthenticated.WithLabelValues(reason).Inc()
--- a/gateway/account_test.go
+++ b/gateway/account_test.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/wisteriawharf/wisteriawharf/arrival"
+	"github.com/wisteriawharf/wisteriawharf/placement"
 	"github.com/wisteriawharf/wisteriawharf/routing"
 )
 
@@ -167,6 +168,29 @@
 	qt.Assert(t, h.lastHeaders(), qt.DeepEquals, [2][]string{nil, nil})
 }
 
+// TestInvalidEntriesRefuseTheirRequests guards against requests that are served, or get a final status, although the
+// entry of their route or client account could not be decoded, and against others that are refused with them.
+func TestInvalidEntriesRefuseTheirRequests(t *testing.T) {
+	h := newHarness(t, "one")
+	accounts := accountOf("acme", testKey)
+	accounts.Add(routing.Account{Name: "two\nlines", Invalid: true}, []string{"other-key"})
+	h.configureAccounts(1, accounts)
+	bad := &routing.Route{Name: "bad", Host: "a.example", Prefix: "/r/bad/", Targets: oneTarget, Public: true, Invalid: true}
+	sound := h.gateway.RoutingConfig()
+	c := routing.NewConfig(2, []*routing.Route{bad, sound.Match("a.example", "/r/"), sound.Match("a.example", "/open/")}, nil, sound.Limits)
+	c.Accounts = accounts
+	h.gateway.SetRoutingConfig(c)
+	for _, refused := range [][2]string{{"/r/x", "other-key"}, {"/open/x", "other-key"}, {"/r/bad/x", testKey}, {"/r/bad/x", "none"}} {
+		r := h.ask(t, refused[0], "Bearer "+refused[1], "")
+		qt.Check(t, r.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%v", refused))
+		qt.Check(t, r.Header.Get("Retry-After"), qt.Equals, "3.000")
+	}
+	qt.Assert(t, h.ledger.Arrivals(), qt.Equals, 0)
+	qt.Assert(t, h.ask(t, "/r/x", "Bearer "+testKey, "").StatusCode, qt.Equals, http.StatusOK)
+	explained := h.gateway.Explain(placement.Query{Host: "a.example", Path: "/r/bad/x", Account: "acme"})
+	qt.Assert(t, explained.Refused, qt.Equals, reasonInvalidRoute)
+}
+
 // TestStallAfterAdmissionChecksKeyAgain guards against a request that is sent although its key was taken away, or may
 // have been, while the process stood still after it was admitted.
 func TestStallAfterAdmissionChecksKeyAgain(t *testing.T) {
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -22,6 +22,10 @@
 		return answer
 	}
 	answer.Route = route.Name
+	if route.Invalid {
+		answer.Refused = reasonInvalidRoute
+		return answer
+	}
 	account, refused := explainedAccount(config, route, q.Account)
 	answer.Refused = refused
 	if account != nil {
--- a/routing/account.go
+++ b/routing/account.go
@@ -10,6 +10,9 @@
 	// route's priority counts.
 	Priority *int
 	Quota    Quota
+	// Invalid says that the account's entry could not be decoded. Its keys belong to nobody else, but
+	// requests with them are refused.
+	Invalid bool
 }
 
 // Quota limits the requests of an account on all instances together.
@@ -41,10 +44,12 @@
 }
 
 // Add adds an account with its API keys. If two accounts have a name or a key in common, the
-// later one gets it.
+// later one gets it. An invalid account is found by its keys only.
 func (a *Accounts) Add(account Account, keys []string) {
-	a.byName[account.Name] = &account
-	a.limited = a.limited || account.Quota.Limited()
+	if !account.Invalid {
+		a.byName[account.Name] = &account
+		a.limited = a.limited || account.Quota.Limited()
+	}
 	for _, key := range keys {
 		a.byKey[sha256.Sum256([]byte(key))] = &account
 	}
--- a/routing/config.go
+++ b/routing/config.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -53,6 +54,18 @@
 	Regions []string
 	// Public says that callers need no API key.
 	Public bool
+	// Invalid says that the route's entry could not be decoded. Its requests are refused: another
+	// route, with a shorter prefix, is not the one they are for.
+	Invalid bool
+}
+
+// ServiceNames returns the names of the services that requests of the route go to.
+func (r *Route) ServiceNames() []string {
+	names := slices.Clone(r.Shards)
+	for _, t := range r.Targets {
+		names = append(names, t.Service)
+	}
+	return names
 }
 
 // PickService returns the name of the service for a request of a route with Targets. The
@@ -98,6 +111,8 @@
 	// MaxColdRequestsPerSecond is the number of requests a second that a cold searcher
 	// can take. Zero means that there is no such limit.
 	MaxColdRequestsPerSecond float64
+	// Invalid says that the limits could not be decoded. Those that were known before stay in force.
+	Invalid bool
 }
 
 // Limits holds the limits for callers.
@@ -110,6 +125,16 @@
 	IdleTimeout time.Duration
 }
 
+// InvalidEntry describes an entry of the configuration that could not be decoded.
+type InvalidEntry struct {
+	// List is the part of the configuration that the entry is in, for instance "routes".
+	List string
+	// Name is the name of the entry, empty if it could not be read.
+	Name string
+	// Reason says why. It contains no API key.
+	Reason string
+}
+
 // Config is one version of the configuration.
 type Config struct {
 	Version int64
@@ -119,6 +144,8 @@
 	// Accounts holds the client accounts. Nil means that callers need no API keys, and that
 	// their credentials are forwarded like any other header.
 	Accounts *Accounts
+	// Invalid holds what could not be decoded. All other entries are in force.
+	Invalid []InvalidEntry
 
 	// byHost holds the routes of each host, in lower case, the longest path prefix first.
 	byHost map[string][]*Route
