Mirror: a late answer no longer brings a removed object back

Callers saw: after cuts of a second between one instance and the store, requests went for good to searchers whose entries had been removed seconds before.

Cause: a changed object was compared with the one that the mirror holds, and with nothing if it was removed meanwhile. The answer of a watch that the cut held up came after another instance had told of the removal, and put the object back. Deltas of other instances that come late did the same.

Change: an object that the mirror does not hold is taken only from a later revision than the one up to which it is complete.

--- a/mirror/delta.go
+++ b/mirror/delta.go
@@ -80,8 +80,9 @@
 }
 
 // Merge applies a delta of another mirror. The delta must be full, or Since must have been
-// called with the position of this mirror. An object that this mirror holds at the same or a
-// newer revision is not replaced, and one that it holds at a newer revision is not removed.
+// called with a position of this mirror, which it may have passed since. An object that this mirror holds
+// at the same or a newer revision is not replaced, one that it holds at a newer revision is not removed, and
+// one that is gone at the revision of this mirror does not come back.
 // A delta without a revision or of another epoch is ignored, but a full one of a later epoch
 // applies.
 func (m *Mirror) Merge(d Delta) {
@@ -104,9 +105,26 @@
 			m.applyRemoval(r.Name, r.Revision, r.knownAt())
 		}
 	}
+	m.removeSkipped(d.Skipped, exists, d.Revision)
 	for _, s := range d.Skipped {
 		m.recordSkipped(s)
 	}
 	m.newestChange = max(m.newestChange, d.NewestChange)
 	m.advance(d.Revision)
 }
+
+// removeSkipped removes the objects whose state is from a span that the other mirror has skipped, and that it does
+// not hold: they came and went within the span, so that their removal is not in the delta. This mirror learned of
+// them after it had asked for the delta. The caller holds the lock.
+func (m *Mirror) removeSkipped(skipped []revisionSpan, exists map[string]bool, revision int64) {
+	if len(skipped) == 0 {
+		return
+	}
+	for name := range m.objects {
+		held, ok := m.heldRevision(name)
+		within := slices.ContainsFunc(skipped, func(s revisionSpan) bool { return s.contains(held) })
+		if ok && within && !exists[name] {
+			m.applyRemoval(name, held, revision)
+		}
+	}
+}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -136,17 +136,18 @@
 	if probe {
 		wait = probeWatchTimeout
 	}
-	changes, err := m.config.Store.Watch(ctx, m.config.Kind, m.Revision(), wait)
+	from := m.Position()
+	changes, err := m.config.Store.Watch(ctx, m.config.Kind, from.Revision, wait)
 	if errors.Is(err, platform.ErrHistoryGone) {
-		m.config.Log.Info("store no longer has the history since the revision, listing again", "kind", m.config.Kind, "revision", m.Revision())
+		m.config.Log.Info("store no longer has the history since the revision, listing again", "kind", m.config.Kind, "revision", from.Revision)
 		*listed = false
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	if !m.applyChanges(changes) {
-		m.config.Log.Info("store has another epoch, listing again", "kind", m.config.Kind, "epoch", changes.Epoch)
+	if !m.applyWatch(changes, from) {
+		m.config.Log.Info("changes do not follow what the mirror holds, listing again", "kind", m.config.Kind, "epoch", changes.Epoch, "revision", changes.Revision)
 		*listed = false
 		return nil
 	}
--- a/mirror/merge_test.go
+++ b/mirror/merge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -109,3 +110,203 @@
 		}
 	})
 }
+
+// removalForm is how a store states the revision of a removal in its events.
+type removalForm int
+
+const (
+	ownRevision removalForm = iota
+	lastStateRevision
+	noRevision
+)
+
+// message is an answer or a delta that is under way to a mirror.
+type message struct {
+	to      *restoreMirror
+	deliver func()
+}
+
+// removalEvents returns the changes after a revision, with the removals in a form.
+func (h *history) removalEvents(after int64, form removalForm) []platform.Event {
+	events := slices.Clone(h.changes[after:])
+	states := make(map[string]int64)
+	for i, e := range h.changes {
+		if !e.Deleted {
+			states[e.Object.Name] = e.Object.Revision
+			continue
+		}
+		if int64(i) >= after {
+			switch form {
+			case lastStateRevision:
+				events[int64(i)-after].Object.Revision = states[e.Object.Name]
+			case noRevision:
+				events[int64(i)-after].Object.Revision = 0
+			}
+		}
+	}
+	return events
+}
+
+// contentAt returns the content of an object at a revision, empty if there is none.
+func (h *history) contentAt(name string, revision int64) string {
+	for i := revision - 1; i >= 0; i-- {
+		if c := h.changes[i]; c.Object.Name == name {
+			if c.Deleted {
+				return ""
+			}
+			return string(c.Object.Spec)
+		}
+	}
+	return ""
+}
+
+// outdated returns the name of an object that a mirror holds in none of the states since its revision, if there is one.
+func (h *history) outdated(m *restoreMirror) string {
+	for _, name := range []string{"a", "b", "c"} {
+		current := false
+		for r := m.Revision(); r <= int64(len(h.changes)); r++ {
+			current = current || h.contentAt(name, r) == m.contents[name]
+		}
+		if !current {
+			return name
+		}
+	}
+	return ""
+}
+
+// TestLateMessagesModel guards against a mirror that goes back to an older state of an object, such as one before its
+// removal, because an answer of the store or a delta of another mirror comes late, for any order of messages.
+func TestLateMessagesModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &history{contents: make(map[string]string), states: make(map[string]int64)}
+		form := rapid.SampledFrom([]removalForm{ownRevision, lastStateRevision, noRevision}).Draw(t, "removals")
+		h.change("a", false)
+		mirrors := make([]*restoreMirror, 3)
+		for i := range mirrors {
+			mirrors[i] = newRestoreMirror(nil)
+			mirrors[i].ApplyListing(platform.Listing{Revision: 1, Objects: []platform.StoredObject{h.changes[0].Object}})
+		}
+		var underWay []message
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			m := mirrors[rapid.IntRange(0, 2).Draw(t, "mirror")]
+			switch rapid.SampledFrom([]string{"change", "watch", "list", "delta", "full", "deliver", "deliver", "deliver"}).Draw(t, "step") {
+			case "change":
+				h.change(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), rapid.Bool().Draw(t, "remove"))
+			case "watch":
+				from := m.Position()
+				c := platform.Changes{Revision: int64(len(h.changes)), Events: h.removalEvents(from.Revision, form)}
+				underWay = append(underWay, message{m, func() {
+					if !m.applyWatch(c, from) {
+						h.list(m)
+					}
+				}})
+			case "list":
+				l := platform.Listing{Revision: int64(len(h.changes))}
+				for name, content := range h.contents {
+					l.Objects = append(l.Objects, object(name, content, h.states[name]))
+				}
+				underWay = append(underWay, message{m, func() { m.ApplyListing(l) }})
+			case "delta", "full":
+				from, position := mirrors[rapid.IntRange(0, 2).Draw(t, "from")], m.Position()
+				if rapid.Bool().Draw(t, "full") {
+					position = Position{}
+				}
+				d := from.Since(position)
+				underWay = append(underWay, message{m, func() { m.Merge(d) }})
+			case "deliver":
+				if len(underWay) > 0 {
+					i := rapid.IntRange(0, len(underWay)-1).Draw(t, "message")
+					underWay[i].deliver()
+					if rapid.Bool().Draw(t, "once") {
+						underWay = slices.Delete(underWay, i, i+1)
+					}
+				}
+			}
+			for i, m := range mirrors {
+				if name := h.outdated(m); name != "" {
+					t.Fatalf("mirror %d is complete up to revision %d and holds %q as %q", i, m.Revision(), name, m.contents[name])
+				}
+			}
+		}
+	})
+}
+
+// TestLateAnswersDoNotBringObjectsBack guards against a searcher that gets requests again, or a failure domain that goes
+// out of service again, for good, because an answer or a delta from before the removal of its entry comes late.
+func TestLateAnswersDoNotBringObjectsBack(t *testing.T) {
+	for name, late := range map[string]func(m, other *restoreMirror) func(){
+		"watch": func(m, _ *restoreMirror) func() {
+			from := m.Position()
+			return func() {
+				m.applyWatch(platform.Changes{Revision: 11, Events: []platform.Event{{Object: object("a", `2`, 11)}}}, from)
+			}
+		},
+		"delta": func(m, other *restoreMirror) func() {
+			d := other.Since(m.Position())
+			return func() { m.Merge(d) }
+		},
+		"full delta": func(m, other *restoreMirror) func() {
+			d := other.Since(Position{})
+			return func() { m.Merge(d) }
+		},
+		"listing": func(m, _ *restoreMirror) func() {
+			return func() {
+				m.ApplyListing(platform.Listing{Revision: 11, Objects: []platform.StoredObject{object("a", `2`, 11)}})
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, other := newRestoreMirror(nil), newRestoreMirror(nil)
+			for _, m := range []*restoreMirror{m, other} {
+				m.ApplyListing(platform.Listing{Revision: 10, Objects: []platform.StoredObject{object("a", `1`, 5)}})
+			}
+			other.ApplyEvents([]platform.Event{{Object: object("a", `2`, 11)}}, 11)
+			deliver := late(m, other)
+			other.ApplyEvents([]platform.Event{deletion("a", 12)}, 12)
+			m.Merge(other.Since(m.Position()))
+			deliver()
+			qt.Assert(t, m.contents, qt.HasLen, 0)
+			// An object that is written again is used again.
+			m.ApplyEvents([]platform.Event{{Object: object("a", `3`, 13)}}, 13)
+			qt.Assert(t, m.contents, qt.DeepEquals, map[string]string{"a": "3"})
+		})
+	}
+}
+
+// TestLateRemovalsLeaveNewerObjects guards against an object that disappears for good because its removal, from before it was
+// written again, comes late, with or without a revision.
+func TestLateRemovalsLeaveNewerObjects(t *testing.T) {
+	for _, revision := range []int64{11, 0} {
+		m := newRestoreMirror(nil)
+		m.ApplyListing(platform.Listing{Revision: 10, Objects: []platform.StoredObject{object("a", `1`, 5)}})
+		from := m.Position()
+		m.Merge(Delta{Objects: []platform.StoredObject{object("a", `2`, 12)}, Revision: 12, NewestChange: 12})
+		applied := m.applyWatch(platform.Changes{Revision: 12, Events: []platform.Event{deletion("a", revision), {Object: object("a", `2`, 12)}}}, from)
+		qt.Check(t, applied, qt.Equals, revision != 0)
+		qt.Check(t, m.contents, qt.DeepEquals, map[string]string{"a": "2"})
+	}
+}
+
+// TestWatchOfFormerEpochIsNotApplied guards against a mirror that counts as complete up to a revision of a former epoch, and
+// then misses what the store writes, because the epoch changed while a watch waited.
+func TestWatchOfFormerEpochIsNotApplied(t *testing.T) {
+	m := newKnownMirror(nil)
+	from := m.Position()
+	m.ApplyListing(oldCopy())
+	qt.Assert(t, m.applyWatch(platform.Changes{Epoch: 2, Revision: from.Revision}, from), qt.IsFalse)
+	qt.Assert(t, m.Position(), qt.Equals, Position{Epoch: 2, Revision: 11})
+}
+
+// TestObjectOfSkippedSpanIsRemoved guards against an object that stays for good because a listing skipped its whole life, and the
+// delta that says so was asked for before this mirror learned of the object.
+func TestObjectOfSkippedSpanIsRemoved(t *testing.T) {
+	m, other := newRestoreMirror(nil), newRestoreMirror(nil)
+	for _, m := range []*restoreMirror{m, other} {
+		m.ApplyListing(platform.Listing{Revision: 1, Objects: []platform.StoredObject{object("a", `1`, 1)}})
+	}
+	other.ApplyListing(platform.Listing{Revision: 3, Objects: []platform.StoredObject{object("a", `1`, 1)}})
+	d := other.Since(m.Position())
+	m.ApplyEvents([]platform.Event{{Object: object("b", `2`, 2)}}, 2)
+	m.Merge(d)
+	qt.Assert(t, m.contents, qt.DeepEquals, map[string]string{"a": "1"})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -151,7 +151,7 @@
 	listed := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		listed[o.Name] = true
-		m.put(o)
+		m.putListed(o)
 	}
 	for name, o := range m.objects {
 		if !listed[name] && o.Revision <= l.Revision && !m.restored.unconfirmed[name] {
@@ -167,12 +167,27 @@
 	return true
 }
 
+// applyWatch applies the changes that a watch from a position has returned. It applies none and returns
+// false if they can't be ordered among what the mirror has learned from other mirrors meanwhile: the
+// mirror has moved to another epoch, or has passed the position and a removal states no revision.
+func (m *Mirror) applyWatch(c platform.Changes, from Position) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if from.Epoch != m.epoch || from.Revision < m.revision && hasUndatedRemoval(c.Events) {
+		return false
+	}
+	return m.applyChanges(c)
+}
+
+// hasUndatedRemoval reports whether one of the events is a removal without a revision.
+func hasUndatedRemoval(events []platform.Event) bool {
+	return slices.ContainsFunc(events, func(e platform.Event) bool { return e.Deleted && e.Object.Revision == 0 })
+}
+
 // applyChanges applies the changes that a watch has returned. It applies none and returns
 // false if the epoch is not that of the mirror: the watch was then from a revision of another
-// history.
+// history. The caller holds the lock.
 func (m *Mirror) applyChanges(c platform.Changes) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if m.epoch == 0 {
 		m.epoch = c.Epoch // the mirror has its listing from an instance that knows no epoch
 	}
@@ -183,31 +198,41 @@
 	return true
 }
 
-// ApplyEvents applies the changes that lead up to a revision. A change that is older than the
-// object that the mirror holds is ignored. A removal without a revision always applies.
+// ApplyEvents applies the changes that lead up to a revision. Changes that the mirror has passed
+// already are ignored.
 func (m *Mirror) ApplyEvents(events []platform.Event, revision int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.applyEvents(events, revision)
 }
 
-// applyEvents is ApplyEvents for a caller that holds the lock.
+// applyEvents is ApplyEvents for a caller that holds the lock. A removal without a revision comes after the
+// event before it.
 func (m *Mirror) applyEvents(events []platform.Event, revision int64) {
+	before := m.revision
 	for _, e := range events {
-		if !e.Deleted {
+		if e.Deleted {
+			if e.Object.Revision == 0 {
+				e.Object.Revision = before
+			}
+			m.applyRemoval(e.Object.Name, e.Object.Revision, revision)
+		} else {
 			m.put(e.Object)
-			continue
 		}
-		m.applyRemoval(e.Object.Name, e.Object.Revision, revision)
+		before = max(before, e.Object.Revision)
 	}
 	m.advance(revision)
 }
 
-// applyRemoval removes an object that the store has removed at a revision, unless the store
-// has written it again since. A removal without a revision always applies. knownAt is the
-// revision up to which the mirror is complete then. The caller holds the lock.
+// applyRemoval removes an object whose states up to a revision are gone, unless the store
+// has written it again since. knownAt is the revision up to which the mirror is complete then. A removal
+// without a revision, which mirrors of older builds pass on, applies to the states up to knownAt. The caller
+// holds the lock.
 func (m *Mirror) applyRemoval(name string, revision, knownAt int64) {
-	if held, ok := m.heldRevision(name); ok && revision != 0 && held > revision {
+	if revision == 0 {
+		revision = knownAt
+	}
+	if held, ok := m.heldRevision(name); ok && held > revision {
 		return
 	}
 	held, inForce := m.objects[name]
@@ -224,12 +249,28 @@
 // advance raises the revision of the mirror. The caller holds the lock.
 func (m *Mirror) advance(revision int64) { m.revision = max(m.revision, revision) }
 
-// put stores an object unless the mirror holds the same or a newer revision of it. The
-// caller holds the lock.
+// put stores an object unless the mirror holds the same or a newer revision of it, or is complete up to the
+// object's revision and does not hold it: then the object was removed since. The caller holds the lock.
 func (m *Mirror) put(o platform.StoredObject) {
-	if held, ok := m.heldRevision(o.Name); ok && held >= o.Revision {
-		return
+	held, ok := m.heldRevision(o.Name)
+	if !ok {
+		held = m.revision
 	}
+	if o.Revision > held {
+		m.store(o)
+	}
+}
+
+// putListed stores an object of a listing that is not older than the mirror, unless the mirror holds the same
+// or a newer revision of it. The caller holds the lock.
+func (m *Mirror) putListed(o platform.StoredObject) {
+	if held, ok := m.heldRevision(o.Name); !ok || o.Revision > held {
+		m.store(o)
+	}
+}
+
+// store stores an object. The caller holds the lock.
+func (m *Mirror) store(o platform.StoredObject) {
 	m.confirm(o.Name)
 	m.objects[o.Name] = o
 	m.newestChange = max(m.newestChange, o.Revision)
