Searcher: a reply that is reset half way is not taken for whole

Callers saw: a long request got 200 with half of the searcher's body, framed as a complete answer.

Cause: a reply without a length ends with its connection. The kernel reports a reset once; the write of the request got the error, and the reader saw the same as after an orderly end.

Change: such a reply is whole only if the searcher's orderly end was received. The state of the connection tells it; if it was reset, the error of the write tells whether the end came first.

--- a/searcher/conn.go
+++ b/searcher/conn.go
@@ -98,8 +98,10 @@
 	writer *Exchange
 	// writtenAt is when that write began.
 	writtenAt time.Time
-	// writeErr is why the request could not be written, nil if it could.
-	writeErr error
+	// writeErr is why the request could not be written, nil if it could. writeEnded is closed when the
+	// write of the request of pending has ended and writeErr is set. It is nil before the first write.
+	writeErr   error
+	writeEnded <-chan struct{}
 	// err is why the connection was closed, nil while it is open.
 	err error
 	// replied says that it has carried a whole reply, rejected that the searcher rejected it. opened is
@@ -234,7 +236,12 @@
 	// If setting the deadline fails, the write fails as well.
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	request := e.Encode()
-	if request == nil || !c.beginWrite(e) {
+	if request == nil {
+		c.fail(ErrNotWritten)
+		return
+	}
+	ended := c.beginWrite(e)
+	if ended == nil {
 		c.fail(ErrNotWritten)
 		return
 	}
@@ -242,7 +249,9 @@
 	if err != nil && n == 0 {
 		err = errors.WithType(errors.Trace(err), ErrNotWritten)
 	}
-	if closed := c.endWrite(e, err); closed != nil {
+	closed := c.endWrite(e, err)
+	close(ended)
+	if closed != nil {
 		e.Done(nil, closed)
 		return
 	}
--- a/searcher/reply.go
+++ b/searcher/reply.go
@@ -74,6 +74,9 @@
 	// The body is not closed: that would read on. A connection with an unread rest is closed.
 	reply.Body, err = memory.ReadAll(response.Body, length, limit, holder)
 	c.setIdleTimeout(keepAliveTimeout(response.Header.Get("Keep-Alive")))
+	if err == nil && reply.Usable() && endsWithConnection(response) && !c.endedInOrder() {
+		return nil, true, errReset
+	}
 	switch {
 	case err == nil:
 		return reply, response.Close, nil
--- a/searcher/write.go
+++ b/searcher/write.go
@@ -27,16 +27,17 @@
 	return reset || !c.begun && (errors.Is(err, errClosedBySearcher) || errors.Is(err, io.EOF))
 }
 
-// beginWrite reports whether the request of an exchange may be written, and records that it is. It may not if
-// the connection was closed since Send.
-func (c *Conn) beginWrite(e *Exchange) bool {
+// beginWrite records that the request of an exchange is being written, and returns a channel to close when that has
+// ended. It returns nil if the request must not be written, because the connection was closed since Send.
+func (c *Conn) beginWrite(e *Exchange) chan<- struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil || c.pending != e {
-		return false
+		return nil
 	}
-	c.begun, c.writer, c.writtenAt = true, e, time.Now()
-	return true
+	ended := make(chan struct{})
+	c.begun, c.writer, c.writtenAt, c.writeEnded = true, e, time.Now(), ended
+	return ended
 }
 
 // endWrite records the end of a write. If the connection was closed meanwhile and the exchange has not ended, it
