Fleet: the start of a searcher does not order its entries

Callers saw: requests went on to a searcher that drains, after it had started again on a host whose time of day had been set back.

Cause: an entry of an earlier start than the known one was ignored, although the store had written it later.

Change: the store's revision alone orders entries; another start, earlier or later, is another incarnation.

--- a/cmd/wharf-gateway/service_test.go
+++ b/cmd/wharf-gateway/service_test.go
@@ -324,3 +324,44 @@
 		qt.Assert(t, a.status("/r/x"), qt.Equals, http.StatusOK)
 	}
 }
+
+// TestSearcherRestartsWithEarlierTime guards against a searcher that gets requests although it drains, or gets none at its
+// new address, because it started again on a host whose time of day was set back, so that its start is an earlier one.
+func TestSearcherRestartsWithEarlierTime(t *testing.T) {
+	d := newDeployment(t)
+	a := d.startInstance("a")
+	ledger := &site.Ledger{}
+	searchers := d.startSearchers(ledger, time.Millisecond)
+	restarted := searchers[0]
+	put := func(start int64, state string) {
+		restarted.StartUnixMs = start
+		d.store.Put("servers", restarted.ID, restarted.Entry(state))
+	}
+	// runs returns how many of ten requests run on the searcher.
+	runs := func() int {
+		before := len(ledger.Runs())
+		for range 10 {
+			a.status("/r/x")
+		}
+		n := 0
+		for _, r := range ledger.Runs()[before:] {
+			if r.Searcher == restarted.ID {
+				n++
+			}
+		}
+		return n
+	}
+	put(5000, "ready")
+	d.configure(1, "/r/")
+	eventually(t, "the configuration is not in force", func() bool { return a.status("/r/x") == http.StatusOK })
+	eventually(t, "the searcher is not used", func() bool { return runs() > 0 })
+	put(3000, "draining")
+	eventually(t, "the searcher that drains is used", func() bool { return runs() == 0 && a.status("/r/x") == http.StatusOK })
+	moved, err := site.StartSearcher(restarted.ID, "one", "a", time.Millisecond, 4, ledger)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(moved.Stop)
+	restarted = moved
+	put(2000, "ready")
+	d.store.Put("servers", searchers[1].ID, searchers[1].Entry("draining"))
+	eventually(t, "the searcher is not used at its new address", func() bool { return a.status("/r/x") == http.StatusOK && runs() == 10 })
+}
--- a/fleet/searchers.go
+++ b/fleet/searchers.go
@@ -23,7 +23,7 @@
 	// written.
 	ColdFor time.Duration
 	// StartUnixMs is the start of the searcher as a Unix time in milliseconds, zero if
-	// the entry does not state it.
+	// the entry does not state it. It tells incarnations apart, but does not order them.
 	StartUnixMs int64
 	// Version is the version of the searcher's software, empty if the entry does not state it.
 	Version string
@@ -77,8 +77,8 @@
 }
 
 // Put adds or replaces an entry and reports whether it did. A replaced entry is no longer
-// missing. Put ignores an entry that has an older revision than the known one, or that is of
-// an earlier start of the searcher.
+// missing. Put ignores an entry that has an older revision than the known one. Only the revisions
+// order the entries: after a restart on a host whose time of day was set back, the start is an earlier one.
 func (set *Searchers) Put(s Searcher, revision int64) bool {
 	set.mu.Lock()
 	defer set.mu.Unlock()
@@ -87,7 +87,7 @@
 		set.entries[s.ID] = &entry{searcher: s, revision: revision}
 		return true
 	}
-	if revision < e.revision || s.StartUnixMs < e.searcher.StartUnixMs {
+	if revision < e.revision {
 		return false
 	}
 	*e = entry{searcher: s, revision: revision}
