Stop: count from when the process last ran, also after a short pause

Seen: in the soak, a process that stood still for 358 ms when its signal came ended 3.015 s after it, with a grace of 3 s.

Cause: the schedule of a stop counts from when the signal is noticed unless a stall was noticed, and stalls below half a second are not. The guard that ends a process before its grace did not count stalls at all.

Change: both count from the latest moment at which the process is known to have run, the last tick or the one before it.

--- a/arrival/stall.go
+++ b/arrival/stall.go
@@ -19,8 +19,8 @@
 	kernelTellsAges atomic.Bool
 
 	mu sync.Mutex
-	// lastTick is the time of the last tick. lastWasLate says that a stall ended with it, which
-	// began at stallBegan. stallEnded is when the last stall ended, zero if there was none.
+	// lastTick is the time of the last tick, stallBegan that of the one before, zero if there was none.
+	// lastWasLate says that a stall between them ended. stallEnded is when the last stall ended, zero if there was none.
 	lastTick    time.Duration
 	lastWasLate bool
 	stallBegan  time.Duration
@@ -61,13 +61,23 @@
 	return 0, false
 }
 
-// Earliest returns the earliest time at which something may have come that is noticed at the time now:
-// now, unless the process was just stalled.
-func (d *StallDetector) Earliest(now time.Duration) time.Duration {
-	if began, ok := d.since(now); ok {
-		return began
+// maxTickJitter is how late a tick may be while the process runs as usual.
+const maxTickJitter = 20 * time.Millisecond
+
+// LastAwake returns the latest time up to which the process is known to have handled what had come, given that
+// something is handled at the time now: that of the last tick, or of the one before if the last one was late or has
+// just been, so that both may have waited for the same end of a stall.
+func (d *StallDetector) LastAwake(now time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	late := d.lastTick-d.stallBegan > d.interval+maxTickJitter || now-d.lastTick <= maxTickJitter
+	switch {
+	case d.lastTick == 0:
+		return now
+	case d.stallBegan != 0 && late:
+		return d.stallBegan
 	}
-	return now
+	return d.lastTick
 }
 
 // overdue reports whether the next tick is late. The caller holds the lock.
--- a/arrival/tracker_test.go
+++ b/arrival/tracker_test.go
@@ -86,6 +86,28 @@
 	qt.Assert(t, read(), qt.Equals, At(c.Boottime()))
 }
 
+// TestLastAwakeCoversShortStalls guards against a signal that counts from the time when it was noticed, although the process
+// stood still before, too shortly to count as a stall.
+func TestLastAwakeCoversShortStalls(t *testing.T) {
+	const interval, came = 100 * time.Millisecond, 10*time.Second + 30*time.Millisecond
+	for stall := time.Duration(0); stall <= time.Second; stall += 10 * time.Millisecond {
+		for _, tickFirst := range []bool{true, false} {
+			d := NewStallDetector(interval)
+			qt.Assert(t, d.LastAwake(came), qt.Equals, came, qt.Commentf("nothing is known before the first tick"))
+			for n := range 101 {
+				d.Tick(time.Duration(n) * interval)
+			}
+			noticed := came + stall
+			if late := noticed >= 10*time.Second+interval; late && tickFirst {
+				d.Tick(noticed)
+			}
+			earliest := d.LastAwake(noticed)
+			qt.Check(t, earliest <= came, qt.IsTrue, qt.Commentf("%s, tick first %v: %s", stall, tickFirst, earliest))
+			qt.Check(t, earliest >= came-interval, qt.IsTrue, qt.Commentf("%s, tick first %v: %s", stall, tickFirst, earliest))
+		}
+	}
+}
+
 // TestUnreadBytesOfSocket guards against bytes whose age in the socket is not known, and a peer that
 // has closed and counts as there, or one that is there and counts as closed.
 func TestUnreadBytesOfSocket(t *testing.T) {
--- a/cmd/wharf-gateway/main.go
+++ b/cmd/wharf-gateway/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"github.com/wisteriawharf/wisteriawharf/clock"
 	"github.com/wisteriawharf/wisteriawharf/memory"
 	"github.com/wisteriawharf/wisteriawharf/platform"
 )
@@ -52,7 +53,7 @@
 	memory.LimitRuntime(settings.MemoryBytes)
 	log := newLog(o.LogLevel).With("instance", settings.Name)
 	handled := make(chan os.Signal, cap(signals))
-	guard := &exitGuard{grace: settings.Bounds.StopGrace, log: log}
+	guard := newExitGuard(settings.Bounds.StopGrace, clock.System{}, log)
 	go guard.run(signals, handled)
 	defer guard.end()
 	if err := serve(context.Background(), settings, log, handled); err != nil {
--- a/cmd/wharf-gateway/stop.go
+++ b/cmd/wharf-gateway/stop.go
@@ -52,7 +52,8 @@
 // still come, as long as they can be answered within the stop grace. It returns an error if
 // requests are still open at the end.
 func (s *service) stop(servers *servers) error {
-	schedule := newStopSchedule(s.stopBegan(s.clock.Boottime()), s.settings.Bounds.StopGrace)
+	grace := s.settings.Bounds.StopGrace
+	schedule := newStopSchedule(stopBegan(s.stalls, s.clock.Boottime(), grace), grace)
 	s.log.Info("planned stop", "open", s.gateway.InFlight())
 	s.stopping.Store(true)
 	s.gateway.BeginStop(schedule.answerBy)
@@ -65,13 +66,6 @@
 	return err
 }
 
-// stopBegan returns when the signal for a planned stop came that is noticed at the time now. If the
-// process was stalled, that is the earliest possible time.
-func (s *service) stopBegan(now time.Duration) time.Duration {
-	longestAgo := time.Duration((1 - minStop) * float64(s.settings.Bounds.StopGrace))
-	return max(s.stalls.Earliest(now), now-longestAgo)
-}
-
 // stopPhases holds when the phases of a planned stop ended, on the boot clock, and how many
 // connections of callers its end closed.
 type stopPhases struct {
--- a/cmd/wharf-gateway/stop_stall_test.go
+++ b/cmd/wharf-gateway/stop_stall_test.go
@@ -46,3 +46,35 @@
 	qt.Assert(t, <-p.ended, qt.IsNil)
 	qt.Check(t, time.Since(began) < grace, qt.IsTrue, qt.Commentf("ended after %s", time.Since(began)))
 }
+
+// TestStopAfterShortPauseEndsInTime guards against a process that is killed at the end of the grace because it stood still for a
+// moment when the signal came, too shortly to count as a stall, while requests are open for as long as the stop allows.
+func TestStopAfterShortPauseEndsInTime(t *testing.T) {
+	t.Parallel()
+	const grace = 3 * time.Second
+	for _, pause := range []time.Duration{120 * time.Millisecond, 240 * time.Millisecond, 360 * time.Millisecond, 480 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			ledger := &site.Ledger{}
+			p := processSite(t, ledger, 20*time.Millisecond, func(n *site.Node) { n.StopGrace = int(grace / time.Second) })
+			conn, err := site.Connect(p.node.Callers)
+			qt.Assert(t, err, qt.IsNil)
+			defer conn.Close()
+			path := fmt.Sprintf("/safe/x?%s=%d", site.WorkQuery, (2 * grace).Milliseconds())
+			answered := make(chan struct{})
+			go func() {
+				defer close(answered)
+				conn.Ask(http.MethodGet, path, "long", 2*grace)
+			}()
+			eventually(t, "the request does not run", func() bool { return ledger.Count("long") > 0 })
+			began := time.Now()
+			p.signal(syscall.SIGSTOP)
+			p.signal(syscall.SIGTERM)
+			time.Sleep(pause)
+			p.signal(syscall.SIGCONT)
+			qt.Check(t, <-p.ended, qt.IsNil)
+			qt.Check(t, time.Since(began) < grace, qt.IsTrue, qt.Commentf("ended after %s", time.Since(began)))
+			<-answered
+		})
+	}
+}
