Heartbeats: a late one does not replace a newer one

Cause, found by reading after the late answers of the store: heartbeats are datagrams without an order, so that one from before a planned stop that comes after the one from the stop makes the instance count as ready again, until the next heartbeat or for 2.5 s if none comes.

Change: heartbeats state a sequence; the state of one that comes after a later one is not used, its reports about searchers are. A new start of an instance begins anew, and an instance of an older build states no sequence.

Evidence: fleet TestLateHeartbeatIsIgnored. It needs the new field, so it can't be run on the former code, which recorded every heartbeat. fleet, exchange, freshnessexchange and quotaexchange tests pass. That callers met it is not shown.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -112,6 +112,10 @@
 	// heartbeatPort is the UDP port of the heartbeats of all instances.
 	heartbeatPort int
 
+	// stating is held while the state for a heartbeat is read. sequence is that of the last one.
+	stating  sync.Mutex
+	sequence uint64
+
 	mu sync.Mutex
 	// fetching holds true for each kind whose objects are being fetched.
 	fetching map[string]bool
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -24,8 +24,10 @@
 
 // heartbeat is the state of an instance as it sends it to others.
 type heartbeat struct {
-	Name           string `json:"n"`
-	StartUnixMs    int64  `json:"s"`
+	Name        string `json:"n"`
+	StartUnixMs int64  `json:"s"`
+	// Sequence counts the heartbeats of this start, so that one that comes late is told from the newest.
+	Sequence       uint64 `json:"k,omitempty"`
 	Ready          bool   `json:"r"`
 	StoreReachable bool   `json:"f"`
 	// LoadMillicores is the processor time that the instance uses, in thousandths of a core.
@@ -91,10 +93,14 @@
 	return all
 }
 
-// heartbeat returns the heartbeat of this instance, without reports.
+// heartbeat returns the heartbeat of this instance, without reports. What it states is at least as new as that
+// of any heartbeat with a lower sequence.
 func (x *Exchange) heartbeat() heartbeat {
+	x.stating.Lock()
+	defer x.stating.Unlock()
+	x.sequence++
 	h := heartbeat{
-		Name: x.config.Self.Name, StartUnixMs: x.config.Self.StartUnixMs,
+		Name: x.config.Self.Name, StartUnixMs: x.config.Self.StartUnixMs, Sequence: x.sequence,
 		Ready: x.config.Ready(), StoreReachable: x.config.StoreReachable(), LoadMillicores: int(1000 * x.config.Instances.Load()),
 		HasListings: x.hasListings(), NewestChange: make(map[string]int64, len(x.config.Mirrors)),
 	}
@@ -216,12 +222,16 @@
 // received processes a heartbeat of another instance.
 func (x *Exchange) received(h heartbeat, from netip.AddrPort) {
 	now := x.config.Clock.Boottime()
-	status := fleet.HeartbeatStatus{Ready: h.Ready, StoreReachable: h.StoreReachable, Load: float64(h.LoadMillicores) / 1000}
+	status := fleet.HeartbeatStatus{Sequence: h.Sequence, Ready: h.Ready, StoreReachable: h.StoreReachable, Load: float64(h.LoadMillicores) / 1000}
 	sender, ok := x.config.Instances.RecordHeartbeat(h.Name, h.StartUnixMs, now, status)
 	if !ok {
 		x.fetchFromUnknownSender(h, from.Addr().String())
 		return
 	}
+	if sender.Late {
+		x.config.OnReports(h.decodedReports())
+		return
+	}
 	if h.Subscribe {
 		x.config.Instances.Subscribe(h.Name, now)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -94,6 +94,26 @@
 	qt.Assert(t, s.CallerAddresses("a", 2*time.Second, false), qt.DeepEquals, []string{"b2"})
 }
 
+// TestLateHeartbeatIsIgnored guards against callers that are sent to an instance that stops, because its heartbeat from before the
+// stop comes after that from the stop, and against heartbeats of a new start that count as late.
+func TestLateHeartbeatIsIgnored(t *testing.T) {
+	s := newTestInstances(t)
+	record := func(start int64, sequence uint64, ready bool) Sender {
+		sender, ok := s.RecordHeartbeat("b2", start, time.Second, HeartbeatStatus{Sequence: sequence, Ready: ready, StoreReachable: true})
+		qt.Assert(t, ok, qt.IsTrue)
+		return sender
+	}
+	record(1, 6, true)
+	qt.Assert(t, record(1, 8, false).StatusChanged, qt.IsTrue)
+	qt.Assert(t, record(1, 7, true).Late, qt.IsTrue)
+	qt.Assert(t, s.CallerAddresses("b", time.Second, false), qt.HasLen, 0)
+	qt.Assert(t, record(1, 9, true).Late, qt.IsFalse)
+	qt.Assert(t, record(1, 0, true).Late, qt.IsFalse, qt.Commentf("an older build states no sequence"))
+	s.Put(Instance{Name: "b2", FailureDomain: "b", CallerAddress: "b2", StartUnixMs: 2}, 2*time.Second)
+	qt.Assert(t, record(2, 1, true).Late, qt.IsFalse)
+	qt.Assert(t, s.CallerAddresses("b", time.Second, false), qt.DeepEquals, []string{"b2"})
+}
+
 // TestCountBudgetSharers guards against raising the budget of each instance as soon as
 // another one falls silent, since that one may still use its share. It also guards against
 // raising it because an instance of another failure domain is not heard, since not all
--- a/fleet/instances.go
+++ b/fleet/instances.go
@@ -133,6 +133,8 @@
 	Instance
 	// StatusChanged says that its last heartbeat had another status.
 	StatusChanged bool
+	// Late says that a later heartbeat came before this one, of which nothing was recorded.
+	Late bool
 }
 
 // RecordHeartbeat records a heartbeat and returns the instance that sent it. startUnixMs is
@@ -146,6 +148,9 @@
 	if k == nil || name == s.self || k.instance.StartUnixMs != startUnixMs {
 		return Sender{}, false
 	}
+	if k.direct.received && status.precedes(k.direct.status) {
+		return Sender{Instance: k.instance, Late: true}, true
+	}
 	sender := Sender{Instance: k.instance, StatusChanged: k.direct.received && k.direct.status.differs(status)}
 	k.lastHeartbeat = now
 	k.ready = status.Ready
@@ -157,6 +162,8 @@
 
 // HeartbeatStatus is the state of an instance as stated in its heartbeat.
 type HeartbeatStatus struct {
+	// Sequence counts the heartbeats of a start of the instance. It is zero if that is not known.
+	Sequence uint64
 	// Ready says that the instance serves callers.
 	Ready bool
 	// StoreReachable says that the store is not known to be unreachable from there. An
@@ -166,6 +173,11 @@
 	Load float64
 }
 
+// precedes reports whether the status was stated before another one of the same start.
+func (h HeartbeatStatus) precedes(other HeartbeatStatus) bool {
+	return h.Sequence != 0 && h.Sequence < other.Sequence
+}
+
 // differs reports whether the status differs in more than the load.
 func (h HeartbeatStatus) differs(other HeartbeatStatus) bool {
 	return h.Ready != other.Ready || h.StoreReachable != other.StoreReachable
