--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,17 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"os"
-	"slices"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/wisteriawharf/wisteriawharf/arrival"
 	"github.com/wisteriawharf/wisteriawharf/cost"
 	"github.com/wisteriawharf/wisteriawharf/dispatch"
@@ -181,149 +174,6 @@
 // channel.
 const maxEventsPerPart = 16
 
-// headersTooLarge reports whether the request URI and the headers together exceed the
-// limit, if there is one.
-func headersTooLarge(r *http.Request, limits routing.Limits) bool {
-	if limits.MaxHeaderBytes <= 0 {
-		return false
-	}
-	n := len(r.RequestURI)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
-		}
-	}
-	return n > limits.MaxHeaderBytes
-}
-
-// readBody reads the whole body of a request. It returns a refusal if the body is larger than the
-// limit, if there is one, if the process has no memory for it, if it isn't there by the deadline
-// or by the end of a planned stop, or if it breaks off.
-func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) *refusal {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
-	}
-	reader := io.Reader(r.Body)
-	if limits.MaxBodyBytes > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
-	}
-	connection := http.NewResponseController(w)
-	// A response writer without deadlines has no connection that could be slow.
-	_ = connection.SetReadDeadline(time.Now().Add(c.deadline - c.now()))
-	endWatch := c.g.stop.interruptAtEnd(connection)
-	body, err := c.memory.ReadAll(reader)
-	endWatch()
-	if err == nil {
-		_ = connection.SetReadDeadline(time.Time{}) // as above
-		arrival.FromContext(c.ctx).BodyRead()
-		c.body = body
-		return nil
-	}
-	// Without it the server reads on after a refused body before it sends the answer.
-	w.Header().Set("Connection", "close")
-	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body is too large"}
-	}
-	if errors.Is(err, memory.ErrExhausted) {
-		return c.memoryRefusal()
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &refusal{status: http.StatusRequestTimeout, reason: "body did not arrive in time"}
-	}
-	return &refusal{status: http.StatusBadRequest, reason: "body could not be read"}
-}
-
-// takeCopies takes the memory of the copies of the body that the attempts write. The copies of
-// small requests are not taken, because they are written at once.
-func (c *call) takeCopies() *refusal {
-	if len(c.body) <= maxUncountedCopyBytes {
-		return nil
-	}
-	copies := int64(max(len(c.route.Shards), 1))
-	if !c.memory.Grow(copies * int64(len(c.head)+len(c.body))) {
-		return c.memoryRefusal()
-	}
-	return nil
-}
-
-// maxUncountedCopyBytes is the largest body whose copies are not taken from the memory budget.
-const maxUncountedCopyBytes = 2 << 10
-
-// memoryRefusal returns the refusal of a request for which the process has no memory.
-func (c *call) memoryRefusal() *refusal {
-	return c.notRunRefusal("memory is in use by other requests", 0)
-}
-
-// hopByHopHeaders are the headers that are not forwarded: those that apply to one connection
-// only, and Content-Length and Expect.
-var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
-
-// isHopByHop reports whether a header must not be forwarded, either because it is one of
-// hopByHopHeaders or because the Connection header in h lists it.
-func isHopByHop(name string, h http.Header) bool {
-	if slices.Contains(hopByHopHeaders, name) {
-		return true
-	}
-	for _, listed := range h["Connection"] {
-		for field := range strings.SplitSeq(listed, ",") {
-			if strings.EqualFold(strings.TrimSpace(field), name) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// requestHead returns the encoded head of the request to a searcher. It contains neither
-// the headers that differ between attempts nor the empty line at the end. If the configuration has
-// client accounts, the account of the request takes the place of the caller's credentials.
-func (c *call) requestHead(r *http.Request, hasAccounts bool) []byte {
-	b := make([]byte, 0, 512)
-	b = append(b, r.Method...)
-	b = append(b, ' ')
-	b = append(b, r.RequestURI...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, r.Host...)
-	b = append(b, "\r\n"...)
-	for name, values := range r.Header {
-		if platform.IsAttemptHeader(name) || isHopByHop(name, r.Header) || hasAccounts && platform.IsAccountHeader(name) {
-			continue
-		}
-		for _, v := range values {
-			b = append(b, name...)
-			b = append(b, ": "...)
-			b = append(b, v...)
-			b = append(b, "\r\n"...)
-		}
-	}
-	if c.account != nil {
-		b = platform.AppendAccountHeader(b, c.account.Name)
-	}
-	bodyBytes := len(c.body)
-	if bodyBytes > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(bodyBytes), 10)
-		b = append(b, "\r\n"...)
-	}
-	return b
-}
-
-// encode returns the encoded request for a searcher, with the time that is left until the
-// deadline. It returns nil if the quota does not allow that the request is sent now.
-func (c *call) encode(searcherID string, left time.Duration) []byte {
-	if !c.maySend() {
-		return nil
-	}
-	b := make([]byte, 0, len(c.head)+len(c.body)+attemptHeaderBytes)
-	b = append(b, c.head...)
-	b = platform.AppendAttemptHeaders(b, searcherID, left)
-	b = append(b, "\r\n"...)
-	return append(b, c.body...)
-}
-
-// attemptHeaderBytes is the usual size of the headers that differ between attempts.
-const attemptHeaderBytes = 96
-
 // now returns the time on the boot clock.
 func (c *call) now() time.Duration { return c.g.config.Clock.Boottime() }
 
