Stop: the grace of the settings file counts as it is at the signal

Callers saw: after the grace was shortened in the settings file of a running instance, requests were cut at its next planned stop.

Cause: the file was read at the start only.

Change: the grace is read again when the signal for a stop comes, with or without a SIGHUP before. The guard passes it on with the signal, and with the earliest time at which that may have come.

--- a/cmd/wharf-gateway/exitguard.go
+++ b/cmd/wharf-gateway/exitguard.go
@@ -22,7 +22,8 @@
 // exitGuard passes signals on. The first one that asks for a planned stop starts a timer, which ends the
 // process shortly before the end of the stop grace period, also if it has not finished its start or hangs.
 type exitGuard struct {
-	grace time.Duration
+	// grace returns the stop grace period that is in force now.
+	grace func() time.Duration
 	log   *slog.Logger
 	clock clock.Clock
 	// stalls tells when the signal may have come at the earliest.
@@ -30,11 +31,13 @@
 
 	mu    sync.Mutex
 	timer *time.Timer // nil before the signal
-	ended bool
+	// armedGrace is the grace that the timer is for.
+	armedGrace time.Duration
+	ended      bool
 }
 
-// newExitGuard returns a guard for a stop grace period.
-func newExitGuard(grace time.Duration, clock clock.Clock, log *slog.Logger) *exitGuard {
+// newExitGuard returns a guard. grace returns the stop grace period and is called when a signal comes.
+func newExitGuard(grace func() time.Duration, clock clock.Clock, log *slog.Logger) *exitGuard {
 	return &exitGuard{grace: grace, log: log, clock: clock, stalls: arrival.NewStallDetector(signalTickInterval)}
 }
 
@@ -55,7 +58,7 @@
 				return
 			}
 			if sig != syscall.SIGHUP {
-				g.arm()
+				sig = g.arm(sig)
 			}
 			select {
 			case to <- sig:
@@ -65,6 +68,21 @@
 	}
 }
 
+// stopSignal is a signal for a planned stop. It implements os.Signal.
+type stopSignal struct {
+	received os.Signal
+	// began is the earliest time on the boot clock at which it may have come.
+	began time.Duration
+	// grace is the stop grace period.
+	grace time.Duration
+}
+
+// String implements os.Signal.
+func (s stopSignal) String() string { return s.received.String() }
+
+// Signal implements os.Signal.
+func (s stopSignal) Signal() { s.received.Signal() }
+
 // stopBegan returns the earliest time at which a signal for a planned stop may have come that is noticed at the
 // time now. It leaves minStop of the grace.
 func stopBegan(stalls *arrival.StallDetector, now, grace time.Duration) time.Duration {
@@ -72,15 +90,17 @@
 	return max(stalls.LastAwake(now), now-longestAgo)
 }
 
-// arm starts the timer, unless it runs or the guard has ended.
-func (g *exitGuard) arm() {
+// arm starts the timer, unless it runs or the guard has ended. It returns the signal with what the stop needs.
+func (g *exitGuard) arm(sig os.Signal) stopSignal {
+	grace, now := g.grace(), g.clock.Boottime()
+	began := stopBegan(g.stalls, now, grace)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.timer == nil && !g.ended {
-		now := g.clock.Boottime()
-		elapsed := now - stopBegan(g.stalls, now, g.grace)
-		g.timer = time.AfterFunc(time.Duration(exitUntil*float64(g.grace))-elapsed, g.exit)
+		g.armedGrace = grace
+		g.timer = time.AfterFunc(began+time.Duration(exitUntil*float64(grace))-now, g.exit)
 	}
+	return stopSignal{received: sig, began: began, grace: grace}
 }
 
 // end ends the guard, when the stop is complete and only the exit code is left to be returned.
@@ -98,7 +118,7 @@
 	logged := make(chan struct{})
 	go func() {
 		defer close(logged)
-		g.log.Error("planned stop hangs, the process ends", "grace_ms", g.grace.Milliseconds())
+		g.log.Error("planned stop hangs, the process ends", "grace_ms", g.armedGrace.Milliseconds())
 	}()
 	select {
 	case <-logged:
--- a/cmd/wharf-gateway/main.go
+++ b/cmd/wharf-gateway/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
@@ -53,7 +54,7 @@
 	memory.LimitRuntime(settings.MemoryBytes)
 	log := newLog(o.LogLevel).With("instance", settings.Name)
 	handled := make(chan os.Signal, cap(signals))
-	guard := newExitGuard(settings.Bounds.StopGrace, clock.System{}, log)
+	guard := newExitGuard(func() time.Duration { return currentGrace(settings, log) }, clock.System{}, log)
 	go guard.run(signals, handled)
 	defer guard.end()
 	if err := serve(context.Background(), settings, log, handled); err != nil {
@@ -64,6 +65,20 @@
 	return exitOK
 }
 
+// currentGrace returns the stop grace period in the settings file, which may have changed since the start, with or
+// without a signal. If the file can't be read or states none, that of the start counts.
+func currentGrace(atStart *platform.InstanceSettings, log *slog.Logger) time.Duration {
+	settings, err := platform.ReadInstanceSettings()
+	if err != nil {
+		go log.Warn("settings file could not be read again, the grace of the start counts", "error", err.Error()) // the log may block
+		return atStart.Bounds.StopGrace
+	}
+	if settings.Bounds.StopGrace <= 0 {
+		return atStart.Bounds.StopGrace
+	}
+	return settings.Bounds.StopGrace
+}
+
 func newLog(level string) *slog.Logger {
 	var l slog.Level
 	_ = l.UnmarshalText([]byte(level)) // the flag parser accepts only known levels
--- a/cmd/wharf-gateway/process_test.go
+++ b/cmd/wharf-gateway/process_test.go
@@ -33,7 +33,8 @@
 	t       *testing.T
 	node    site.Node
 	command *exec.Cmd
-	log     string
+	// settingsFile and log are paths.
+	settingsFile, log string
 	// stdout takes the place of the log file if it is not nil.
 	stdout *os.File
 	ended  chan error
@@ -63,7 +64,7 @@
 	}
 	dir := t.TempDir()
 	file := filepath.Join(dir, "node.yaml")
-	p.log = filepath.Join(dir, "log")
+	p.settingsFile, p.log = file, filepath.Join(dir, "log")
 	qt.Assert(t, os.WriteFile(file, []byte(p.node.File()), 0o600), qt.IsNil)
 	log, err := os.Create(p.log)
 	qt.Assert(t, err, qt.IsNil)
--- a/cmd/wharf-gateway/service.go
+++ b/cmd/wharf-gateway/service.go
@@ -214,12 +214,12 @@
 			return err
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				// While a process runs, only the bounds in the settings file may change.
-				// New bounds take effect at the next start, so nothing is done here.
-				log.Info("settings file may have changed, it is read at the next start")
+				// While a process runs, only the bounds in the settings file may change. The
+				// stop grace period is read again when a stop begins, the others at the next start.
+				log.Info("settings file may have changed, its grace counts for the next stop, the rest from the next start")
 				continue
 			}
-			return s.stop(servers)
+			return s.stop(servers, s.stopSignalOf(sig))
 		}
 	}
 }
--- a/cmd/wharf-gateway/stop.go
+++ b/cmd/wharf-gateway/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -51,10 +52,9 @@
 // stop carries out a planned stop. It directs callers to other instances, but serves those that
 // still come, as long as they can be answered within the stop grace. It returns an error if
 // requests are still open at the end.
-func (s *service) stop(servers *servers) error {
-	grace := s.settings.Bounds.StopGrace
-	schedule := newStopSchedule(stopBegan(s.stalls, s.clock.Boottime(), grace), grace)
-	s.log.Info("planned stop", "open", s.gateway.InFlight())
+func (s *service) stop(servers *servers, signal stopSignal) error {
+	schedule := newStopSchedule(signal.began, signal.grace)
+	s.log.Info("planned stop", "open", s.gateway.InFlight(), "grace_ms", signal.grace.Milliseconds())
 	s.stopping.Store(true)
 	s.gateway.BeginStop(schedule.answerBy)
 	// Neither must hold up the stop. Heartbeats wait for the locks of the mirrors.
@@ -66,6 +66,16 @@
 	return err
 }
 
+// stopSignalOf returns a signal for a planned stop that is noticed now. One that the guard has not passed on counts
+// from when the process last ran, with the grace of the start.
+func (s *service) stopSignalOf(sig os.Signal) stopSignal {
+	if known, ok := sig.(stopSignal); ok {
+		return known
+	}
+	grace := s.settings.Bounds.StopGrace
+	return stopSignal{received: sig, began: stopBegan(s.stalls, s.clock.Boottime(), grace), grace: grace}
+}
+
 // stopPhases holds when the phases of a planned stop ended, on the boot clock, and how many
 // connections of callers its end closed.
 type stopPhases struct {
--- a/cmd/wharf-gateway/stop_stall_test.go
+++ b/cmd/wharf-gateway/stop_stall_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
@@ -47,6 +48,17 @@
 	qt.Check(t, time.Since(began) < grace, qt.IsTrue, qt.Commentf("ended after %s", time.Since(began)))
 }
 
+// longRequest sends a request that runs for longer than a time and returns once it runs.
+func (p *gatewayProcess) longRequest(t *testing.T, ledger *site.Ledger, longer time.Duration) {
+	t.Helper()
+	conn, err := site.Connect(p.node.Callers)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(conn.Close)
+	path := fmt.Sprintf("/safe/x?%s=%d", site.WorkQuery, (2 * longer).Milliseconds())
+	go conn.Ask(http.MethodGet, path, "long", 2*longer)
+	eventually(t, "the request does not run", func() bool { return ledger.Count("long") > 0 })
+}
+
 // TestStopAfterShortPauseEndsInTime guards against a process that is killed at the end of the grace because it stood still for a
 // moment when the signal came, too shortly to count as a stall, while requests are open for as long as the stop allows.
 func TestStopAfterShortPauseEndsInTime(t *testing.T) {
@@ -57,16 +69,7 @@
 			t.Parallel()
 			ledger := &site.Ledger{}
 			p := processSite(t, ledger, 20*time.Millisecond, func(n *site.Node) { n.StopGrace = int(grace / time.Second) })
-			conn, err := site.Connect(p.node.Callers)
-			qt.Assert(t, err, qt.IsNil)
-			defer conn.Close()
-			path := fmt.Sprintf("/safe/x?%s=%d", site.WorkQuery, (2 * grace).Milliseconds())
-			answered := make(chan struct{})
-			go func() {
-				defer close(answered)
-				conn.Ask(http.MethodGet, path, "long", 2*grace)
-			}()
-			eventually(t, "the request does not run", func() bool { return ledger.Count("long") > 0 })
+			p.longRequest(t, ledger, grace)
 			began := time.Now()
 			p.signal(syscall.SIGSTOP)
 			p.signal(syscall.SIGTERM)
@@ -74,7 +77,37 @@
 			p.signal(syscall.SIGCONT)
 			qt.Check(t, <-p.ended, qt.IsNil)
 			qt.Check(t, time.Since(began) < grace, qt.IsTrue, qt.Commentf("ended after %s", time.Since(began)))
-			<-answered
+		})
+	}
+}
+
+// TestStopKeepsGraceOfSettingsFile guards against requests that are cut because the process is killed at the end of a grace that
+// was shortened in the settings file while it ran, with a signal or without one. A file that can't be read changes nothing.
+func TestStopKeepsGraceOfSettingsFile(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name      string
+		announced bool
+		file      func(n site.Node) string
+		grace     time.Duration
+	}{
+		{"shorter", false, func(n site.Node) string { n.StopGrace = 2; return n.File() }, 2 * time.Second},
+		{"shorter, with a signal", true, func(n site.Node) string { n.StopGrace = 2; return n.File() }, 2 * time.Second},
+		{"unreadable", true, func(site.Node) string { return "{" }, 4 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			ledger := &site.Ledger{}
+			p := processSite(t, ledger, 20*time.Millisecond, func(n *site.Node) { n.StopGrace = 4 })
+			p.longRequest(t, ledger, 4*time.Second)
+			qt.Assert(t, os.WriteFile(p.settingsFile, []byte(c.file(p.node)), 0o600), qt.IsNil)
+			if c.announced {
+				p.signal(syscall.SIGHUP)
+			}
+			began := time.Now()
+			p.signal(syscall.SIGTERM)
+			qt.Check(t, <-p.ended, qt.IsNil)
+			qt.Check(t, time.Since(began) < c.grace, qt.IsTrue, qt.Commentf("ended after %s", time.Since(began)))
 		})
 	}
 }
