Stop: the grace is read from a settings file with other invalid values

Cause: the settings file was parsed whole when a stop began, so that a value of the wrong type elsewhere hid a grace that had been shortened.

Change: only the grace is read then.

--- a/cmd/wharf-gateway/main.go
+++ b/cmd/wharf-gateway/main.go
@@ -54,7 +54,7 @@
 	memory.LimitRuntime(settings.MemoryBytes)
 	log := newLog(o.LogLevel).With("instance", settings.Name)
 	handled := make(chan os.Signal, cap(signals))
-	guard := newExitGuard(func() time.Duration { return currentGrace(settings, log) }, clock.System{}, log)
+	guard := newExitGuard(func() time.Duration { return currentGrace(settings.Bounds.StopGrace, log) }, clock.System{}, log)
 	go guard.run(signals, handled)
 	defer guard.end()
 	if err := serve(context.Background(), settings, log, handled); err != nil {
@@ -66,17 +66,14 @@
 }
 
 // currentGrace returns the stop grace period in the settings file, which may have changed since the start, with or
-// without a signal. If the file can't be read or states none, that of the start counts.
-func currentGrace(atStart *platform.InstanceSettings, log *slog.Logger) time.Duration {
-	settings, err := platform.ReadInstanceSettings()
+// without a signal. If it can't be read, that of the start counts.
+func currentGrace(atStart time.Duration, log *slog.Logger) time.Duration {
+	grace, err := platform.ReadStopGrace()
 	if err != nil {
-		go log.Warn("settings file could not be read again, the grace of the start counts", "error", err.Error()) // the log may block
-		return atStart.Bounds.StopGrace
-	}
-	if settings.Bounds.StopGrace <= 0 {
-		return atStart.Bounds.StopGrace
+		go log.Warn("grace could not be read again, that of the start counts", "error", err.Error()) // the log may block
+		return atStart
 	}
-	return settings.Bounds.StopGrace
+	return grace
 }
 
 func newLog(level string) *slog.Logger {
--- a/cmd/wharf-gateway/stop_stall_test.go
+++ b/cmd/wharf-gateway/stop_stall_test.go
@@ -93,6 +93,10 @@
 	}{
 		{"shorter", false, func(n site.Node) string { n.StopGrace = 2; return n.File() }, 2 * time.Second},
 		{"shorter, with a signal", true, func(n site.Node) string { n.StopGrace = 2; return n.File() }, 2 * time.Second},
+		{"shorter, with another value that is not valid", false, func(n site.Node) string {
+			n.StopGrace = 2
+			return n.File() + "limits: {cores: many}\n"
+		}, 2 * time.Second},
 		{"unreadable", true, func(site.Node) string { return "{" }, 4 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
