--- a/review/stand-in-3/main.go
+++ b/review/stand-in-3/main.go
@@ -17,13 +17,17 @@
 	failed = 2
 )
 
+// longest is how long a case may take.
+const longest = 100 * time.Second
+
 // limits are those of the small deployments.
 var limits = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 
-// Services and their routes. Both are served by one searcher each.
+// Names of services, each with a route of its own, and times of the small deployments.
 const (
 	booking   = "booking"
 	invoicing = "invoicing"
+	// heartbeat is heartbeat_ms, in which a searcher reports.
 	heartbeat = 1200 * time.Millisecond
 	// contact is contact_ms and a little more: a gateway that has just started is not in touch before.
 	contact = 4500 * time.Millisecond
@@ -42,6 +46,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(failed)
 	}
+	time.AfterFunc(longest, func() {
+		b.note("could not run: not over after %s", longest)
+		b.close()
+		os.Exit(failed)
+	})
 	code, err := cases[os.Args[1]](b, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		b.note("could not run: %v", err)
